workspace: packages, protocols and the pure model of a member

Cause: the repository is empty and every part needs the same layers, words and messages to start from. Change: the five packages with one-way dependencies, the messages for callers, members and the platform with their generated code, value types for terms and positions, the safe index, and the stand-in's member model. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/cmake/camphortide_dependencies.cmake
@@ -0,0 +1,12 @@
+# Libraries of the system that the packages link to.
+find_package(Threads REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(gRPC CONFIG REQUIRED)
+find_package(absl CONFIG REQUIRED)
+find_package(TBB CONFIG REQUIRED)
+find_package(glog CONFIG REQUIRED)
+find_package(cppzmq CONFIG REQUIRED)
+find_package(nlohmann_json CONFIG REQUIRED)
+find_package(doctest CONFIG REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+find_package(OpenSSL REQUIRED)
--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/safe_position.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+#include <camphortide/state/member_status.hpp>
+
+namespace camphortide::coordination
+{
+
+/// Finds how far a primary's log is safe: the highest index that a majority
+/// of the members has received in the primary's own term. Only members whose
+/// highest granted term and last record are of that term count, so that a
+/// record counted here is in the log of every later primary.
+/// @param statuses the latest status of each member that is known
+/// @param members the size of the group
+/// @param primary_term the primary's term
+/// @return the index; 0 if no record of the term is safe yet
+/// @see D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus
+///     Algorithm", section 5.4.2, for the rule on records of older terms
+std::uint64_t safe_index(std::span<state::member_status const> statuses,
+                         std::size_t members, state::term primary_term);
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/standin/include/camphortide/standin/member_model.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <camphortide/standin/statement_language.hpp>
+#include <camphortide/state/member_status.hpp>
+
+namespace camphortide::standin
+{
+
+/// One entry of a member's log.
+struct record
+{
+    state::term m_term;
+    std::string m_key; ///< request key; may be empty
+    std::vector<std::string> m_statements;
+    std::string m_result;
+    bool m_barrier = false; ///< bars m_key from ever running
+
+    friend bool operator==(record const&, record const&) = default;
+};
+
+/// How a member answered a statement.
+enum class statement_code
+{
+    ok,
+    not_primary,
+    wrong_term,
+    key_barred,
+    failed,
+    no_transaction,
+    rolled_back
+};
+
+/// A member's answer to a statement.
+struct statement_answer
+{
+    statement_code m_code = statement_code::failed;
+    std::string m_result;
+    state::log_position m_position;
+    bool m_replayed = false;
+};
+
+/// A stretch of the primary's log on its way to a replica.
+struct replication
+{
+    state::term m_term; ///< the primary's
+    std::string m_primary;
+    state::log_position m_previous; ///< record before the first one sent
+    std::vector<record> m_records;
+};
+
+/// The pure model of one member: its log, its table and the terms it granted.
+/// Has no clock, no thread and no network; whoever owns it moves the messages.
+class member_model
+{
+public:
+    /// @param name the member's name in its group
+    explicit member_model(std::string name);
+
+    /// Grants a term if it is higher than every one granted before, or is
+    /// the same one asked for again by the same proposer.
+    /// @return true if granted; the member then refuses lower terms
+    bool fence(state::term term, std::string const& proposer);
+
+    /// Makes the member primary in a term that it granted to the proposer.
+    /// @return true if it is primary in that term
+    bool promote(state::term term, std::string const& proposer);
+
+    /// Makes the member a replica of a primary in a term.
+    /// @return true unless it granted a higher term
+    bool follow(state::term term, std::string const& primary);
+
+    /// Takes records from a primary; drops its own that conflict.
+    /// @return the last index that agrees with the primary's log, or nothing
+    ///     if the term is lower than the one granted
+    std::optional<std::uint64_t> receive(replication const& message);
+
+    /// Builds the message that brings a replica on from an index.
+    /// @param after the last index that the replica is thought to hold
+    /// @param most the most records to send
+    /// @return nothing unless the member is primary
+    std::optional<replication> replicate(std::uint64_t after,
+                                         std::size_t most) const;
+
+    /// Applies received records to the table, up to an index.
+    void apply_to(std::uint64_t index);
+
+    /// Runs a statement that reads the table as applied so far.
+    statement_answer read(std::string_view text);
+
+    /// Runs statements as one record if the member is primary in the term.
+    /// A key that ran before gives its first result again.
+    statement_answer write(state::term term, std::string const& key,
+                           std::vector<std::string> const& statements);
+
+    /// Finds out what became of a key; bars it if it has not run.
+    /// @return ok with the first result, or key_barred
+    statement_answer resolve(state::term term, std::string const& key);
+
+    /// Returns the member to what it is after a restart: the log and the
+    /// granted term stay, the role does not.
+    void restart();
+
+    /// @return the status without the fields that need a clock or a network
+    state::member_status status() const;
+
+    std::string const& name() const { return m_name; }
+    std::vector<record> const& log() const { return m_log; }
+    table const& rows() const { return m_rows; }
+    /// @return the primary that the member follows; empty if none
+    std::string const& primary() const { return m_primary; }
+
+private:
+    std::optional<statement_code> refusal(state::term term) const;
+    statement_answer append(record entry);
+    std::optional<statement_answer> earlier(std::string const& key) const;
+    void truncate_to(std::uint64_t index);
+    state::log_position last() const;
+    state::log_position position_of(std::uint64_t index) const;
+    state::term_history history() const;
+
+    std::string m_name;
+    state::term m_granted;
+    std::string m_granted_to;
+    state::term m_followed;
+    std::string m_primary;
+    state::member_role m_role = state::member_role::fenced;
+    std::vector<record> m_log; ///< index 1 is at 0
+    std::uint64_t m_applied = 0;
+    table m_rows;
+    std::map<std::string, std::uint64_t, std::less<>> m_keys;
+};
+
+} // namespace camphortide::standin
--- /dev/null
+++ b/packages/standin/test/group_model/member_model_test.cpp
@@ -0,0 +1,84 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/standin/member_model.hpp>
+
+namespace standin = camphortide::standin;
+namespace state = camphortide::state;
+
+namespace
+{
+
+void copy_log(standin::member_model const& from, standin::member_model& to)
+{
+    std::uint64_t held = to.log().size();
+    for (std::size_t round = 0; round < 100; ++round)
+    {
+        auto const message = from.replicate(held, 10);
+        REQUIRE(message);
+        auto const agreed = to.receive(*message);
+        REQUIRE(agreed);
+        held = *agreed;
+        if (held == from.log().size())
+        {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("a term is granted once, and again only to its own proposer")
+{
+    standin::member_model member("a");
+    CHECK(member.fence(state::term(5), "one"));
+    CHECK(member.fence(state::term(5), "one"));
+    CHECK_FALSE(member.fence(state::term(5), "two"));
+    CHECK_FALSE(member.fence(state::term(4), "two"));
+}
+
+TEST_CASE("a fenced primary refuses writes of its old term")
+{
+    standin::member_model member("a");
+    REQUIRE(member.fence(state::term(1), "one"));
+    REQUIRE(member.promote(state::term(1), "one"));
+    CHECK(member.write(state::term(1), "k", {"set x 1"}).m_code ==
+          standin::statement_code::ok);
+    REQUIRE(member.fence(state::term(2), "two"));
+    CHECK(member.write(state::term(1), "l", {"set x 2"}).m_code ==
+          standin::statement_code::not_primary);
+}
+
+TEST_CASE("a returning primary drops the tail that nobody else received")
+{
+    standin::member_model old_primary("a");
+    standin::member_model new_primary("b");
+    REQUIRE(old_primary.fence(state::term(1), "one"));
+    REQUIRE(old_primary.promote(state::term(1), "one"));
+    old_primary.write(state::term(1), "k", {"set x 1"});
+    copy_log(old_primary, new_primary);
+    old_primary.write(state::term(1), "lost", {"set x 2"});
+    REQUIRE(new_primary.fence(state::term(2), "two"));
+    REQUIRE(new_primary.promote(state::term(2), "two"));
+    new_primary.write(state::term(2), "m", {"set y 3"});
+    copy_log(new_primary, old_primary);
+    CHECK(old_primary.log() == new_primary.log());
+    old_primary.apply_to(old_primary.log().size());
+    CHECK(old_primary.rows() == new_primary.rows());
+}
+
+TEST_CASE("a key runs once; a barred key never runs")
+{
+    standin::member_model member("a");
+    REQUIRE(member.fence(state::term(1), "one"));
+    REQUIRE(member.promote(state::term(1), "one"));
+    auto const first = member.write(state::term(1), "k", {"add x 1"});
+    auto const again = member.write(state::term(1), "k", {"add x 1"});
+    CHECK(again.m_replayed);
+    CHECK(again.m_position == first.m_position);
+    CHECK(member.rows().at("x") == "1");
+    CHECK(member.resolve(state::term(1), "late").m_code ==
+          standin::statement_code::key_barred);
+    CHECK(member.write(state::term(1), "late", {"add x 1"}).m_code ==
+          standin::statement_code::key_barred);
+    CHECK(member.rows().at("x") == "1");
+}
--- /dev/null
+++ b/packages/state/include/camphortide/state/term.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace camphortide::state
+{
+
+/// The number of a primary's reign in a database group. The low bits are the
+/// proposer's tag, so that two proposers never propose the same number.
+class term
+{
+public:
+    static constexpr unsigned tag_bits = 20;
+
+    constexpr term() = default;
+    constexpr explicit term(std::uint64_t value) : m_value(value) {}
+
+    /// @return the number; 0 is before every term
+    constexpr std::uint64_t value() const { return m_value; }
+
+    /// The lowest term of a proposer that is above this one.
+    /// @param tag identifies the proposer; its low tag_bits are used
+    /// @return a term whose round is one higher
+    constexpr term next(std::uint64_t tag) const
+    {
+        constexpr std::uint64_t mask = (std::uint64_t{1} << tag_bits) - 1;
+        return term((((m_value >> tag_bits) + 1) << tag_bits) | (tag & mask));
+    }
+
+    friend constexpr auto operator<=>(term, term) = default;
+
+private:
+    std::uint64_t m_value = 0;
+};
+
+} // namespace camphortide::state
--- /dev/null
+++ b/packages/state/include/camphortide/state/term_history.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <vector>
+
+#include <camphortide/state/log_position.hpp>
+
+namespace camphortide::state
+{
+
+/// The first index that was written in a term.
+struct term_start
+{
+    term m_term;
+    std::uint64_t m_first_index = 0;
+
+    friend constexpr auto operator<=>(term_start const&,
+                                      term_start const&) = default;
+};
+
+/// Which term wrote which stretch of a log. Tells whether a position that was
+/// seen under an older primary is still part of the log.
+class term_history
+{
+public:
+    term_history() = default;
+
+    /// @param starts rising in term and index; older terms may be left out
+    explicit term_history(std::vector<term_start> starts);
+
+    /// Looks up whether a log with this history holds a record.
+    /// @param position the record's term and index
+    /// @param last the log's last record
+    /// @return true if the record is in the log; a record from before the
+    ///     oldest start is taken to be in it, since only starts whose earlier
+    ///     records are safe are left out
+    bool contains(log_position const& position, log_position const& last) const;
+
+    /// @return the starts, oldest first
+    std::vector<term_start> const& starts() const { return m_starts; }
+
+    friend auto operator<=>(term_history const&, term_history const&) = default;
+
+private:
+    std::vector<term_start> m_starts;
+};
+
+} // namespace camphortide::state
--- /dev/null
+++ b/packages/state/test/position/term_history_test.cpp
@@ -0,0 +1,35 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/state/term_history.hpp>
+
+namespace state = camphortide::state;
+
+TEST_CASE("a term names its proposer and is above the one before")
+{
+    state::term const base(0);
+    state::term const left = base.next(1);
+    state::term const right = base.next(2);
+    CHECK(left != right);
+    CHECK(left > base);
+    CHECK(left.next(1) > right);
+}
+
+TEST_CASE("a log holds only the records of the terms that wrote them")
+{
+    state::term const first(10);
+    state::term const second(20);
+    state::term_history const history({{first, 1}, {second, 5}});
+    state::log_position const last{second, 8};
+    CHECK(history.contains({first, 4}, last));
+    CHECK(history.contains({second, 5}, last));
+    CHECK_FALSE(history.contains({first, 5}, last));
+    CHECK_FALSE(history.contains({second, 4}, last));
+    CHECK_FALSE(history.contains({second, 9}, last));
+}
+
+TEST_CASE("records older than the kept history count as held")
+{
+    state::term_history const history({{state::term(30), 100}});
+    state::log_position const last{state::term(30), 120};
+    CHECK(history.contains({state::term(10), 50}, last));
+}
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/server_stream.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+
+namespace camphortide::transport
+{
+
+/// The server's side of one bidirectional stream. Queues what is sent, and
+/// lives until gRPC has let go of it.
+template <typename Request, typename Reply>
+class server_stream
+    : public grpc::ServerBidiReactor<Request, Reply>,
+      public std::enable_shared_from_this<server_stream<Request, Reply>>
+{
+public:
+    /// Begins to read. Called once, after construction by make_shared.
+    void start()
+    {
+        m_self = this->shared_from_this();
+        this->StartRead(&m_request);
+    }
+
+    /// Queues a message. Does nothing once the stream is finishing.
+    void send(Reply reply)
+    {
+        std::scoped_lock const lock(m_mutex);
+        if (m_finishing)
+        {
+            return;
+        }
+        m_replies.push_back(std::move(reply));
+        if (m_replies.size() == 1)
+        {
+            this->StartWrite(&m_replies.front());
+        }
+    }
+
+    /// Ends the stream after the messages that are queued.
+    void finish(grpc::Status const& status)
+    {
+        std::scoped_lock const lock(m_mutex);
+        if (m_finishing)
+        {
+            return;
+        }
+        m_finishing = true;
+        m_status = status;
+        if (m_replies.empty())
+        {
+            this->Finish(m_status);
+        }
+    }
+
+protected:
+    /// Handles a message from the client.
+    virtual void handle(Request const& request) = 0;
+
+    /// Called once, when the client ended or broke the stream.
+    virtual void on_end() = 0;
+
+private:
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+        {
+            on_end();
+            finish(grpc::Status::OK);
+            return;
+        }
+        handle(m_request);
+        this->StartRead(&m_request);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        std::scoped_lock const lock(m_mutex);
+        if (ok)
+        {
+            m_replies.pop_front();
+        }
+        else
+        {
+            m_replies.clear();
+        }
+        if (!m_replies.empty())
+        {
+            this->StartWrite(&m_replies.front());
+        }
+        else if (m_finishing)
+        {
+            this->Finish(m_status);
+        }
+    }
+
+    void OnDone() override { auto const self = std::move(m_self); }
+
+    std::shared_ptr<server_stream> m_self;
+    std::mutex m_mutex;
+    std::deque<Reply> m_replies;
+    bool m_finishing = false;
+    grpc::Status m_status;
+    Request m_request;
+};
+
+} // namespace camphortide::transport
