standin, transport: a group behind gRPC and a gateway that talks to it

Cause: a request needs a way from an instance to the members of a group. Change: the stand-in group with its members' servers, lag, slots, connection limit and faults; the client of a member; a first gateway that acknowledges a write once it is safe and releases a read once what it saw is safe.

--- /dev/null
+++ b/packages/standin/include/camphortide/standin/group/group_options.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphortide::standin
+{
+
+/// How a stand-in database group behaves.
+struct group_options
+{
+    std::string m_name;
+    std::vector<std::string> m_members;
+    std::uint32_t m_connection_limit = 16;
+    std::uint32_t m_slots = 2; ///< statements that a member runs at once
+    std::chrono::microseconds m_open_delay{12000};
+    std::chrono::microseconds m_statement_time{0};
+    std::chrono::microseconds m_network_delay{0}; ///< one way, per message
+    std::chrono::microseconds m_receive_lag{0};
+    std::chrono::microseconds m_apply_lag{0};
+    bool m_initial_primary = true; ///< the first member starts as primary
+};
+
+} // namespace camphortide::standin
--- /dev/null
+++ b/packages/standin/include/camphortide/standin/group/timer_queue.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace camphortide::standin
+{
+
+/// Runs functions at their time, on one thread of its own.
+class timer_queue
+{
+public:
+    using task = std::function<void()>;
+
+    timer_queue();
+    ~timer_queue();
+    timer_queue(timer_queue const&) = delete;
+    timer_queue& operator=(timer_queue const&) = delete;
+
+    /// Runs a function after a delay.
+    /// @param delay microseconds from now; 0 runs it as soon as possible
+    void after(std::chrono::microseconds delay, task run);
+
+    /// Ends the thread; what is still waiting is dropped.
+    void stop();
+
+private:
+    using moment = std::chrono::steady_clock::time_point;
+
+    void run();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::multimap<moment, task> m_tasks;
+    bool m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace camphortide::standin
--- a/packages/transport/include/camphortide/transport/server_stream.hpp
+++ b/packages/transport/include/camphortide/transport/server_stream.hpp
@@ -63,6 +63,9 @@
     /// Called once, when the client ended or broke the stream.
     virtual void on_end() = 0;
 
+    /// Called when everything queued has been sent.
+    virtual void on_sent() {}
+
 private:
     void OnReadDone(bool ok) override
     {
@@ -77,6 +80,15 @@
     }
 
     void OnWriteDone(bool ok) override
+    {
+        if (next_write(ok))
+        {
+            on_sent();
+        }
+    }
+
+    /// @return true if nothing is left to send
+    bool next_write(bool ok)
     {
         std::scoped_lock const lock(m_mutex);
         if (ok)
@@ -90,11 +102,14 @@
         if (!m_replies.empty())
         {
             this->StartWrite(&m_replies.front());
+            return false;
         }
-        else if (m_finishing)
+        if (m_finishing)
         {
             this->Finish(m_status);
+            return false;
         }
+        return true;
     }
 
     void OnDone() override { auto const self = std::move(m_self); }
