access, instance: check callers' requests and run control state on one thread

Cause: callers need one checked way in, and control state needs its own thread. Change: credential and request checks with a typed failure each, the caller service for reads, writes and outcomes, and the control loop.

--- /dev/null
+++ b/packages/transport/include/camphortide/transport/access/request_check.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <camphortide/protocol/token_codec.hpp>
+#include <camphortide/state/catalogue.hpp>
+#include <camphortide/transport/gateway/group_request.hpp>
+#include <camphortide/v1/access.pb.h>
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace camphortide::transport
+{
+
+/// A caller's request after every check.
+struct checked_request
+{
+    group_request m_request;
+    state::session_token m_token;
+    std::string m_owner;
+    std::string m_class_name;
+    std::string m_caller_key; ///< as the caller named it; may be empty
+};
+
+/// Checks what callers send, and turns it into requests of groups.
+class request_check
+{
+public:
+    /// @param codec of the session tokens; outlives this
+    /// @param most_bytes of a statement
+    /// @param instance name, for the keys of writes that come without one
+    request_check(protocol::token_codec const& codec, std::size_t most_bytes,
+        std::string instance);
+
+    /// Checks a read or write.
+    /// @param context with the credential and the caller's gRPC deadline
+    /// @param entries the catalogue in force; null if there is none yet
+    /// @param now the time of arrival
+    /// @return the request, or a failure with outcome not executed
+    std::variant<checked_request, v1::Failure> check(
+        grpc::CallbackServerContext const& context,
+        std::shared_ptr<state::catalogue const> const& entries,
+        v1::Request const& request, request_kind kind, state::time_point now);
+
+    /// Checks a question after a request key.
+    std::variant<checked_request, v1::Failure> check(
+        grpc::CallbackServerContext const& context,
+        std::shared_ptr<state::catalogue const> const& entries,
+        v1::OutcomeRequest const& request, state::time_point now);
+
+private:
+    std::string new_key();
+
+    protocol::token_codec const& m_codec;
+    std::size_t const m_most_bytes;
+    std::string const m_key_prefix;
+    std::atomic<std::uint64_t> m_last_key{0};
+};
+
+/// Builds the failure of a request that was not executed.
+v1::Failure not_executed(state::reason reason, std::string detail = {});
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/gateway/group_request.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_request.hpp
@@ -31,7 +31,8 @@
     bool m_idempotent = false;
     state::time_point m_deadline;
     std::optional<state::duration> m_max_age;
-    state::log_position m_required; ///< from the session token
+    std::optional<state::log_position> m_required; ///< from the token
+    bool m_token_complete = true; ///< false: positions were left out
 };
 
 /// What became of a request at a home.
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/request_router.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <camphortide/transport/gateway/group_request.hpp>
+
+namespace camphortide::transport
+{
+
+/// Takes a request to a home of its group.
+class request_router
+{
+public:
+    virtual ~request_router() = default;
+
+    /// Runs a request.
+    /// @param request checked; its deadline is on this process's clock
+    /// @param done is called once, on any thread
+    virtual void submit(group_request request, reply_handler done) = 0;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/control_loop.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <camphortide/state/clock.hpp>
+
+#include <oneapi/tbb/concurrent_queue.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace camphortide::transport
+{
+
+/// The thread that owns an instance's control state. Runs posted tasks in
+/// order, and a periodic task.
+class control_loop
+{
+public:
+    using task = std::function<void()>;
+
+    /// @param interval between two runs of the periodic task
+    /// @param periodic is called on the loop's thread
+    control_loop(state::duration interval, task periodic);
+    ~control_loop();
+    control_loop(control_loop const&) = delete;
+    control_loop& operator=(control_loop const&) = delete;
+
+    /// Runs a task on the loop's thread. Dropped once the loop has stopped.
+    void post(task run);
+
+    /// Ends the thread after the task that is running.
+    void stop();
+
+private:
+    void run();
+    void run_posted();
+
+    state::duration const m_interval;
+    task const m_periodic;
+    oneapi::tbb::concurrent_queue<task> m_tasks;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_pending = false;
+    bool m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/access/access_service.cpp
@@ -0,0 +1,171 @@
+#include <camphortide/transport/access/access_service.hpp>
+
+#include <camphortide/transport/grpc_failure.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+v1::Outcome to_proto(state::outcome value)
+{
+    switch (value)
+    {
+    case state::outcome::executed:
+        return v1::OUTCOME_EXECUTED;
+    case state::outcome::not_executed:
+        return v1::OUTCOME_NOT_EXECUTED;
+    case state::outcome::unknown:
+        return v1::OUTCOME_UNKNOWN;
+    }
+    return v1::OUTCOME_UNSPECIFIED;
+}
+
+v1::Failure failure_of(
+    checked_request const& checked, group_reply const& reply)
+{
+    v1::Failure failure;
+    failure.set_outcome(to_proto(reply.m_outcome));
+    failure.set_reason(static_cast<v1::Reason>(reply.m_reason));
+    failure.set_retry_after_ms(
+        static_cast<std::uint32_t>(reply.m_retry_after.count()));
+    failure.set_request_key(checked.m_caller_key);
+    failure.set_detail(reply.m_result);
+    return failure;
+}
+
+void finish(grpc::ServerUnaryReactor* reactor, v1::Failure const& failure)
+{
+    reactor->Finish(to_status(failure));
+}
+
+} // namespace
+
+access_service::access_service(request_check& check, request_router& router,
+    protocol::token_codec const& codec, catalogue_source catalogue,
+    observer ended)
+    : m_check(check), m_router(router), m_codec(codec),
+      m_catalogue(std::move(catalogue)), m_ended(std::move(ended))
+{
+}
+
+grpc::ServerUnaryReactor* access_service::Read(
+    grpc::CallbackServerContext* context, v1::Request const* request,
+    v1::Reply* reply)
+{
+    return serve(context, *request, reply, request_kind::read);
+}
+
+grpc::ServerUnaryReactor* access_service::Write(
+    grpc::CallbackServerContext* context, v1::Request const* request,
+    v1::Reply* reply)
+{
+    return serve(context, *request, reply, request_kind::write);
+}
+
+grpc::ServerUnaryReactor* access_service::serve(
+    grpc::CallbackServerContext* context, v1::Request const& request,
+    v1::Reply* reply, request_kind kind)
+{
+    auto* const reactor = context->DefaultReactor();
+    if (m_draining)
+    {
+        finish(reactor, not_executed(state::reason::draining));
+        return reactor;
+    }
+    auto checked = m_check.check(
+        *context, m_catalogue(), request, kind, state::clock::now());
+    if (auto const* const failure = std::get_if<v1::Failure>(&checked))
+    {
+        finish(reactor, *failure);
+        return reactor;
+    }
+    run(std::get<checked_request>(std::move(checked)),
+        [this, reactor, reply](
+            checked_request const& asked, group_reply const& answer)
+        {
+            if (answer.m_outcome != state::outcome::executed)
+            {
+                finish(reactor, failure_of(asked, answer));
+                return;
+            }
+            reply->set_outcome(v1::OUTCOME_EXECUTED);
+            reply->set_result(answer.m_result);
+            reply->set_session_token(token_after(asked, answer));
+            reply->set_member(answer.m_member);
+            reply->set_from_replica(answer.m_from_replica);
+            reply->set_age_ms(static_cast<std::uint32_t>(answer.m_age.count()));
+            reply->set_replayed(answer.m_replayed);
+            reactor->Finish(grpc::Status::OK);
+        });
+    return reactor;
+}
+
+grpc::ServerUnaryReactor* access_service::GetOutcome(
+    grpc::CallbackServerContext* context, v1::OutcomeRequest const* request,
+    v1::OutcomeReply* reply)
+{
+    auto* const reactor = context->DefaultReactor();
+    auto checked = m_check.check(
+        *context, m_catalogue(), *request, state::clock::now());
+    if (auto const* const failure = std::get_if<v1::Failure>(&checked))
+    {
+        finish(reactor, *failure);
+        return reactor;
+    }
+    run(std::get<checked_request>(std::move(checked)),
+        [this, reactor, reply](
+            checked_request const& asked, group_reply const& answer)
+        {
+            bool const definite =
+                answer.m_outcome == state::outcome::executed ||
+                answer.m_reason == state::reason::key_barred;
+            if (!definite)
+            {
+                auto failure = failure_of(asked, answer);
+                failure.set_outcome(v1::OUTCOME_UNKNOWN);
+                finish(reactor, failure);
+                return;
+            }
+            reply->set_outcome(to_proto(answer.m_outcome));
+            reply->set_reason(static_cast<v1::Reason>(answer.m_reason));
+            reply->set_result(answer.m_result);
+            reply->set_session_token(token_after(asked, answer));
+            reactor->Finish(grpc::Status::OK);
+        });
+    return reactor;
+}
+
+void access_service::run(checked_request checked,
+    std::function<void(checked_request const&, group_reply const&)> done)
+{
+    ++m_in_flight;
+    auto const start = std::chrono::steady_clock::now();
+    auto const asked = std::make_shared<checked_request>(std::move(checked));
+    m_router.submit(asked->m_request,
+        [this, asked, start, done = std::move(done)](group_reply const& reply)
+        {
+            auto const latency =
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    std::chrono::steady_clock::now() - start);
+            if (m_ended)
+            {
+                m_ended(*asked, reply, latency);
+            }
+            done(*asked, reply);
+            --m_in_flight;
+        });
+}
+
+std::string access_service::token_after(
+    checked_request const& checked, group_reply const& reply) const
+{
+    return m_codec.encode(checked.m_token.advanced(
+        checked.m_request.m_group, reply.m_position));
+}
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/access/request_check.cpp
@@ -0,0 +1,150 @@
+#include <camphortide/transport/access/request_check.hpp>
+
+#include <camphortide/transport/access/authenticator.hpp>
+
+#include <google/protobuf/message.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+constexpr std::size_t most_key_bytes = 200;
+constexpr std::size_t most_entry_bytes = 200;
+
+bool has_unknown_fields(google::protobuf::Message const& message)
+{
+    return !message.GetReflection()->GetUnknownFields(message).empty();
+}
+
+std::string random_prefix(std::string const& instance)
+{
+    std::random_device source;
+    return "auto." + instance + "." + std::to_string(source()) + ".";
+}
+
+/// The time that the caller's own gRPC deadline leaves.
+state::duration left_of(grpc::CallbackServerContext const& context)
+{
+    auto const left = context.deadline() - std::chrono::system_clock::now();
+    if (left > std::chrono::hours(24))
+    {
+        return std::chrono::hours(24);
+    }
+    return std::chrono::duration_cast<state::duration>(left);
+}
+
+} // namespace
+
+v1::Failure not_executed(state::reason reason, std::string detail)
+{
+    v1::Failure failure;
+    failure.set_outcome(v1::OUTCOME_NOT_EXECUTED);
+    failure.set_reason(static_cast<v1::Reason>(reason));
+    failure.set_detail(std::move(detail));
+    return failure;
+}
+
+request_check::request_check(protocol::token_codec const& codec,
+    std::size_t most_bytes, std::string instance)
+    : m_codec(codec), m_most_bytes(most_bytes),
+      m_key_prefix(random_prefix(instance))
+{
+}
+
+std::variant<checked_request, v1::Failure> request_check::check(
+    grpc::CallbackServerContext const& context,
+    std::shared_ptr<state::catalogue const> const& entries,
+    v1::Request const& request, request_kind kind, state::time_point now)
+{
+    using state::reason;
+    if (!entries)
+    {
+        return not_executed(reason::no_catalogue, "no catalogue yet");
+    }
+    if (has_unknown_fields(request) ||
+        request.entry().size() > most_entry_bytes ||
+        request.request_key().size() > most_key_bytes)
+    {
+        return not_executed(reason::bad_request,
+            "unknown field, or entry or key beyond 200 bytes");
+    }
+    if (request.statement().size() > m_most_bytes)
+    {
+        return not_executed(reason::too_large, "statement is too large");
+    }
+    auto const allowed = authenticate(context, *entries, request.entry());
+    if (auto const* const why = std::get_if<reason>(&allowed))
+    {
+        return not_executed(*why);
+    }
+    auto token = m_codec.decode(request.session_token());
+    if (auto const* const why = std::get_if<protocol::token_error>(&token))
+    {
+        return not_executed(reason::bad_token,
+            "session token: " + std::string(protocol::to_string(*why)));
+    }
+    auto const& entry = *std::get<state::catalogue_entry const*>(allowed);
+    auto const asked = state::duration(request.deadline_ms());
+    auto const left = std::min(left_of(context),
+        asked.count() > 0 ? asked : entry.m_limits.m_deadline);
+    if (left.count() <= 0)
+    {
+        return not_executed(reason::deadline_exceeded, "deadline has passed");
+    }
+    checked_request result;
+    result.m_token = std::get<state::session_token>(std::move(token));
+    result.m_owner = entry.m_owner;
+    result.m_class_name = entry.m_class_name;
+    result.m_caller_key = request.request_key();
+    auto& out = result.m_request;
+    out.m_kind = kind;
+    out.m_entry = entry.m_name;
+    out.m_group = entry.m_group;
+    out.m_statement = request.statement();
+    out.m_idempotent = request.idempotent() || entry.m_limits.m_idempotent;
+    out.m_deadline = now + left;
+    out.m_required = result.m_token.find(entry.m_group);
+    out.m_token_complete = result.m_token.complete();
+    out.m_max_age = request.has_max_age_ms()
+                        ? state::duration(request.max_age_ms())
+                        : entry.m_limits.m_age;
+    if (kind != request_kind::read)
+    {
+        if (result.m_caller_key.empty())
+        {
+            result.m_caller_key = new_key();
+        }
+        out.m_key = entry.m_owner + "/" + result.m_caller_key;
+    }
+    return result;
+}
+
+std::variant<checked_request, v1::Failure> request_check::check(
+    grpc::CallbackServerContext const& context,
+    std::shared_ptr<state::catalogue const> const& entries,
+    v1::OutcomeRequest const& request, state::time_point now)
+{
+    if (request.request_key().empty() || has_unknown_fields(request))
+    {
+        return not_executed(
+            state::reason::bad_request, "request key is missing");
+    }
+    v1::Request translated;
+    translated.set_entry(request.entry());
+    translated.set_request_key(request.request_key());
+    translated.set_session_token(request.session_token());
+    return check(context, entries, translated, request_kind::resolve, now);
+}
+
+std::string request_check::new_key()
+{
+    return m_key_prefix + std::to_string(++m_last_key);
+}
+
+} // namespace camphortide::transport
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -219,14 +219,14 @@
 group_gateway::member* group_gateway::choose(operation const& work)
 {
     if (work.m_request.m_kind == request_kind::read &&
-        work.m_request.m_required.m_index > 0)
+        work.m_request.m_required)
     {
         for (auto const& one : m_members)
         {
             if (one->m_status &&
                 one->m_status->m_role == state::member_role::replica &&
                 one->m_status->m_applied.m_index >=
-                    work.m_request.m_required.m_index &&
+                    work.m_request.m_required->m_index &&
                 one->idle() != nullptr)
             {
                 return one.get();
@@ -322,7 +322,8 @@
         return;
     }
     auto const position = protocol::from_proto(reply.position());
-    if (position.m_index < work->m_request.m_required.m_index)
+    if (work->m_request.m_required &&
+        position.m_index < work->m_request.m_required->m_index)
     {
         m_waiting.push_back(work);
         return;
--- a/packages/transport/src/grpc_failure.cpp
+++ b/packages/transport/src/grpc_failure.cpp
@@ -58,7 +58,10 @@
     std::string const message = failure.detail().empty()
                                     ? std::string(state::to_string(why))
                                     : failure.detail();
-    return {status_code(why), message, failure.SerializeAsString()};
+    bool const unknown = failure.outcome() == v1::OUTCOME_UNKNOWN &&
+                         why != state::reason::deadline_exceeded;
+    return {unknown ? grpc::StatusCode::UNKNOWN : status_code(why), message,
+        failure.SerializeAsString()};
 }
 
 } // namespace camphortide::transport
