coordination: group monitor that detects a lost primary and promotes another

Cause: nobody orders a promotion in a database group, so each home instance has to find a lost primary and replace it without a coordinator.

A majority's word deposes a primary; a promotion fences a majority in a new term and takes the most advanced member that granted it. Planned changes pause writes, wait for a replica to hold the last record, and promote it.

--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/group/group_monitor.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <camphortide/coordination/group/failure_detector.hpp>
+#include <camphortide/coordination/group/group_action.hpp>
+#include <camphortide/coordination/group/group_settings.hpp>
+#include <camphortide/coordination/group/group_view.hpp>
+#include <camphortide/coordination/group/promotion.hpp>
+#include <camphortide/coordination/group/switchover.hpp>
+
+namespace camphortide::coordination
+{
+
+class group_monitor_builder;
+
+/// Watches one database group for one instance: keeps the members' statuses,
+/// finds out when the primary is lost, promotes another, and carries planned
+/// changes out. Every home of the group runs one. Pure: each input carries
+/// the time, and the result says what to do. Inputs must come in rising time;
+/// tick has to be called every few milliseconds.
+class group_monitor
+{
+public:
+    /// Takes a member's status, from whatever reply it came with, in the
+    /// order in which a stream delivered it.
+    group_actions status_received(state::member_status const& status,
+                                  state::time_point now);
+
+    /// Notes that the connection to a member broke.
+    group_actions member_unreachable(std::string_view member,
+                                     state::time_point now);
+
+    /// Takes the reply to send_fence.
+    /// @param term the term asked for
+    /// @param status the status in the reply
+    group_actions fence_replied(state::term term, bool granted,
+                                state::member_status const& status,
+                                state::time_point now);
+
+    /// Takes the reply to send_promote.
+    group_actions promote_replied(state::term term, bool done,
+                                  state::member_status const& status,
+                                  state::time_point now);
+
+    /// Takes the reply to send_follow.
+    group_actions follow_replied(state::member_status const& status,
+                                 state::time_point now);
+
+    /// Does what is due at this time.
+    group_actions tick(state::time_point now);
+
+    /// Asks for a planned change of primary, ended by switchover_ended.
+    /// @param target the member to promote; empty for any replica
+    group_actions request_switchover(std::string_view target,
+                                     state::time_point now);
+
+    /// Gives a switchover up unless its promotion has begun.
+    group_actions cancel_switchover(state::time_point now);
+
+    /// Notes, after pause_writes, that every write and transaction admitted
+    /// before has ended at every home.
+    group_actions writes_drained(state::time_point now);
+
+    /// @return the primary to use for writes; nothing while there is none or
+    ///     one is being promoted here
+    std::optional<group_primary> const& primary() const { return m_announced; }
+
+    /// @return the latest status of each member; term 0 if not known yet
+    std::span<state::member_status const> statuses() const
+    {
+        return m_view.statuses();
+    }
+
+    /// @return how far the primary's log is safe; 0 without a primary
+    std::uint64_t safe_index() const { return m_view.safe_index(); }
+
+    /// @return what the members' answers say about the primary
+    primary_verdict verdict(state::time_point now) const;
+
+    /// @return the number of promotions begun here
+    std::uint64_t promotions() const { return m_promotions; }
+
+    group_view const& view() const { return m_view; }
+
+private:
+    friend class group_monitor_builder;
+
+    explicit group_monitor(group_monitor_builder const& builder);
+
+    void begin(state::time_point now);
+    void note(state::member_status const& status, state::time_point now,
+              group_actions& out);
+    void evaluate(state::time_point now, group_actions& out);
+    void announce(group_actions& out);
+    void probe(state::time_point now, group_actions& out);
+    void detect(state::time_point now, group_actions& out);
+    void start_promotion(std::string preferred, state::time_point now,
+                         group_actions& out);
+    void advance_promotion(state::time_point now, group_actions& out);
+    void start_switchover(std::string target, state::time_point now,
+                          group_actions& out);
+    void advance_switchover(state::time_point now, group_actions& out);
+    void end_switchover(switchover_result result, group_actions& out);
+    void request_by_status(state::time_point now, group_actions& out);
+    std::optional<std::string> wanted_switchover(state::time_point now) const;
+    void lead_followers(state::time_point now, group_actions& out);
+
+    group_settings m_settings;
+    std::string m_proposer;
+    std::uint64_t m_tag;
+    group_view m_view;
+    failure_detector m_detector;
+    jitter m_jitter;
+    std::optional<promotion> m_promotion;
+    std::optional<switchover> m_switchover;
+    std::optional<group_primary> m_announced;
+    state::term m_last_proposed;
+    std::uint64_t m_promotions = 0;
+    std::uint64_t m_probe = 0;
+    std::optional<state::time_point> m_last_input;
+    state::time_point m_probe_at{};
+    state::time_point m_follow_at{};
+    state::time_point m_switchover_not_before{};
+    std::optional<state::time_point> m_wanted_at;
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/group/jitter.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+#include <camphortide/state/clock.hpp>
+
+namespace camphortide::coordination
+{
+
+/// Draws waits from an explicit seed, so that a run can be repeated.
+/// @see G. Steele, D. Lea and C. Flood, "Fast Splittable Pseudorandom Number
+///     Generators" (SplitMix64)
+class jitter
+{
+public:
+    /// @param seed differs between the instances of a fleet
+    explicit jitter(std::uint64_t seed) : m_state(seed) {}
+
+    /// @param limit the greatest wait
+    /// @return a wait between 0 and the limit
+    state::duration draw(state::duration limit);
+
+private:
+    std::uint64_t m_state;
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/src/group/group_monitor.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <utility>
+
+#include <camphortide/coordination/group/group_monitor.hpp>
+#include <camphortide/coordination/group/group_monitor_builder.hpp>
+
+namespace camphortide::coordination
+{
+
+group_monitor::group_monitor(group_monitor_builder const& builder)
+    : m_settings(builder.m_settings),
+      m_proposer(builder.m_proposer),
+      m_tag(builder.m_tag),
+      m_view(builder.m_members),
+      m_detector(builder.m_settings, builder.m_seed),
+      m_jitter(~builder.m_seed)
+{
+}
+
+group_actions group_monitor::status_received(state::member_status const& status,
+                                             state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    note(status, now, out);
+    return out;
+}
+
+group_actions group_monitor::member_unreachable(std::string_view member,
+                                                state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    m_view.note_broken(member);
+    m_probe_at = std::min(m_probe_at, now + m_settings.m_fast_probe_interval);
+    return out;
+}
+
+group_actions group_monitor::fence_replied(state::term term, bool granted,
+                                           state::member_status const& status,
+                                           state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    if (m_promotion)
+    {
+        m_promotion->fence_replied(term, granted, status, m_view);
+    }
+    note(status, now, out);
+    evaluate(now, out);
+    return out;
+}
+
+group_actions group_monitor::promote_replied(state::term term, bool done,
+                                             state::member_status const& status,
+                                             state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    if (m_promotion)
+    {
+        m_promotion->promote_replied(term, done);
+    }
+    note(status, now, out);
+    evaluate(now, out);
+    return out;
+}
+
+group_actions group_monitor::follow_replied(state::member_status const& status,
+                                            state::time_point now)
+{
+    return status_received(status, now);
+}
+
+group_actions group_monitor::tick(state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    evaluate(now, out);
+    detect(now, out);
+    request_by_status(now, out);
+    lead_followers(now, out);
+    probe(now, out);
+    return out;
+}
+
+group_actions group_monitor::request_switchover(std::string_view target,
+                                                state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    auto const refuse = [&](switchover_result result)
+    {
+        out.emplace_back(switchover_ended{
+            result, m_announced ? m_announced->m_member : std::string()});
+    };
+    if (!target.empty() && !m_view.find(target))
+    {
+        refuse(switchover_result::unknown_member);
+    }
+    else if (m_promotion || m_switchover)
+    {
+        refuse(switchover_result::busy);
+    }
+    else if (!m_announced)
+    {
+        refuse(switchover_result::no_primary);
+    }
+    else
+    {
+        start_switchover(std::string(target), now, out);
+    }
+    return out;
+}
+
+group_actions group_monitor::cancel_switchover(state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    if (m_switchover && !m_promotion)
+    {
+        end_switchover(switchover_result::cancelled, out);
+    }
+    return out;
+}
+
+group_actions group_monitor::writes_drained(state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    if (m_switchover && !m_switchover->is_drained())
+    {
+        m_switchover->drained(m_probe + 1);
+        m_probe_at = now;
+        probe(now, out);
+    }
+    return out;
+}
+
+primary_verdict group_monitor::verdict(state::time_point now) const
+{
+    return m_detector.assess(m_view, now);
+}
+
+void group_monitor::begin(state::time_point now)
+{
+    bool const paused =
+        !m_last_input || now - *m_last_input > m_settings.m_pause_limit;
+    m_last_input = now;
+    if (!paused)
+    {
+        return;
+    }
+    m_view.restart_waits(now, m_probe + 1);
+    m_detector.restart();
+    m_probe_at = now;
+    m_wanted_at.reset();
+    if (m_promotion)
+    {
+        m_promotion.reset();
+        m_detector.back_off(now);
+    }
+}
+
+void group_monitor::note(state::member_status const& status,
+                         state::time_point now, group_actions& out)
+{
+    if (m_view.note(status, now) == status_change::roles || m_switchover)
+    {
+        evaluate(now, out);
+    }
+}
+
+void group_monitor::evaluate(state::time_point now, group_actions& out)
+{
+    advance_promotion(now, out);
+    advance_switchover(now, out);
+    announce(out);
+}
+
+void group_monitor::announce(group_actions& out)
+{
+    auto primary = m_promotion ? std::nullopt : m_view.primary();
+    if (primary != m_announced)
+    {
+        m_announced = std::move(primary);
+        out.emplace_back(primary_changed{m_announced});
+    }
+}
+
+void group_monitor::probe(state::time_point now, group_actions& out)
+{
+    if (now < m_probe_at)
+    {
+        return;
+    }
+    bool const calm =
+        !m_promotion && !m_switchover && verdict(now) == primary_verdict::alive;
+    m_probe_at = now + (calm ? m_settings.m_probe_interval
+                             : m_settings.m_fast_probe_interval);
+    ++m_probe;
+    for (auto const& status : m_view.statuses())
+    {
+        out.emplace_back(send_probe{status.m_member, m_probe});
+    }
+}
+
+void group_monitor::detect(state::time_point now, group_actions& out)
+{
+    if (!m_promotion && m_detector.should_promote(m_view, now))
+    {
+        start_promotion({}, now, out);
+        announce(out);
+    }
+}
+
+void group_monitor::start_promotion(std::string preferred,
+                                    state::time_point now, group_actions& out)
+{
+    m_last_proposed =
+        std::max(m_last_proposed, m_view.highest_granted()).next(m_tag);
+    ++m_promotions;
+    m_promotion.emplace(m_last_proposed, m_proposer, std::move(preferred),
+                        m_view, m_settings, now);
+    m_promotion->advance(m_view, now, out);
+}
+
+void group_monitor::advance_promotion(state::time_point now, group_actions& out)
+{
+    if (!m_promotion)
+    {
+        return;
+    }
+    m_promotion->advance(m_view, now, out);
+    auto const stage = m_promotion->stage();
+    if (stage == promotion_stage::lost)
+    {
+        m_detector.back_off(now);
+        m_promotion.reset();
+        if (m_switchover)
+        {
+            end_switchover(switchover_result::lost, out);
+        }
+    }
+    else if (stage == promotion_stage::done)
+    {
+        m_detector.succeeded();
+        m_follow_at = now;
+        m_promotion.reset();
+        lead_followers(now, out);
+    }
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/standin/test/promotion/group_fixture.cpp
@@ -0,0 +1,385 @@
+#include "group_fixture.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace camphortide::standin
+{
+
+namespace
+{
+
+constexpr state::duration heartbeat{50};
+constexpr std::size_t batch = 100;
+
+std::string member_name(std::size_t index)
+{
+    return std::string(1, static_cast<char>('a' + index));
+}
+
+} // namespace
+
+group_fixture::group_fixture(std::size_t members, std::size_t monitors,
+                             std::uint64_t seed,
+                             coordination::group_settings const& settings)
+    : m_leaving(members),
+      m_writes_paused(monitors),
+      m_down(members),
+      m_heard(members),
+      m_waiting(monitors)
+{
+    std::vector<std::string> names;
+    for (std::size_t member = 0; member < members; ++member)
+    {
+        names.push_back(member_name(member));
+        m_members.emplace_back(names.back());
+    }
+    for (std::size_t monitor = 0; monitor < monitors; ++monitor)
+    {
+        m_monitors.push_back(*coordination::group_monitor_builder()
+                                  .proposer("home " + std::to_string(monitor))
+                                  .tag(monitor + 1)
+                                  .members(names)
+                                  .settings(settings)
+                                  .seed(seed * 1000 + monitor)
+                                  .build());
+    }
+}
+
+void group_fixture::run(state::duration span)
+{
+    for (auto const end = m_now + span; m_now < end;)
+    {
+        step();
+    }
+}
+
+bool group_fixture::run_until(std::function<bool()> const& condition,
+                              state::duration limit)
+{
+    for (auto const end = m_now + limit; m_now < end && !condition();)
+    {
+        step();
+    }
+    return condition();
+}
+
+void group_fixture::kill(std::size_t member)
+{
+    m_down[member] = true;
+    for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
+    {
+        deliver(monitor,
+                [this, monitor, member]
+                {
+                    apply(monitor, m_monitors[monitor].member_unreachable(
+                                       member_name(member), m_now));
+                });
+    }
+}
+
+void group_fixture::start(std::size_t member)
+{
+    m_members[member].restart();
+    m_down[member] = false;
+    m_heard[member] = m_now;
+}
+
+void group_fixture::cut_monitor(std::size_t monitor, std::size_t member,
+                                bool cut)
+{
+    cut ? (void)m_cut_monitors.insert({monitor, member})
+        : (void)m_cut_monitors.erase({monitor, member});
+}
+
+void group_fixture::cut_members(std::size_t left, std::size_t right, bool cut)
+{
+    auto const link = std::minmax(left, right);
+    cut ? (void)m_cut_members.insert(link) : (void)m_cut_members.erase(link);
+}
+
+void group_fixture::pause(std::size_t monitor, bool paused)
+{
+    if (paused)
+    {
+        m_paused.insert(monitor);
+        return;
+    }
+    m_paused.erase(monitor);
+    for (auto const& work : std::exchange(m_waiting[monitor], {}))
+    {
+        work();
+    }
+}
+
+bool group_fixture::write(std::size_t monitor, std::string const& key)
+{
+    auto const primary = m_monitors[monitor].primary();
+    if (!primary || m_writes_paused[monitor] ||
+        m_down[index_of(primary->m_member)])
+    {
+        return false;
+    }
+    auto& target = m_members[index_of(primary->m_member)];
+    return target.write(primary->m_term, key, {"add " + key + " 1"}).m_code ==
+           statement_code::ok;
+}
+
+std::optional<std::size_t> group_fixture::leader() const
+{
+    std::optional<std::size_t> best;
+    for (std::size_t member = 0; member < m_members.size(); ++member)
+    {
+        auto const held = m_members[member].status();
+        if (!m_down[member] && held.m_role == state::member_role::primary &&
+            (!best || held.m_granted > m_members[*best].status().m_granted))
+        {
+            best = member;
+        }
+    }
+    return best;
+}
+
+bool group_fixture::agreed() const
+{
+    auto const best = leader();
+    if (!best)
+    {
+        return false;
+    }
+    auto const term = m_members[*best].status().m_granted;
+    for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
+    {
+        auto const& primary = m_monitors[monitor].primary();
+        bool const runs =
+            !m_ended.contains(monitor) && !m_paused.contains(monitor);
+        if (runs && (!primary || primary->m_term != term))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::uint64_t group_fixture::promotions() const
+{
+    std::uint64_t count = 0;
+    for (auto const& monitor : m_monitors)
+    {
+        count += monitor.promotions();
+    }
+    return count;
+}
+
+void group_fixture::apply(std::size_t monitor,
+                          coordination::group_actions const& actions)
+{
+    for (auto const& action : actions)
+    {
+        std::visit([&](auto const& value) { request(monitor, value); }, action);
+    }
+}
+
+void group_fixture::step()
+{
+    m_now += state::duration(1);
+    while (!m_events.empty() && m_events.begin()->first <= m_now)
+    {
+        auto event = m_events.extract(m_events.begin());
+        event.mapped()();
+    }
+    replicate();
+    constexpr state::clock::rep tick_interval = 5;
+    for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
+    {
+        auto const phase = m_now.time_since_epoch().count() +
+                           static_cast<state::clock::rep>(monitor) * 2;
+        if (phase % tick_interval == 0 && !m_paused.contains(monitor) &&
+            !m_ended.contains(monitor))
+        {
+            apply(monitor, m_monitors[monitor].tick(m_now));
+        }
+    }
+}
+
+void group_fixture::replicate()
+{
+    for (std::size_t from = 0; from < m_members.size(); ++from)
+    {
+        if (m_down[from] ||
+            m_members[from].status().m_role != state::member_role::primary)
+        {
+            continue;
+        }
+        m_heard[from] = m_now;
+        for (std::size_t to = 0; to < m_members.size(); ++to)
+        {
+            if (to != from && !m_down[to] &&
+                !m_cut_members.contains(std::minmax(from, to)))
+            {
+                replicate_to(from, to);
+            }
+        }
+    }
+}
+
+void group_fixture::replicate_to(std::size_t from, std::size_t to)
+{
+    auto& target = m_members[to];
+    auto const& source = m_members[from];
+    bool const behind =
+        target.log().size() != source.log().size() ||
+        target.status().m_received != source.status().m_received;
+    bool const due = m_now.time_since_epoch() % heartbeat == state::duration(0);
+    if (!due && !(m_replicating && behind))
+    {
+        return;
+    }
+    auto const message = source.replicate(
+        m_replicating ? target.log().size() : 0, m_replicating ? batch : 0);
+    if (message && target.receive(*message))
+    {
+        m_heard[to] = m_now;
+        target.apply_to(target.log().size());
+    }
+}
+
+void group_fixture::deliver(std::size_t monitor, std::function<void()> work)
+{
+    m_events.emplace(m_now + m_latency,
+                     [this, monitor, work = std::move(work)]
+                     {
+                         if (m_ended.contains(monitor))
+                         {
+                             return;
+                         }
+                         m_paused.contains(monitor)
+                             ? m_waiting[monitor].push_back(work)
+                             : work();
+                     });
+}
+
+state::member_status group_fixture::status(std::size_t member,
+                                           std::uint64_t probe) const
+{
+    auto result = m_members[member].status();
+    result.m_primary_silence = m_now - m_heard[member];
+    result.m_leaving = m_leaving[member];
+    result.m_probe = probe;
+    return result;
+}
+
+std::size_t group_fixture::index_of(std::string const& member) const
+{
+    return static_cast<std::size_t>(member.front() - 'a');
+}
+
+bool group_fixture::reachable(std::size_t monitor, std::size_t member) const
+{
+    return !m_down[member] && !m_cut_monitors.contains({monitor, member});
+}
+
+template <class Request>
+void group_fixture::request(std::size_t monitor, Request const& action)
+{
+    if constexpr (std::is_same_v<Request, coordination::pause_writes>)
+    {
+        m_writes_paused[monitor] = true;
+        if (m_drain_at_once)
+        {
+            deliver(
+                monitor, [this, monitor]
+                { apply(monitor, m_monitors[monitor].writes_drained(m_now)); });
+        }
+    }
+    else if constexpr (std::is_same_v<Request, coordination::resume_writes>)
+    {
+        m_writes_paused[monitor] = false;
+    }
+    else if constexpr (std::is_same_v<Request, coordination::switchover_ended>)
+    {
+        m_ended_switchovers.push_back(action);
+    }
+    else if constexpr (!std::is_same_v<Request, coordination::primary_changed>)
+    {
+        if (m_lose_request && m_lose_request(monitor, action))
+        {
+            return;
+        }
+        m_events.emplace(m_now + m_latency,
+                         [this, monitor, action]
+                         {
+                             auto const member = index_of(action.m_member);
+                             if (reachable(monitor, member))
+                             {
+                                 answer(monitor, member, action);
+                             }
+                         });
+    }
+}
+
+void group_fixture::answer(std::size_t monitor, std::size_t member,
+                           coordination::send_probe const& action)
+{
+    auto const held = status(member, action.m_probe);
+    if (!m_lose_reply || !m_lose_reply(monitor, action))
+    {
+        deliver(monitor,
+                [this, monitor, held] {
+                    apply(monitor,
+                          m_monitors[monitor].status_received(held, m_now));
+                });
+    }
+}
+
+void group_fixture::answer(std::size_t monitor, std::size_t member,
+                           coordination::send_fence const& action)
+{
+    bool const granted =
+        m_members[member].fence(action.m_term, action.m_proposer);
+    auto const held = status(member, 0);
+    if (!m_lose_reply || !m_lose_reply(monitor, action))
+    {
+        deliver(monitor,
+                [this, monitor, held, granted, term = action.m_term]
+                {
+                    apply(monitor, m_monitors[monitor].fence_replied(
+                                       term, granted, held, m_now));
+                });
+    }
+}
+
+void group_fixture::answer(std::size_t monitor, std::size_t member,
+                           coordination::send_promote const& action)
+{
+    bool const done =
+        m_members[member].promote(action.m_term, action.m_proposer);
+    auto const held = status(member, 0);
+    if (!m_lose_reply || !m_lose_reply(monitor, action))
+    {
+        deliver(monitor,
+                [this, monitor, held, done, term = action.m_term]
+                {
+                    apply(monitor, m_monitors[monitor].promote_replied(
+                                       term, done, held, m_now));
+                });
+    }
+}
+
+void group_fixture::answer(std::size_t monitor, std::size_t member,
+                           coordination::send_follow const& action)
+{
+    m_members[member].follow(action.m_term, action.m_primary);
+    auto const held = status(member, 0);
+    if (!m_lose_reply || !m_lose_reply(monitor, action))
+    {
+        deliver(monitor,
+                [this, monitor, held] {
+                    apply(monitor,
+                          m_monitors[monitor].follow_replied(held, m_now));
+                });
+    }
+}
+
+} // namespace camphortide::standin
--- /dev/null
+++ b/packages/standin/test/promotion/group_fixture.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <camphortide/coordination/group/group_monitor.hpp>
+#include <camphortide/coordination/group/group_monitor_builder.hpp>
+#include <camphortide/standin/member_model.hpp>
+
+namespace camphortide::standin
+{
+
+/// Group monitors over member models on a manual clock: messages take a
+/// whole number of milliseconds and arrive in order of time.
+class group_fixture
+{
+public:
+    /// @param members size of the group; names a, b, c, ...
+    /// @param monitors number of homes; names 0, 1, ...
+    group_fixture(std::size_t members, std::size_t monitors,
+                  std::uint64_t seed = 1,
+                  coordination::group_settings const& settings = {});
+
+    /// Runs the clock on.
+    void run(state::duration span);
+
+    /// Runs until a condition holds.
+    /// @return false if it did not within the limit
+    bool run_until(std::function<bool()> const& condition,
+                   state::duration limit);
+
+    /// Stops a member; it keeps its log and its granted term.
+    void kill(std::size_t member);
+    /// Starts a stopped member again, fenced.
+    void start(std::size_t member);
+    /// Cuts or heals all links between a monitor and a member.
+    void cut_monitor(std::size_t monitor, std::size_t member, bool cut);
+    /// Cuts or heals the replication links between two members.
+    void cut_members(std::size_t left, std::size_t right, bool cut);
+    /// Stops or wakes a monitor; messages for it wait meanwhile.
+    void pause(std::size_t monitor, bool paused);
+    /// Ends a monitor for good.
+    void end(std::size_t monitor) { m_ended.insert(monitor); }
+
+    /// Writes through the primary that a monitor announces.
+    /// @return true if the primary took the write
+    bool write(std::size_t monitor, std::string const& key);
+
+    /// @return the member that is primary in the highest term, or nothing
+    std::optional<std::size_t> leader() const;
+    /// @return true if every running monitor announces the leader
+    bool agreed() const;
+    std::uint64_t promotions() const;
+
+    void apply(std::size_t monitor, coordination::group_actions const& actions);
+
+    coordination::group_monitor& monitor(std::size_t index)
+    {
+        return m_monitors[index];
+    }
+    member_model& member(std::size_t index) { return m_members[index]; }
+    state::time_point now() const { return m_now; }
+
+    std::vector<bool> m_leaving;
+    state::duration m_latency{1};
+    bool m_replicating = true;
+    /// Drops a message to or from a member; called with the action's index.
+    std::function<bool(std::size_t monitor,
+                       coordination::group_action const& action)>
+        m_lose_request;
+    std::function<bool(std::size_t monitor,
+                       coordination::group_action const& action)>
+        m_lose_reply;
+    std::vector<coordination::switchover_ended> m_ended_switchovers;
+    std::vector<bool> m_writes_paused;
+    bool m_drain_at_once = true;
+
+private:
+    struct handler;
+
+    void step();
+    void replicate();
+    void replicate_to(std::size_t from, std::size_t to);
+    void deliver(std::size_t monitor, std::function<void()> work);
+    void reply(std::size_t monitor, std::size_t member,
+               coordination::group_action const& action);
+    state::member_status status(std::size_t member, std::uint64_t probe) const;
+    std::size_t index_of(std::string const& member) const;
+    bool reachable(std::size_t monitor, std::size_t member) const;
+    template <class Request>
+    void request(std::size_t monitor, Request const& action);
+    void answer(std::size_t monitor, std::size_t member,
+                coordination::send_probe const& action);
+    void answer(std::size_t monitor, std::size_t member,
+                coordination::send_fence const& action);
+    void answer(std::size_t monitor, std::size_t member,
+                coordination::send_promote const& action);
+    void answer(std::size_t monitor, std::size_t member,
+                coordination::send_follow const& action);
+
+    state::time_point m_now{};
+    std::vector<member_model> m_members;
+    std::vector<coordination::group_monitor> m_monitors;
+    std::vector<bool> m_down;
+    std::vector<state::time_point> m_heard;
+    std::set<std::pair<std::size_t, std::size_t>> m_cut_monitors;
+    std::set<std::pair<std::size_t, std::size_t>> m_cut_members;
+    std::set<std::size_t> m_paused;
+    std::set<std::size_t> m_ended;
+    std::vector<std::vector<std::function<void()>>> m_waiting;
+    std::multimap<state::time_point, std::function<void()>> m_events;
+};
+
+} // namespace camphortide::standin
