standin: member model keeps term starts and undoes steps in place

Cause: a status walked the whole log for its history and a write copied the whole table, both on the path of every statement. A log in one vector also moves on growth.

Term starts are kept as the log grows; a failed write and a dropped tail take their steps back; the log is a deque that the key index points into. A replica drops a conflicting tail in a few rounds: the message states where the term of its previous record starts. A read refuses statements that write.

--- a/packages/standin/include/camphortide/standin/member_model.hpp
+++ b/packages/standin/include/camphortide/standin/member_model.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
-#include <camphortide/standin/statement_language.hpp>
+#include <camphortide/standin/reversible_table.hpp>
 #include <camphortide/state/member_status.hpp>
 
 namespace camphortide::standin
@@ -52,6 +53,8 @@
     state::term m_term; ///< the primary's
     std::string m_primary;
     state::log_position m_previous; ///< record before the first one sent
+    /// First index of the term that wrote m_previous; 0 if not stated.
+    std::uint64_t m_previous_start = 0;
     std::vector<record> m_records;
 };
 
@@ -63,6 +66,9 @@
     /// @param name the member's name in its group
     explicit member_model(std::string name);
 
+    member_model(member_model&&) = default;
+    member_model& operator=(member_model&&) = default;
+
     /// Grants a term if it is higher than every one granted before, or is
     /// the same one asked for again by the same proposer.
     /// @return true if granted; the member then refuses lower terms
@@ -77,8 +83,8 @@
     bool follow(state::term term, std::string const& primary);
 
     /// Takes records from a primary; drops its own that conflict.
-    /// @return the last index that agrees with the primary's log, or nothing
-    ///     if the term is lower than the one granted
+    /// @return the index after which the primary should go on, or nothing if
+    ///     the term is lower than the one granted
     std::optional<std::uint64_t> receive(replication const& message);
 
     /// Builds the message that brings a replica on from an index.
@@ -92,7 +98,7 @@
     void apply_to(std::uint64_t index);
 
     /// Runs a statement that reads the table as applied so far.
-    statement_answer read(std::string_view text);
+    statement_answer read(std::string_view text) const;
 
     /// Runs statements as one record if the member is primary in the term.
     /// A key that ran before gives its first result again.
@@ -111,19 +117,23 @@
     state::member_status status() const;
 
     std::string const& name() const { return m_name; }
-    std::vector<record> const& log() const { return m_log; }
-    table const& rows() const { return m_rows; }
+    std::deque<record> const& log() const { return m_log; }
+    table const& rows() const { return m_table.rows(); }
     /// @return the primary that the member follows; empty if none
     std::string const& primary() const { return m_primary; }
 
 private:
     std::optional<statement_code> refusal(state::term term) const;
+    void push(record entry);
+    void note_applied();
     statement_answer append(record entry);
     std::optional<statement_answer> earlier(std::string const& key) const;
     void truncate_to(std::uint64_t index);
+    void undo_to(std::uint64_t index);
+    std::uint64_t first_conflict(replication const& message) const;
     state::log_position last() const;
     state::log_position position_of(std::uint64_t index) const;
-    state::term_history history() const;
+    std::uint64_t start_of_term_at(std::uint64_t index) const;
 
     std::string m_name;
     state::term m_granted;
@@ -131,10 +141,12 @@
     state::term m_followed;
     std::string m_primary;
     state::member_role m_role = state::member_role::fenced;
-    std::vector<record> m_log; ///< index 1 is at 0
+    std::deque<record> m_log; ///< index 1 is at 0
+    std::vector<state::term_start> m_starts;
     std::uint64_t m_applied = 0;
-    table m_rows;
-    std::map<std::string, std::uint64_t, std::less<>> m_keys;
+    reversible_table m_table;
+    /// Index of the record of each applied key; the names are the records'.
+    std::unordered_map<std::string_view, std::uint64_t> m_keys;
 };
 
 } // namespace camphortide::standin
--- a/packages/standin/include/camphortide/standin/statement_language.hpp
+++ b/packages/standin/include/camphortide/standin/statement_language.hpp
@@ -25,4 +25,11 @@
 /// @return the value read or written, or a failure with its message
 statement_result run_statement(table& rows, std::string_view text);
 
+/// Runs one statement that must not change the table.
+/// @return the value read, or a failure for any statement but get
+statement_result run_query(table const& rows, std::string_view text);
+
+/// @return the key that a statement names; empty if it names none
+std::string_view statement_key(std::string_view text);
+
 } // namespace camphortide::standin
--- a/packages/standin/src/group/group_server.cpp
+++ b/packages/standin/src/group/group_server.cpp
@@ -139,7 +139,8 @@
 std::vector<record> group_server::log(std::string const& member) const
 {
     std::scoped_lock const lock(m_mutex);
-    return find(member).m_model.log();
+    auto const& entries = find(member).m_model.log();
+    return {entries.begin(), entries.end()};
 }
 
 table group_server::rows(std::string const& member) const
--- a/packages/standin/src/member_model.cpp
+++ b/packages/standin/src/member_model.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 #include <camphortide/standin/member_model.hpp>
@@ -75,10 +77,13 @@
         return std::nullopt;
     }
     std::uint64_t index = message.m_previous.m_index;
-    if (index > m_log.size() || position_of(index) != message.m_previous)
+    if (index > m_log.size())
     {
-        truncate_to(
-            std::min<std::uint64_t>(m_log.size(), index == 0 ? 0 : index - 1));
+        return m_log.size();
+    }
+    if (position_of(index) != message.m_previous)
+    {
+        truncate_to(first_conflict(message) - 1);
         return m_log.size();
     }
     for (auto const& entry : message.m_records)
@@ -90,7 +95,7 @@
         }
         if (index > m_log.size())
         {
-            m_log.push_back(entry);
+            push(entry);
         }
     }
     return index;
@@ -109,29 +114,23 @@
     return replication{m_followed,
                        m_name,
                        position_of(after),
+                       start_of_term_at(after),
                        {first, first + static_cast<std::ptrdiff_t>(count)}};
 }
 
 void member_model::apply_to(std::uint64_t index)
 {
     index = std::min<std::uint64_t>(index, m_log.size());
-    for (; m_applied < index; ++m_applied)
+    while (m_applied < index)
     {
-        auto const& entry = m_log[m_applied];
-        for (auto const& statement : entry.m_statements)
-        {
-            run_statement(m_rows, statement);
-        }
-        if (!entry.m_key.empty())
-        {
-            m_keys.try_emplace(entry.m_key, m_applied + 1);
-        }
+        m_table.run(m_log[m_applied].m_statements);
+        note_applied();
     }
 }
 
-statement_answer member_model::read(std::string_view text)
+statement_answer member_model::read(std::string_view text) const
 {
-    auto result = run_statement(m_rows, text);
+    auto result = run_query(m_table.rows(), text);
     return {result.m_ok ? statement_code::ok : statement_code::failed,
             std::move(result.m_text), position_of(m_applied), false};
 }
@@ -147,17 +146,14 @@
     {
         return *answer;
     }
-    table trial = m_rows;
-    statement_result result;
-    for (auto const& statement : statements)
+    auto const result = m_table.run(statements);
+    if (!result.m_ok)
     {
-        result = run_statement(trial, statement);
-        if (!result.m_ok)
-        {
-            return {statement_code::failed, result.m_text, last(), false};
-        }
+        return {statement_code::failed, result.m_text, last(), false};
     }
-    return append(record{term, key, statements, result.m_text, false});
+    push(record{term, key, statements, result.m_text, false});
+    note_applied();
+    return {statement_code::ok, result.m_text, last(), false};
 }
 
 statement_answer member_model::resolve(state::term term, std::string const& key)
@@ -190,7 +186,7 @@
     result.m_followed = m_followed;
     result.m_received = last();
     result.m_applied = position_of(m_applied);
-    result.m_history = history();
+    result.m_history = state::term_history(m_starts);
     return result;
 }
 
@@ -207,10 +203,29 @@
     return std::nullopt;
 }
 
+void member_model::push(record entry)
+{
+    if (m_starts.empty() || m_starts.back().m_term != entry.m_term)
+    {
+        m_starts.push_back({entry.m_term, m_log.size() + 1});
+    }
+    m_log.push_back(std::move(entry));
+}
+
+void member_model::note_applied()
+{
+    auto const& entry = m_log[m_applied];
+    ++m_applied;
+    if (!entry.m_key.empty())
+    {
+        m_keys.try_emplace(entry.m_key, m_applied);
+    }
+}
+
 statement_answer member_model::append(record entry)
 {
     auto result = entry.m_result;
-    m_log.push_back(std::move(entry));
+    push(std::move(entry));
     apply_to(m_log.size());
     return {statement_code::ok, std::move(result), last(), false};
 }
@@ -236,15 +251,47 @@
     {
         return;
     }
+    undo_to(index);
     m_log.resize(index);
+    while (!m_starts.empty() && m_starts.back().m_first_index > index)
+    {
+        m_starts.pop_back();
+    }
+}
+
+void member_model::undo_to(std::uint64_t index)
+{
     if (m_applied <= index)
     {
         return;
     }
-    m_rows.clear();
-    m_keys.clear();
-    m_applied = 0;
-    apply_to(index);
+    bool const undone = m_table.undo(m_applied - index);
+    for (; m_applied > index; --m_applied)
+    {
+        auto const found = m_keys.find(m_log[m_applied - 1].m_key);
+        if (found != m_keys.end() && found->second == m_applied)
+        {
+            m_keys.erase(found);
+        }
+    }
+    if (!undone)
+    {
+        m_table.clear();
+        m_keys.clear();
+        m_applied = 0;
+        apply_to(index);
+    }
+}
+
+std::uint64_t member_model::first_conflict(replication const& message) const
+{
+    auto const index = message.m_previous.m_index;
+    bool const is_older = m_log[index - 1].m_term < message.m_previous.m_term;
+    if (is_older)
+    {
+        return message.m_previous_start == 0 ? index : message.m_previous_start;
+    }
+    return start_of_term_at(index);
 }
 
 state::log_position member_model::last() const
@@ -258,18 +305,11 @@
                       : state::log_position{m_log[index - 1].m_term, index};
 }
 
-state::term_history member_model::history() const
+std::uint64_t member_model::start_of_term_at(std::uint64_t index) const
 {
-    std::vector<state::term_start> starts;
-    for (std::uint64_t index = 1; index <= m_log.size(); ++index)
-    {
-        auto const term = m_log[index - 1].m_term;
-        if (starts.empty() || starts.back().m_term != term)
-        {
-            starts.push_back({term, index});
-        }
-    }
-    return state::term_history(std::move(starts));
+    auto const after = std::ranges::upper_bound(
+        m_starts, index, std::less<>(), &state::term_start::m_first_index);
+    return after == m_starts.begin() ? 0 : std::prev(after)->m_first_index;
 }
 
 } // namespace camphortide::standin
--- a/packages/standin/src/statement_language.cpp
+++ b/packages/standin/src/statement_language.cpp
@@ -1,5 +1,5 @@
+#include <algorithm>
 #include <charconv>
-#include <sstream>
 
 #include <camphortide/standin/statement_language.hpp>
 
@@ -16,12 +16,44 @@
     return value;
 }
 
-statement_result get(table& rows, std::string const& key, std::string const&)
+struct statement
+{
+    std::string_view m_name;
+    std::string_view m_key;
+    std::string_view m_value;
+};
+
+constexpr std::string_view blanks = " \t\n";
+
+std::string_view take_word(std::string_view& text)
+{
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    auto const word = text.substr(0, text.find_first_of(blanks));
+    text.remove_prefix(word.size());
+    return word;
+}
+
+statement parse(std::string_view text)
+{
+    statement result;
+    result.m_name = take_word(text);
+    result.m_key = take_word(text);
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    result.m_value = text;
+    return result;
+}
+
+statement_result lookup(table const& rows, std::string_view key)
 {
     auto const found = rows.find(key);
     return {true, found == rows.end() ? std::string() : found->second};
 }
 
+statement_result get(table& rows, std::string const& key, std::string const&)
+{
+    return lookup(rows, key);
+}
+
 statement_result set(table& rows, std::string const& key,
                      std::string const& value)
 {
@@ -57,20 +89,31 @@
 
 statement_result run_statement(table& rows, std::string_view text)
 {
-    std::istringstream words{std::string(text)};
-    std::string name;
-    std::string key;
-    std::string value;
-    words >> name >> key;
-    std::getline(words >> std::ws, value);
+    auto const parsed = parse(text);
     for (auto const& candidate : operations)
     {
-        if (candidate.m_name == name && !key.empty())
+        if (candidate.m_name == parsed.m_name && !parsed.m_key.empty())
         {
-            return candidate.m_run(rows, key, value);
+            return candidate.m_run(rows, std::string(parsed.m_key),
+                                   std::string(parsed.m_value));
         }
     }
     return {false, "unknown statement"};
 }
 
+statement_result run_query(table const& rows, std::string_view text)
+{
+    auto const parsed = parse(text);
+    if (parsed.m_name != "get" || parsed.m_key.empty())
+    {
+        return {false, "not a query"};
+    }
+    return lookup(rows, parsed.m_key);
+}
+
+std::string_view statement_key(std::string_view text)
+{
+    return parse(text).m_key;
+}
+
 } // namespace camphortide::standin
--- a/packages/standin/test/group_model/member_model_test.cpp
+++ b/packages/standin/test/group_model/member_model_test.cpp
@@ -1,3 +1,5 @@
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include <camphortide/standin/member_model.hpp>
@@ -10,7 +12,7 @@
 
 void copy_log(standin::member_model const& from, standin::member_model& to)
 {
-    std::uint64_t held = to.log().size();
+    std::uint64_t held = from.log().size();
     for (std::size_t round = 0; round < 100; ++round)
     {
         auto const message = from.replicate(held, 10);
@@ -82,3 +84,49 @@
           standin::statement_code::key_barred);
     CHECK(member.rows().at("x") == "1");
 }
+
+TEST_CASE("a write that fails halfway has no effect")
+{
+    standin::member_model member("a");
+    REQUIRE(member.fence(state::term(1), "one"));
+    REQUIRE(member.promote(state::term(1), "one"));
+    member.write(state::term(1), "", {"set x 1", "claim y 1"});
+    auto const answer =
+        member.write(state::term(1), "k", {"set x 2", "add z 1", "claim y 2"});
+    CHECK(answer.m_code == standin::statement_code::failed);
+    CHECK(member.rows() == standin::table{{"x", "1"}, {"y", "1"}});
+    CHECK(member.write(state::term(1), "k", {"set x 3"}).m_result == "3");
+}
+
+TEST_CASE("a read changes nothing")
+{
+    standin::member_model member("a");
+    CHECK(member.read("set x 1").m_code == standin::statement_code::failed);
+    CHECK(member.rows().empty());
+}
+
+TEST_CASE("a long tail that conflicts is dropped in a few rounds")
+{
+    constexpr int tail = 20'000;
+    standin::member_model old_primary("a");
+    standin::member_model new_primary("b");
+    REQUIRE(old_primary.fence(state::term(1), "one"));
+    REQUIRE(old_primary.promote(state::term(1), "one"));
+    old_primary.write(state::term(1), "kept", {"set x 1"});
+    copy_log(old_primary, new_primary);
+    for (int write = 0; write < tail; ++write)
+    {
+        old_primary.write(state::term(1), std::to_string(write), {"add x 1"});
+    }
+    REQUIRE(new_primary.fence(state::term(2), "two"));
+    REQUIRE(new_primary.promote(state::term(2), "two"));
+    for (int write = 0; write < 2; ++write)
+    {
+        new_primary.write(state::term(2), std::to_string(write), {"add y 1"});
+    }
+    copy_log(new_primary, old_primary);
+    old_primary.apply_to(old_primary.log().size());
+    CHECK(old_primary.log() == new_primary.log());
+    CHECK(old_primary.rows() == new_primary.rows());
+    CHECK(old_primary.status().m_history == new_primary.status().m_history);
+}
