--- /dev/null
+++ b/packages/coordination/test/read_routing/accept_read_test.cpp
@@ -0,0 +1,248 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/request/accept_read.hpp>
+
+namespace state = camphortide::state;
+using namespace camphortide::coordination;
+using source = read_requirement::source;
+using state::reason;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// Terms 3 and 7 from index 1 and 40; the log ends at 60, safe up to 55.
+log_view log()
+{
+    return {state::term(7),
+            {state::term(7), 60},
+            state::term_history({{state::term(3), 1}, {state::term(7), 40}}),
+            55};
+}
+
+/// Samples at 100 (index 40) and 200 (index 50) of the primary of term 7.
+freshness samples()
+{
+    freshness result(1);
+    std::uint64_t probe = 0;
+    for (auto const& [time, index] : {std::pair{100, 40}, {200, 50}})
+    {
+        result.note_probe_sent(++probe, at(time));
+        state::member_status status;
+        status.m_role = state::member_role::primary;
+        status.m_granted = status.m_followed = state::term(7);
+        status.m_received = {state::term(7), static_cast<std::uint64_t>(index)};
+        status.m_probe = probe;
+        result.note_status(status);
+    }
+    return result;
+}
+
+read_requirement needs()
+{
+    read_requirement result;
+    result.m_source = source::any;
+    result.m_arrival = at(150);
+    result.m_deadline = deadline(at(1000));
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a position is compared with the primary's log")
+{
+    struct
+    {
+        state::log_position m_position;
+        log_standing m_standing;
+    } const rows[]{
+        {{state::term(0), 0}, log_standing::safe},
+        {{state::term(3), 39}, log_standing::safe},
+        {{state::term(3), 40}, log_standing::absent},
+        {{state::term(3), 70}, log_standing::absent},
+        {{state::term(5), 39}, log_standing::absent},
+        {{state::term(5), 90}, log_standing::absent},
+        {{state::term(7), 55}, log_standing::safe},
+        {{state::term(7), 56}, log_standing::pending},
+        {{state::term(7), 61}, log_standing::pending},
+        {{state::term(9), 30}, log_standing::pending},
+    };
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_position.m_term.value());
+        CAPTURE(row.m_position.m_index);
+        CHECK(standing_of(row.m_position, log()) == row.m_standing);
+    }
+    CHECK(standing_of({state::term(3), 39}, log_view()) ==
+          log_standing::pending);
+}
+
+TEST_CASE("an answer is released only if it keeps the promises")
+{
+    struct
+    {
+        char const* m_what;
+        state::log_position m_answer;
+        std::optional<state::log_position> m_covered;
+        std::optional<int> m_age;
+        int m_now;
+        read_verdict m_verdict;
+        reason m_reason;
+    } const rows[]{
+        {"safe",
+         {state::term(7), 55},
+         {},
+         {},
+         300,
+         read_verdict::release,
+         reason::none},
+        {"not safe yet",
+         {state::term(7), 56},
+         {},
+         {},
+         300,
+         read_verdict::hold,
+         reason::none},
+        {"tail of a superseded primary",
+         {state::term(3), 45},
+         {},
+         {},
+         300,
+         read_verdict::retry,
+         reason::term_superseded},
+        {"covers the token",
+         {state::term(7), 50},
+         state::log_position{state::term(7), 50},
+         {},
+         300,
+         read_verdict::release,
+         reason::none},
+        {"covers a token of an older term",
+         {state::term(7), 50},
+         state::log_position{state::term(3), 39},
+         {},
+         300,
+         read_verdict::release,
+         reason::none},
+        {"behind the token",
+         {state::term(7), 49},
+         state::log_position{state::term(7), 50},
+         {},
+         300,
+         read_verdict::retry,
+         reason::no_replica},
+        {"a token that no log holds",
+         {state::term(7), 55},
+         state::log_position{state::term(3), 45},
+         {},
+         300,
+         read_verdict::drop,
+         reason::bad_token},
+        {"just young enough",
+         {state::term(7), 50},
+         {},
+         100,
+         300,
+         read_verdict::release,
+         reason::none},
+        {"too old by one, and newer data exist",
+         {state::term(7), 49},
+         {},
+         199,
+         300,
+         read_verdict::retry,
+         reason::too_old},
+        {"too old until the next probe",
+         {state::term(7), 50},
+         {},
+         99,
+         300,
+         read_verdict::hold,
+         reason::too_old},
+        {"older than every sample",
+         {state::term(7), 39},
+         {},
+         500,
+         300,
+         read_verdict::retry,
+         reason::too_old},
+        {"age zero: current on arrival",
+         {state::term(7), 50},
+         {},
+         0,
+         300,
+         read_verdict::release,
+         reason::none},
+        {"age zero: older than the arrival",
+         {state::term(7), 49},
+         {},
+         0,
+         300,
+         read_verdict::retry,
+         reason::too_old},
+        {"past the deadline",
+         {state::term(7), 55},
+         {},
+         {},
+         1000,
+         read_verdict::drop,
+         reason::deadline_exceeded},
+    };
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_what);
+        auto needed = needs();
+        needed.m_covered = row.m_covered;
+        if (row.m_age)
+        {
+            needed.m_max_age = state::duration(*row.m_age);
+        }
+        auto const result =
+            accept_read(row.m_answer, needed, log(), samples(), at(row.m_now));
+        CHECK(result.m_verdict == row.m_verdict);
+        CHECK(result.m_reason == row.m_reason);
+    }
+}
+
+TEST_CASE("the way to the caller counts towards the age")
+{
+    auto needed = needs();
+    needed.m_max_age = state::duration(110);
+    needed.m_onward = state::duration(10);
+    state::log_position const answer{state::term(7), 50};
+    auto const result = accept_read(answer, needed, log(), samples(), at(300));
+    CHECK(result.m_verdict == read_verdict::release);
+    CHECK(result.m_age == state::duration(110));
+    CHECK(accept_read(answer, needed, log(), samples(), at(301)).m_verdict ==
+          read_verdict::hold);
+}
+
+TEST_CASE("a read of a group that the token may have left out is confirmed")
+{
+    state::session_token const token({}, false);
+    auto const needed = require_for(token, "loans", state::duration(60000),
+                                    at(201), deadline(at(900)));
+    CHECK(needed.m_source == source::current_data);
+    CHECK(accept_read({state::term(7), 55}, needed, log(), samples(), at(300))
+              .m_verdict == read_verdict::hold);
+}
+
+TEST_CASE("the token and the age decide where a read may go")
+{
+    state::session_token const named({{"loans", {state::term(7), 50}}});
+    auto const source_of = [](state::session_token const& token,
+                              std::optional<state::duration> age)
+    {
+        return require_for(token, "loans", age, at(0), deadline(at(9)))
+            .m_source;
+    };
+    CHECK(source_of(named, {}) == source::any);
+    CHECK(source_of({}, {}) == source::primary);
+    CHECK(source_of({}, state::duration(50)) == source::any);
+    CHECK(source_of(state::session_token({}, false), {}) ==
+          source::current_data);
+}
--- /dev/null
+++ b/packages/coordination/test/read_routing/read_router_test.cpp
@@ -0,0 +1,196 @@
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/request/read_router.hpp>
+
+namespace state = camphortide::state;
+using namespace camphortide::coordination;
+using action = read_choice::action;
+using state::member_role;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// Three members; the primary is the first.
+struct fixture
+{
+    fixture()
+    {
+        m_members.resize(3);
+        for (auto& member : m_members)
+        {
+            member.m_role = member_role::replica;
+            member.m_free_connections = 1;
+            member.m_latency = state::duration(2);
+            member.m_applied = 50;
+        }
+        m_members[0].m_role = member_role::primary;
+        m_members[0].m_applied = 60;
+        m_needed.m_source = read_requirement::source::any;
+        m_needed.m_arrival = at(300);
+        m_needed.m_deadline = deadline(at(1300));
+    }
+
+    void require(std::uint64_t index)
+    {
+        m_needed.m_covered = state::log_position{state::term(7), index};
+    }
+
+    read_choice route(std::string_view strategy, int now = 300,
+                      std::uint64_t random = 0) const
+    {
+        read_router const router(make_read_strategy(strategy));
+        return router.route(
+            {m_needed, m_members, m_samples, m_tried, false, random, at(now)});
+    }
+
+    std::vector<member_view> m_members;
+    freshness m_samples{3};
+    read_requirement m_needed;
+    std::uint32_t m_tried = 0;
+};
+
+constexpr char const* replica_strategies[]{"random_replica", "covering_replica",
+                                           "least_time"};
+
+} // namespace
+
+TEST_CASE("an unknown strategy is not made")
+{
+    CHECK(make_read_strategy("fastest") == nullptr);
+}
+
+TEST_CASE("a replica that covers the token serves the read")
+{
+    fixture group;
+    group.require(50);
+    for (auto const* const name : replica_strategies)
+    {
+        CAPTURE(name);
+        auto const choice = group.route(name);
+        CHECK(choice.m_action == action::send);
+        CHECK(choice.m_member > 0);
+    }
+    CHECK(group.route("primary_only").m_member == 0);
+}
+
+TEST_CASE("the least loaded replica that covers it is chosen")
+{
+    fixture group;
+    group.require(50);
+    group.m_members[1].m_outstanding = 4;
+    CHECK(group.route("covering_replica").m_member == 2);
+    group.m_members[2].m_applied = 49;
+    CHECK(group.route("covering_replica").m_member == 1);
+}
+
+TEST_CASE("a read waits for a replica that will cover it soon")
+{
+    fixture group;
+    group.require(55);
+    group.m_members[1].m_lag = state::duration(500);
+    group.m_members[2].m_lag = state::duration(15);
+    auto const choice = group.route("covering_replica");
+    CHECK(choice.m_action == action::wait);
+    CHECK(choice.m_until == at(315));
+    SUBCASE("but goes to the primary if none will")
+    {
+        group.m_members[2].m_lag = state::duration(25);
+        CHECK(group.route("covering_replica").m_action == action::send);
+        CHECK(group.route("covering_replica").m_member == 0);
+    }
+    SUBCASE("but no longer than its limit")
+    {
+        auto const late = group.route("covering_replica", 321);
+        CHECK(late.m_action == action::send);
+        CHECK(late.m_member == 0);
+    }
+}
+
+TEST_CASE("members that cannot serve are passed over")
+{
+    fixture group;
+    group.require(50);
+    SUBCASE("leaving")
+    {
+        group.m_members[1].m_leaving = true;
+    }
+    SUBCASE("not reachable")
+    {
+        group.m_members[1].m_reachable = false;
+    }
+    SUBCASE("ejected")
+    {
+        group.m_members[1].m_share = 0;
+    }
+    SUBCASE("role not known")
+    {
+        group.m_members[1].m_role = member_role::unknown;
+    }
+    SUBCASE("tried before")
+    {
+        group.m_tried = 1U << 1;
+    }
+    for (auto const* const name : replica_strategies)
+    {
+        for (std::uint64_t random = 0; random < 20; ++random)
+        {
+            CAPTURE(name);
+            CHECK(group.route(name, 300, random).m_member == 2);
+        }
+    }
+}
+
+TEST_CASE("a reduced share takes its part of the reads")
+{
+    fixture group;
+    group.require(50);
+    group.m_members[1].m_share = 0.2;
+    int sent = 0;
+    for (std::uint64_t random = 0; random < 1000; ++random)
+    {
+        sent += group.route("covering_replica", 300, random).m_member == 1;
+    }
+    CHECK(sent > 50);
+    CHECK(sent < 150);
+}
+
+TEST_CASE("a read that needs the primary goes nowhere else")
+{
+    fixture group;
+    group.m_needed.m_source = read_requirement::source::primary;
+    CHECK(group.route("covering_replica").m_member == 0);
+    group.m_members[0].m_role = member_role::fenced;
+    CHECK(group.route("covering_replica").m_action == action::wait);
+    auto const late = group.route("covering_replica", 1300);
+    CHECK(late.m_action == action::refuse);
+    CHECK(late.m_reason == state::reason::no_primary);
+}
+
+TEST_CASE("without a primary the replicas go on serving what they cover")
+{
+    fixture group;
+    group.require(50);
+    for (auto& member : group.m_members)
+    {
+        member.m_role = member_role::fenced;
+    }
+    CHECK(group.route("covering_replica").m_action == action::send);
+    group.require(61);
+    CHECK(group.route("covering_replica").m_action == action::wait);
+}
+
+TEST_CASE("an age that no sample satisfies goes to the primary")
+{
+    fixture group;
+    group.m_needed.m_max_age = state::duration(100);
+    auto const choice = group.route("covering_replica");
+    CHECK(choice.m_action == action::send);
+    CHECK(choice.m_member == 0);
+}
