--- /dev/null
+++ b/packages/coordination/src/request/connection_pool.cpp
@@ -0,0 +1,288 @@
+#include <algorithm>
+
+#include <camphortide/coordination/request/connection_pool.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+/// Greatest number of doublings of the time between openings.
+constexpr std::size_t max_doublings = 16;
+
+} // namespace
+
+connection_pool::connection_pool(pool_limits limits) : m_limits(limits) {}
+
+void connection_pool::set_budget(std::size_t connections)
+{
+    m_budget = connections;
+}
+
+void connection_pool::set_waiting(std::size_t requests)
+{
+    m_waiting = requests;
+}
+
+std::optional<connection_id> connection_pool::acquire(state::time_point now)
+{
+    while (!m_idle.empty())
+    {
+        auto const generation = m_idle.back();
+        m_idle.pop_back();
+        auto& value = m_connections.at(generation);
+        if (worn(value, now))
+        {
+            move(value, phase::closing);
+            m_to_close.push_back(generation);
+            continue;
+        }
+        move(value, phase::busy);
+        ++value.m_uses;
+        return connection_id{generation};
+    }
+    return std::nullopt;
+}
+
+void connection_pool::release(connection_id id, state::time_point now)
+{
+    auto* const value = find(id);
+    if (value == nullptr || value->m_phase != phase::busy)
+    {
+        return;
+    }
+    bool const over_budget = held() - m_closing > m_budget;
+    if (value->m_awaited != 0 || worn(*value, now) || over_budget)
+    {
+        abandon(id);
+        return;
+    }
+    move(*value, phase::idle);
+    m_idle.push_back(id.m_generation);
+}
+
+void connection_pool::abandon(connection_id id)
+{
+    auto* const value = find(id);
+    if (value == nullptr || value->m_phase == phase::closing)
+    {
+        return;
+    }
+    if (value->m_phase == phase::idle)
+    {
+        std::erase(m_idle, id.m_generation);
+    }
+    move(*value, phase::closing);
+    m_to_close.push_back(id.m_generation);
+}
+
+void connection_pool::opened(connection_id id, state::time_point now)
+{
+    auto* const value = find(id);
+    if (value == nullptr || value->m_phase != phase::opening)
+    {
+        return;
+    }
+    m_failures = 0;
+    value->m_opened = now;
+    move(*value, phase::idle);
+    m_idle.push_back(id.m_generation);
+}
+
+void connection_pool::lost(connection_id id, state::time_point now)
+{
+    auto const found = m_connections.find(id.m_generation);
+    if (found == m_connections.end())
+    {
+        return;
+    }
+    if (found->second.m_phase == phase::opening)
+    {
+        auto const doublings = std::min(m_failures, max_doublings);
+        auto const pause = m_limits.m_retry_after * (1 << doublings);
+        m_not_before = now + std::min(pause, m_limits.m_max_retry_after);
+        ++m_failures;
+    }
+    std::erase(m_idle, id.m_generation);
+    std::erase(m_to_close, id.m_generation);
+    leave(found->second.m_phase);
+    m_connections.erase(found);
+}
+
+connection_pool::actions connection_pool::step(state::time_point now)
+{
+    close_worn(now);
+    shrink();
+    actions result;
+    for (auto const generation : m_to_close)
+    {
+        result.push_back({pool_action::kind::close, {generation}});
+    }
+    m_to_close.clear();
+    open_wanted(now, result);
+    return result;
+}
+
+std::optional<state::time_point> connection_pool::next_step() const
+{
+    std::optional<state::time_point> result;
+    auto const take = [&](state::time_point time)
+    {
+        result = result ? std::min(*result, time) : time;
+    };
+    for (auto const generation : m_idle)
+    {
+        auto const end =
+            m_connections.at(generation).m_opened + m_limits.m_max_age;
+        take(end - m_limits.m_replace_ahead);
+        take(end);
+    }
+    if (m_failures > 0)
+    {
+        take(m_not_before);
+    }
+    return result;
+}
+
+std::uint64_t connection_pool::next_request(connection_id id)
+{
+    auto* const value = find(id);
+    if (value == nullptr || value->m_phase != phase::busy ||
+        value->m_awaited != 0)
+    {
+        return 0;
+    }
+    value->m_awaited = ++value->m_last_request;
+    return value->m_awaited;
+}
+
+bool connection_pool::take_answer(connection_id id, std::uint64_t request)
+{
+    auto* const value = find(id);
+    if (value == nullptr || value->m_phase != phase::busy || request == 0 ||
+        value->m_awaited != request)
+    {
+        return false;
+    }
+    value->m_awaited = 0;
+    return true;
+}
+
+bool connection_pool::quiet(connection_id id) const
+{
+    auto const found = m_connections.find(id.m_generation);
+    return found != m_connections.end() &&
+           found->second.m_phase == phase::busy && found->second.m_awaited == 0;
+}
+
+connection_pool::connection* connection_pool::find(connection_id id)
+{
+    auto const found = m_connections.find(id.m_generation);
+    return found == m_connections.end() ? nullptr : &found->second;
+}
+
+bool connection_pool::worn(connection const& value, state::time_point now) const
+{
+    return value.m_uses >= m_limits.m_max_uses ||
+           now - value.m_opened >= m_limits.m_max_age;
+}
+
+bool connection_pool::wears_soon(connection const& value,
+                                 state::time_point now) const
+{
+    constexpr std::uint64_t twentieth = 20;
+    auto const few_uses = m_limits.m_max_uses / twentieth;
+    return value.m_uses + few_uses >= m_limits.m_max_uses ||
+           now - value.m_opened >=
+               m_limits.m_max_age - m_limits.m_replace_ahead;
+}
+
+void connection_pool::close_worn(state::time_point now)
+{
+    auto const worn_ones =
+        std::partition(m_idle.begin(), m_idle.end(),
+                       [&](std::uint64_t generation)
+                       { return !worn(m_connections.at(generation), now); });
+    std::for_each(worn_ones, m_idle.end(),
+                  [&](std::uint64_t generation) { close(generation); });
+    m_idle.erase(worn_ones, m_idle.end());
+}
+
+void connection_pool::close(std::uint64_t generation)
+{
+    move(m_connections.at(generation), phase::closing);
+    m_to_close.push_back(generation);
+}
+
+void connection_pool::shrink()
+{
+    auto const surplus = [&]
+    {
+        auto const kept = held() - m_closing;
+        return kept > m_budget ? kept - m_budget : 0;
+    };
+    auto const idle_surplus = std::min(surplus(), m_idle.size());
+    for (std::size_t i = 0; i < idle_surplus; ++i)
+    {
+        close(m_idle[i]);
+    }
+    m_idle.erase(m_idle.begin(),
+                 m_idle.begin() + static_cast<std::ptrdiff_t>(idle_surplus));
+    if (surplus() == 0 || m_opening == 0)
+    {
+        return;
+    }
+    for (auto const& [generation, value] : m_connections)
+    {
+        if (value.m_phase == phase::opening && surplus() > 0)
+        {
+            close(generation);
+        }
+    }
+}
+
+void connection_pool::open_wanted(state::time_point now, actions& into)
+{
+    if (m_failures > 0 && now < m_not_before)
+    {
+        return;
+    }
+    auto const wanted = m_limits.m_warm + m_waiting;
+    while (held() < m_budget && lasting(now) + m_opening < wanted)
+    {
+        auto const generation = ++m_last_generation;
+        m_connections.try_emplace(generation);
+        ++m_opening;
+        into.push_back({pool_action::kind::open, {generation}});
+    }
+}
+
+std::size_t connection_pool::lasting(state::time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_idle, [&](std::uint64_t generation)
+        { return !wears_soon(m_connections.at(generation), now); }));
+}
+
+void connection_pool::leave(phase value)
+{
+    constexpr std::size_t connection_pool::*counts[]{
+        &connection_pool::m_opening, nullptr, &connection_pool::m_busy,
+        &connection_pool::m_closing};
+    auto const count = counts[static_cast<std::size_t>(value)];
+    if (count != nullptr)
+    {
+        --(this->*count);
+    }
+}
+
+void connection_pool::move(connection& value, phase to)
+{
+    leave(value.m_phase);
+    value.m_phase = to;
+    m_busy += to == phase::busy ? 1 : 0;
+    m_closing += to == phase::closing ? 1 : 0;
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/test/connections/connection_pool_test.cpp
@@ -0,0 +1,269 @@
+#include <random>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/request/connection_pool.hpp>
+
+namespace state = camphortide::state;
+using namespace camphortide::coordination;
+using kind = pool_action::kind;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// Does at once what the pool asks for.
+void settle(connection_pool& pool, state::time_point now)
+{
+    for (auto const& action : pool.step(now))
+    {
+        if (action.m_kind == kind::open)
+        {
+            pool.opened(action.m_connection, now);
+        }
+        else
+        {
+            pool.lost(action.m_connection, now);
+        }
+    }
+}
+
+connection_pool make_pool(std::size_t budget, pool_limits limits = {})
+{
+    connection_pool pool(limits);
+    pool.set_budget(budget);
+    settle(pool, at(0));
+    return pool;
+}
+
+} // namespace
+
+TEST_CASE("warm connections are opened before they are needed")
+{
+    auto pool = make_pool(16);
+    CHECK(pool.idle() == 2);
+    auto const first = pool.acquire(at(1));
+    REQUIRE(first);
+    settle(pool, at(1));
+    CHECK(pool.idle() == 2);
+    CHECK(pool.busy() == 1);
+    pool.release(*first, at(2));
+    CHECK(pool.idle() == 3);
+    CHECK(pool.step(at(2)).empty());
+}
+
+TEST_CASE("a connection that is opening cannot be acquired")
+{
+    connection_pool pool({});
+    pool.set_budget(16);
+    auto const actions = pool.step(at(0));
+    REQUIRE(actions.size() == 2);
+    CHECK_FALSE(pool.acquire(at(0)));
+    pool.opened(actions[0].m_connection, at(12));
+    CHECK(pool.acquire(at(12)) == actions[0].m_connection);
+    CHECK_FALSE(pool.acquire(at(12)));
+}
+
+TEST_CASE("requests that wait open more, within the budget")
+{
+    auto pool = make_pool(16);
+    pool.set_waiting(30);
+    settle(pool, at(1));
+    CHECK(pool.held() == 16);
+}
+
+TEST_CASE("a lower budget closes idle connections first, and busy ones later")
+{
+    auto pool = make_pool(6, {.m_warm = 6});
+    auto const one = *pool.acquire(at(1));
+    auto const two = *pool.acquire(at(1));
+    pool.set_budget(1);
+    auto const actions = pool.step(at(2));
+    CHECK(actions.size() == 4);
+    CHECK(pool.held() == 6);
+    for (auto const& action : actions)
+    {
+        CHECK(action.m_kind == kind::close);
+        pool.lost(action.m_connection, at(3));
+    }
+    CHECK(pool.held() == 2);
+    pool.release(one, at(4));
+    settle(pool, at(4));
+    CHECK(pool.held() == 1);
+    pool.release(two, at(5));
+    settle(pool, at(5));
+    CHECK(pool.idle() == 1);
+}
+
+TEST_CASE("a connection that closes counts until the endpoint is rid of it")
+{
+    auto pool = make_pool(2);
+    auto const id = *pool.acquire(at(1));
+    pool.abandon(id);
+    auto const actions = pool.step(at(1));
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0] == pool_action{kind::close, id});
+    CHECK(pool.held() == 2);
+    CHECK(pool.step(at(2)).empty());
+    pool.lost(id, at(3));
+    REQUIRE(pool.step(at(3)).size() == 1);
+}
+
+TEST_CASE("an answer reaches the statement that awaits it, or nobody")
+{
+    auto pool = make_pool(1, {.m_warm = 1});
+    auto const id = *pool.acquire(at(1));
+    auto const first = pool.next_request(id);
+    CHECK(first != 0);
+    CHECK(pool.next_request(id) == 0);
+    CHECK_FALSE(pool.take_answer(id, first + 1));
+    CHECK_FALSE(pool.take_answer({id.m_generation + 1}, first));
+    CHECK(pool.take_answer(id, first));
+    CHECK_FALSE(pool.take_answer(id, first));
+    auto const second = pool.next_request(id);
+    CHECK_FALSE(pool.take_answer(id, first));
+    CHECK(pool.take_answer(id, second));
+    CHECK_FALSE(pool.take_answer(id, 0));
+}
+
+TEST_CASE("a connection with an answer outstanding is never used again")
+{
+    auto pool = make_pool(1, {.m_warm = 1});
+    auto const id = *pool.acquire(at(1));
+    auto const request = pool.next_request(id);
+    pool.release(id, at(2));
+    CHECK(pool.idle() == 0);
+    CHECK_FALSE(pool.take_answer(id, request));
+    settle(pool, at(3));
+    settle(pool, at(3));
+    auto const other = pool.acquire(at(4));
+    REQUIRE(other);
+    CHECK(*other != id);
+    CHECK_FALSE(pool.take_answer(*other, request));
+}
+
+TEST_CASE("a connection is replaced before it is worn")
+{
+    pool_limits limits{.m_warm = 1};
+    limits.m_max_age = state::duration(1000);
+    limits.m_replace_ahead = state::duration(100);
+    auto pool = make_pool(4, limits);
+    CHECK(pool.next_step() == at(900));
+    CHECK(pool.step(at(899)).empty());
+    auto const opens = pool.step(at(900));
+    REQUIRE(opens.size() == 1);
+    CHECK(opens[0].m_kind == kind::open);
+    pool.opened(opens[0].m_connection, at(912));
+    auto const closes = pool.step(at(1000));
+    REQUIRE(closes.size() == 1);
+    CHECK(closes[0].m_kind == kind::close);
+    CHECK(pool.idle() == 1);
+}
+
+TEST_CASE("the greatest number of uses ends a connection")
+{
+    auto pool = make_pool(2, {.m_warm = 1, .m_max_uses = 2});
+    auto const id = *pool.acquire(at(1));
+    pool.release(id, at(1));
+    CHECK(pool.acquire(at(1)) == id);
+    pool.release(id, at(1));
+    settle(pool, at(1));
+    CHECK(pool.acquire(at(1)) != id);
+}
+
+TEST_CASE("openings that fail are repeated at growing times")
+{
+    connection_pool pool({.m_warm = 1});
+    pool.set_budget(4);
+    state::time_point now = at(0);
+    state::duration last{};
+    for (int i = 0; i < 12; ++i)
+    {
+        auto const actions = pool.step(now);
+        REQUIRE(actions.size() == 1);
+        pool.lost(actions[0].m_connection, now);
+        CHECK(pool.step(now).empty());
+        auto const next = *pool.next_step();
+        CHECK(next - now >= last);
+        CHECK(next - now <= pool_limits().m_max_retry_after);
+        last = next - now;
+        now = next;
+    }
+    CHECK(last == pool_limits().m_max_retry_after);
+}
+
+TEST_CASE("any order of events keeps the budget and the bookkeeping")
+{
+    std::mt19937 random(7);
+    connection_pool pool({.m_warm = 3, .m_max_uses = 9});
+    std::vector<connection_id> opening;
+    std::vector<connection_id> busy;
+    std::vector<connection_id> closing;
+    auto const take = [&](std::vector<connection_id>& from)
+    {
+        auto const place = random() % from.size();
+        auto const id = from[place];
+        from.erase(from.begin() + static_cast<std::ptrdiff_t>(place));
+        return id;
+    };
+    std::size_t budget = 8;
+    for (int i = 0; i < 20000; ++i)
+    {
+        auto const now = at(i);
+        pool.set_budget(budget);
+        switch (random() % 8)
+        {
+        case 0:
+            budget = random() % 12;
+            break;
+        case 1:
+            if (auto const id = pool.acquire(now))
+            {
+                busy.push_back(*id);
+            }
+            break;
+        case 2:
+            if (!busy.empty())
+            {
+                pool.release(take(busy), now);
+            }
+            break;
+        case 3:
+            if (!busy.empty())
+            {
+                pool.abandon(take(busy));
+            }
+            break;
+        case 4:
+        case 5:
+            if (!opening.empty())
+            {
+                pool.opened(take(opening), now);
+            }
+            break;
+        default:
+            if (!closing.empty())
+            {
+                pool.lost(take(closing), now);
+            }
+        }
+        auto const held_before = pool.held();
+        for (auto const& action : pool.step(now))
+        {
+            auto const open = action.m_kind == kind::open;
+            std::erase(opening, action.m_connection);
+            (open ? opening : closing).push_back(action.m_connection);
+        }
+        REQUIRE(pool.held() <= std::max(held_before, pool.budget()));
+        REQUIRE(pool.held() ==
+                pool.idle() + pool.busy() + pool.opening() + pool.closing());
+        REQUIRE(pool.busy() == busy.size());
+        REQUIRE(pool.opening() == opening.size());
+        REQUIRE(pool.closing() == closing.size());
+    }
+}
