fleet: catalogue values, homes and membership

Cause: instances have to agree on who is live, on who holds a group's connections and on what an operator's entry means, without a store.

Change: catalogue entries, groups and their validation as values; homes by rendezvous hashing, each further home in another data centre; membership by probes of three ring neighbours, news that spreads with the heartbeats, and objection by a higher incarnation.

Conclusion: state.catalogue, coordination.homes and coordination.membership pass, 12 cases of them on fleets of up to 60 instances with deaths, pauses and partitions.

--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/instance_table.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <camphortide/state/clock.hpp>
+#include <camphortide/state/instance_record.hpp>
+
+namespace camphortide::coordination
+{
+
+/// What one instance knows of another.
+struct known_instance
+{
+    state::instance_record m_record;
+    std::uint64_t m_hash = 0;       ///< of the name
+    state::time_point m_heard{};    ///< last message from it
+    state::time_point m_observed{}; ///< since when it is observed
+    state::time_point m_changed{};  ///< of the state
+    bool m_is_observed = false;
+};
+
+/// The records of all instances but the own, with the rule that merges a
+/// report into them.
+class instance_table
+{
+public:
+    /// @param most how many instances are kept
+    explicit instance_table(std::size_t most) : m_most(most) {}
+
+    /// Merges a report: the higher incarnation is kept, and of one
+    /// incarnation the greater state.
+    /// @param report what is reported
+    /// @param now the time
+    /// @return true if the report told something new
+    bool merge(state::instance_record const& report, state::time_point now);
+
+    /// @param name an instance's name
+    /// @return what is known; null if nothing is
+    known_instance* find(std::string const& name);
+
+    /// Removes those that have been gone or leaving for long.
+    /// @param before they changed before this time
+    void forget(state::time_point before);
+
+    /// @return a sum over the live instances and their incarnations that does
+    ///     not depend on an order
+    std::uint64_t checksum() const { return m_checksum; }
+
+    /// @return rises whenever a live instance is added, removed or changed
+    std::uint64_t revision() const { return m_revision; }
+
+    /// @return all that is known, by name
+    std::map<std::string, known_instance>& all() { return m_known; }
+    /// @return all that is known, by name
+    std::map<std::string, known_instance> const& all() const { return m_known; }
+
+private:
+    void toggle(known_instance const& known);
+
+    std::size_t m_most;
+    std::map<std::string, known_instance> m_known;
+    std::uint64_t m_checksum = 0;
+    std::uint64_t m_revision = 0;
+};
+
+/// The share of one instance in a checksum.
+/// @param record the instance; one that is not live has no share
+/// @return the share
+std::uint64_t checksum_share(state::instance_record const& record);
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/membership.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <camphortide/coordination/fleet/heartbeat.hpp>
+#include <camphortide/coordination/fleet/instance_table.hpp>
+#include <camphortide/coordination/fleet/membership_settings.hpp>
+#include <camphortide/coordination/fleet/news_queue.hpp>
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+
+namespace camphortide::coordination
+{
+
+/// Who is live, as one instance sees it. Each instance observes a few others
+/// by probes, passes changes on with its heartbeats, and needs no store. The
+/// platform's list only names candidates and those that are to leave.
+///
+/// Call `tick` at least every 100 ms and send what the methods return.
+class membership
+{
+public:
+    /// @param settings times and bounds
+    /// @param self the own record. Its incarnation has to exceed that of an
+    ///     earlier run, such as the milliseconds since 1970
+    /// @param seeds addresses of instances that a newcomer asks
+    /// @param seed of the choice of peers; differs between instances
+    /// @param now the time
+    membership(membership_settings const& settings, state::instance_record self,
+               std::vector<std::string> seeds, std::uint64_t seed,
+               state::time_point now);
+
+    /// Lets time pass.
+    /// @param now the time
+    /// @return what to send
+    std::vector<heartbeat_to> tick(state::time_point now);
+
+    /// Takes a heartbeat of a peer.
+    /// @param message the heartbeat
+    /// @param now the time
+    /// @return what to send
+    std::vector<heartbeat_to> on_heartbeat(heartbeat const& message,
+                                           state::time_point now);
+
+    /// Takes the platform's list. It lags: a name on it is a candidate, a name
+    /// that is missing tells nothing, and a leaving mark holds as long as the
+    /// list shows it.
+    /// @param list the whole list
+    /// @param now the time
+    void on_platform_list(std::span<state::instance_record const> list,
+                          state::time_point now);
+
+    /// Announces that this instance leaves. No timeout or report undoes it.
+    /// @param now the time
+    /// @return what to send at once
+    std::vector<heartbeat_to> leave(state::time_point now);
+
+    /// @param held versions that the next heartbeats carry
+    void set_held(held_versions held) { m_held = held; }
+
+    /// @return all instances, this one too, by name, with the platform's
+    ///     leaving marks applied
+    std::vector<state::instance_record> view() const;
+
+    /// @return rises whenever `view` changes
+    std::uint64_t revision() const
+    {
+        return m_table.revision() + m_own_changes;
+    }
+
+    /// @return the own record with its present incarnation and state
+    state::instance_record const& self() const { return m_self; }
+
+    /// @return true once a peer has sent its whole view
+    bool joined() const { return m_joined; }
+
+    /// @return true if the platform's list wants this instance to leave
+    bool asked_to_leave() const;
+
+    /// Chooses live peers at random, for other messages that spread.
+    /// @param count how many at most
+    /// @return different live peers
+    std::vector<state::instance_record> random_peers(std::size_t count);
+
+private:
+    using actions = std::vector<heartbeat_to>;
+
+    void learn(state::instance_record const& report, state::time_point now);
+    void object_to(state::instance_record const& report);
+    void excuse_pause(state::time_point now);
+    void observe(state::time_point now);
+    void choose_observed(state::time_point now);
+    void judge(known_instance& known, state::time_point now);
+    void change(known_instance& known, state::instance_state to,
+                state::time_point now);
+    void spread(std::string const& name);
+    void start_interval(actions& out);
+    void join(actions& out);
+    void probe_others(actions& out);
+    void push(actions& out, state::time_point now);
+    void answer(heartbeat const& message, actions& out);
+    heartbeat make(heartbeat_kind kind);
+    void add_record(heartbeat& message, std::string const& name) const;
+    void add_slice(heartbeat& message);
+    void add_everyone(heartbeat& message) const;
+    std::uint64_t checksum() const;
+
+    membership_settings m_settings;
+    state::instance_record m_self;
+    std::vector<std::string> m_seeds;
+    seeded_sequence m_random;
+    instance_table m_table;
+    news_queue m_news;
+    std::set<std::string> m_platform_leaving;
+    std::vector<std::pair<std::string, std::string>> m_candidates;
+    std::vector<std::string> m_observed;
+    held_versions m_held;
+    std::string m_slice_after; ///< last name of the latest slice
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_own_changes = 0;
+    std::uint64_t m_observed_revision = 0;
+    std::size_t m_slices_left = 0;
+    std::size_t m_welcomes_left = 0;
+    state::time_point m_last_tick;
+    state::time_point m_next_interval;
+    state::time_point m_next_push;
+    state::duration m_phase{}; ///< keeps intervals of instances apart
+    bool m_urgent = false;
+    bool m_joined = false;
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/src/fleet/home_table.cpp
@@ -0,0 +1,166 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include <camphortide/coordination/fleet/home_table.hpp>
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+constexpr std::uint64_t watcher_key = hash_name("catalogue watcher");
+
+std::vector<state::instance_record>
+live_by_name(std::span<state::instance_record const> instances)
+{
+    std::vector<state::instance_record> result;
+    for (auto const& instance : instances)
+    {
+        if (state::is_live(instance.m_state))
+        {
+            result.push_back(instance);
+        }
+    }
+    std::ranges::sort(result, {}, &state::instance_record::m_name);
+    return result;
+}
+
+} // namespace
+
+home_table::home_table(std::span<state::instance_record const> instances,
+                       std::size_t homes)
+    : m_instances(live_by_name(instances)),
+      m_homes(homes)
+{
+    std::map<std::string_view, std::size_t> data_centres;
+    for (auto const& instance : m_instances)
+    {
+        m_hashes.push_back(hash_name(instance.m_name));
+        auto const place =
+            data_centres.emplace(instance.m_data_centre, data_centres.size());
+        m_data_centre_of.push_back(place.first->second);
+    }
+    m_data_centres = data_centres.size();
+}
+
+std::vector<std::size_t> home_table::choose(std::string_view group) const
+{
+    std::uint64_t const key = hash_name(group);
+    bool const everyone = m_homes == all || m_homes >= m_instances.size();
+    std::size_t const wanted = everyone ? m_instances.size() : m_homes;
+    std::vector<std::uint64_t> scores;
+    scores.reserve(m_instances.size());
+    for (std::uint64_t const hash : m_hashes)
+    {
+        scores.push_back(rendezvous_score(key, hash));
+    }
+    std::vector<std::size_t> chosen;
+    if (everyone)
+    {
+        for (std::size_t index = 0; index < wanted; ++index)
+        {
+            chosen.push_back(index);
+        }
+        std::ranges::sort(chosen, [&scores](std::size_t left, std::size_t right)
+                          { return scores[left] > scores[right]; });
+        return chosen;
+    }
+    std::vector<std::size_t> used(m_data_centres, 0);
+    std::vector<bool> taken(m_instances.size(), false);
+    while (chosen.size() < wanted)
+    {
+        std::size_t best = m_instances.size();
+        for (std::size_t index = 0; index < m_instances.size(); ++index)
+        {
+            auto const rank = [&](std::size_t place)
+            {
+                return std::pair(used[m_data_centre_of[place]], ~scores[place]);
+            };
+            if (!taken[index] &&
+                (best == m_instances.size() || rank(index) < rank(best)))
+            {
+                best = index;
+            }
+        }
+        taken[best] = true;
+        ++used[m_data_centre_of[best]];
+        chosen.push_back(best);
+    }
+    return chosen;
+}
+
+std::vector<state::instance_record>
+home_table::homes_of(std::string_view group) const
+{
+    std::vector<state::instance_record> result;
+    for (std::size_t const index : choose(group))
+    {
+        result.push_back(m_instances[index]);
+    }
+    return result;
+}
+
+bool home_table::is_home(std::string_view group,
+                         std::string_view instance) const
+{
+    return std::ranges::any_of(choose(group),
+                               [this, instance](std::size_t index) {
+                                   return m_instances[index].m_name == instance;
+                               });
+}
+
+home_movement count_movement(home_table const& before, home_table const& after,
+                             std::span<std::string const> groups)
+{
+    home_movement result;
+    for (auto const& group : groups)
+    {
+        auto const earlier = before.homes_of(group);
+        for (auto const& home : after.homes_of(group))
+        {
+            ++result.m_homes;
+            bool const stayed = std::ranges::any_of(
+                earlier, [&home](state::instance_record const& other)
+                { return other.m_name == home.m_name; });
+            result.m_moved += stayed ? 0 : 1;
+        }
+    }
+    return result;
+}
+
+std::vector<std::string>
+choose_watchers(std::span<state::instance_record const> instances,
+                std::size_t per_data_centre)
+{
+    using scored = std::pair<std::uint64_t, std::string_view>;
+    std::map<std::string_view, std::vector<scored>> data_centres;
+    for (auto const& instance : instances)
+    {
+        if (state::is_live(instance.m_state))
+        {
+            data_centres[instance.m_data_centre].emplace_back(
+                rendezvous_score(watcher_key, hash_name(instance.m_name)),
+                instance.m_name);
+        }
+    }
+    std::vector<std::string> result;
+    for (auto& [name, candidates] : data_centres)
+    {
+        auto const count = std::min(per_data_centre, candidates.size());
+        auto const middle =
+            candidates.begin() + static_cast<std::ptrdiff_t>(count);
+        std::ranges::partial_sort(candidates, middle, std::greater<>());
+        for (auto place = candidates.begin(); place != middle; ++place)
+        {
+            result.emplace_back(place->second);
+        }
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/test/membership/membership_test.cpp
@@ -0,0 +1,219 @@
+#include "membership_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+namespace state = camphortide::state;
+using camphortide::coordination::heartbeat;
+using camphortide::coordination::heartbeat_kind;
+using camphortide::state::duration;
+using camphortide::state::instance_state;
+
+namespace
+{
+
+std::set<std::size_t> range(std::size_t first, std::size_t last)
+{
+    std::set<std::size_t> result;
+    for (std::size_t index = first; index < last; ++index)
+    {
+        result.insert(index);
+    }
+    return result;
+}
+
+constexpr duration settle{20'000};
+constexpr duration detection{8'000};
+
+} // namespace
+
+TEST_CASE("instances that know one seed find each other")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    CHECK(fleet.all_see(range(0, 20), range(0, 20), instance_state::live));
+    CHECK(fleet.at(7).joined());
+}
+
+TEST_CASE("a quiet fleet stays as it is")
+{
+    membership_fleet fleet;
+    fleet.start_all(12);
+    fleet.run(settle);
+    auto const before = fleet.at(3).revision();
+    fleet.run(duration(120'000));
+    CHECK(fleet.at(3).revision() == before);
+}
+
+TEST_CASE("a dead instance is gone everywhere in time")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    fleet.kill(4);
+    fleet.run(detection);
+    auto others = range(0, 20);
+    others.erase(4);
+    CHECK(fleet.all_see(others, {4}, instance_state::gone));
+    CHECK(fleet.all_see(others, others, instance_state::live));
+}
+
+TEST_CASE("an explicit leaving is known at once and nothing undoes it")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    fleet.send("instance-5", fleet.at(5).leave(fleet.now()));
+    fleet.run(duration(2'000));
+    CHECK(fleet.all_see(range(0, 20), {5}, instance_state::leaving));
+    fleet.run(settle); // it still answers probes meanwhile
+    CHECK(fleet.all_see(range(0, 20), {5}, instance_state::leaving));
+    fleet.kill(5);
+    fleet.run(settle);
+    auto others = range(0, 20);
+    others.erase(5);
+    CHECK(fleet.all_see(others, {5}, instance_state::leaving));
+}
+
+TEST_CASE("a pause costs the paused one its place but nobody else's")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    fleet.pause(6);
+    fleet.run(duration(30'000));
+    CHECK(fleet.all_see({0, 1, 2}, {6}, instance_state::gone));
+    fleet.resume(6);
+    fleet.run(membership_fleet::step);
+    auto others = range(0, 20);
+    others.erase(6);
+    CHECK(fleet.all_see({6}, others, instance_state::live));
+    fleet.run(settle);
+    CHECK(fleet.all_see(range(0, 20), range(0, 20), instance_state::live));
+}
+
+TEST_CASE("a short pause is objected to")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    fleet.pause(6);
+    fleet.run(duration(3'500)); // suspected, not yet gone
+    fleet.resume(6);
+    fleet.run(duration(5'000));
+    CHECK(fleet.all_see(range(0, 20), range(0, 20), instance_state::live));
+}
+
+TEST_CASE("both sides of a partition go on and find each other afterwards")
+{
+    membership_fleet fleet;
+    fleet.start_all(20);
+    fleet.run(settle);
+    auto const left = range(0, 10);
+    auto const right = range(10, 20);
+    auto const is_left = [](std::string const& name)
+    {
+        return name.size() == std::string("instance-0").size();
+    };
+    fleet.cut([&](std::string const& from, std::string const& to)
+              { return is_left(from) != is_left(to); });
+    fleet.run(duration(180'000));
+    CHECK(fleet.all_see(left, left, instance_state::live));
+    CHECK(fleet.all_see(right, right, instance_state::live));
+    CHECK(fleet.all_see(left, right, instance_state::gone));
+    CHECK(fleet.all_see(right, left, instance_state::gone));
+    fleet.cut({});
+    fleet.run(duration(30'000));
+    CHECK(fleet.all_see(range(0, 20), range(0, 20), instance_state::live));
+}
+
+TEST_CASE("a link that fails between two instances takes neither away")
+{
+    membership_fleet fleet;
+    fleet.start_all(12);
+    fleet.run(settle);
+    fleet.cut(
+        [](std::string const& from, std::string const& to)
+        {
+            return (from == "instance-1" && to == "instance-2") ||
+                   (from == "instance-2" && to == "instance-1");
+        });
+    for (int second = 0; second < 120; ++second)
+    {
+        fleet.run(duration(1'000));
+        CHECK(fleet.seen(5, 1) != instance_state::gone);
+        CHECK(fleet.seen(5, 2) != instance_state::gone);
+    }
+}
+
+TEST_CASE("a newcomer joins during a partition and is known after it")
+{
+    membership_fleet fleet;
+    fleet.start_all(10);
+    fleet.run(settle);
+    fleet.cut([](std::string const& from, std::string const& to)
+              { return (from == "instance-9") != (to == "instance-9"); });
+    fleet.run(settle);
+    fleet.start(11, 3);
+    fleet.run(settle);
+    CHECK(fleet.all_see(range(0, 9), {11}, instance_state::live));
+    fleet.cut({});
+    fleet.run(settle);
+    CHECK(fleet.all_see({9}, {11}, instance_state::live));
+}
+
+TEST_CASE("a replaced instance of the same name is live again")
+{
+    membership_fleet fleet;
+    fleet.start_all(10);
+    fleet.run(settle);
+    fleet.send("instance-4", fleet.at(4).leave(fleet.now()));
+    fleet.run(duration(2'000));
+    fleet.kill(4);
+    fleet.start(4);
+    fleet.run(duration(5'000));
+    CHECK(fleet.all_see(range(0, 10), range(0, 10), instance_state::live));
+}
+
+TEST_CASE("the platform's list names candidates and marks, and no deaths")
+{
+    membership_fleet fleet;
+    fleet.start_all(4);
+    fleet.start(8, 8); // knows nobody
+    fleet.run(settle);
+    CHECK(fleet.seen(8, 1) == instance_state::gone);
+    state::instance_record listed;
+    listed.m_name = "instance-1";
+    listed.m_address = "instance-1";
+    fleet.at(8).on_platform_list(std::vector{listed}, fleet.now());
+    fleet.run(settle);
+    CHECK(fleet.all_see(range(0, 4), {8}, instance_state::live));
+    CHECK(fleet.all_see({8}, range(0, 4), instance_state::live));
+    listed.m_state = instance_state::leaving;
+    fleet.at(8).on_platform_list(std::vector{listed}, fleet.now());
+    CHECK(fleet.seen(8, 1) == instance_state::leaving);
+    fleet.at(1).on_platform_list(std::vector{listed}, fleet.now());
+    CHECK(fleet.at(1).asked_to_leave());
+    fleet.at(8).on_platform_list({}, fleet.now());
+    CHECK(fleet.seen(8, 1) == instance_state::live);
+}
+
+TEST_CASE("every heartbeat but a welcome is bounded")
+{
+    membership_fleet fleet;
+    fleet.start_all(60);
+    fleet.run(settle);
+    camphortide::coordination::membership_settings const settings;
+    heartbeat probe;
+    probe.m_sender.m_name = "stranger";
+    probe.m_sender.m_address = "stranger";
+    for (int count = 0; count < 20; ++count)
+    {
+        auto const out = fleet.at(0).on_heartbeat(probe, fleet.now());
+        for (auto const& action : out)
+        {
+            CHECK(action.m_heartbeat.m_records.size() <=
+                  settings.m_news + settings.m_slice + 1);
+        }
+    }
+}
--- /dev/null
+++ b/packages/state/include/camphortide/state/catalogue_entry_builder.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+
+#include <camphortide/state/catalogue_entry.hpp>
+
+namespace camphortide::state
+{
+
+/// Builds a catalogue entry; what is not set keeps its default.
+class catalogue_entry_builder
+{
+public:
+    /// @param name the entry's name
+    explicit catalogue_entry_builder(std::string name);
+
+    /// @param value the owner's name
+    /// @return this builder
+    catalogue_entry_builder& owner(std::string value);
+    /// @param value the class of traffic
+    /// @return this builder
+    catalogue_entry_builder& class_name(std::string value);
+    /// @param value the database group's name
+    /// @return this builder
+    catalogue_entry_builder& group(std::string value);
+    /// @param value SHA-256 of the owner's secret in hex
+    /// @return this builder
+    catalogue_entry_builder& credential_hash(std::string value);
+    /// @param value the limits
+    /// @return this builder
+    catalogue_entry_builder& limits(entry_limits value);
+    /// @return the entry, not validated
+    catalogue_entry build() const;
+
+private:
+    catalogue_entry m_entry;
+};
+
+} // namespace camphortide::state
