limits: admission with fair queues, deadlines and retry budgets

Cause: slots of a group's members are few, and a flood of one class must not hold up the others. Change: admission decides at one home of a group: start-time fair queues over owners, then over an owner's entries; strict or weighted priority; refusal at once of what can't finish in time, with the time to come back. Queues are bounded in length and time. Each lane has slots of its own.

--- /dev/null
+++ b/packages/coordination/src/limits/admission.cpp
@@ -0,0 +1,410 @@
+#include <algorithm>
+#include <cmath>
+
+#include <camphortide/coordination/limits/admission.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+using state::reason;
+
+constexpr std::array lanes{lane::primary, lane::replica};
+constexpr state::duration shortest_retry{10};
+constexpr state::duration longest_retry{60000};
+constexpr work closed_retry{1000};  ///< while nothing is served
+constexpr double most_retries = 10; ///< saved up by one entry
+
+/// The age at which an entry's work is tried anew, whatever it was. Else an
+/// entry that was slow once might be refused for ever.
+constexpr state::duration stale_work{1000};
+
+state::duration rounded_up(work value)
+{
+    return state::duration(
+        static_cast<state::duration::rep>(std::ceil(value.count())));
+}
+
+/// Lengthens a wait by up to a half, so that the refused spread out.
+state::duration spread(work wait, std::uint64_t id)
+{
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // 2^64 / phi
+    constexpr unsigned shift = 54;
+    constexpr double steps = 2048;
+    double const part = static_cast<double>((id * multiplier) >> shift) / steps;
+    return std::clamp(rounded_up(wait * (1 + part)), shortest_retry,
+                      longest_retry);
+}
+
+admission_decision refused(reason why, state::duration retry_after)
+{
+    return {verdict::refused, why, retry_after};
+}
+
+bool below(std::optional<std::uint32_t> limit, std::uint32_t count)
+{
+    return !limit || count < *limit;
+}
+
+} // namespace
+
+admission::admission(priority_rule rule) : m_rule(rule) {}
+
+admission_changes admission::set_entries(std::span<entry_limits const> entries,
+                                         state::time_point now)
+{
+    admission_changes changes;
+    for (auto& known : m_entries)
+    {
+        known.m_removed = true;
+    }
+    for (auto const& limits : entries)
+    {
+        auto& changed = upsert(limits);
+        changed.m_removed = false;
+        changed.m_rate.set_rate(limits.m_rate, now);
+        open_or_close(changed);
+    }
+    for (auto const& known : m_entries)
+    {
+        if (known.m_removed)
+        {
+            remove(known, changes, now);
+        }
+    }
+    for (auto const which : lanes)
+    {
+        dispatch(which, changes, now);
+    }
+    return changes;
+}
+
+admission_changes admission::set_capacity(lane which, std::uint32_t slots,
+                                          state::time_point now)
+{
+    admission_changes changes;
+    if (in(which).slots() != slots)
+    {
+        in(which).set_slots(slots, now);
+        give_up(which, changes, now);
+        dispatch(which, changes, now);
+    }
+    return changes;
+}
+
+admission_decision admission::arrive(admission_request const& request,
+                                     state::time_point now)
+{
+    auto const* const known = find(request.m_entry);
+    if (known == nullptr)
+    {
+        return refused(reason::unknown_entry, state::duration{0});
+    }
+    auto& asked = m_entries[known->m_flow];
+    auto const item = candidate(asked, request, now);
+    if (auto const why = refusal(asked, request, item, now))
+    {
+        return *why;
+    }
+    auto& queue = in(request.m_lane);
+    if (queue.starts_at_once(asked.m_flow))
+    {
+        queue.start(asked.m_flow, item.m_cost);
+        started(asked, request.m_lane, item.m_id);
+        return {verdict::admitted, reason::none, state::duration{0}};
+    }
+    queue.push(asked.m_flow, item, now);
+    asked.m_queued += 1;
+    return {verdict::queued, reason::none, state::duration{0}};
+}
+
+admission_changes admission::finished(std::uint64_t id,
+                                      std::optional<work> service,
+                                      state::time_point now)
+{
+    admission_changes changes;
+    auto const found = m_running.find(id);
+    if (found == m_running.end())
+    {
+        return changes;
+    }
+    auto const [flow, which] = found->second;
+    m_running.erase(found);
+    auto& asked = m_entries[flow];
+    asked.m_running -= 1;
+    if (service)
+    {
+        asked.m_work.add(service->count());
+        asked.m_learnt = now;
+    }
+    in(which).finish(service);
+    open_or_close(asked);
+    for (auto const each : lanes)
+    {
+        dispatch(each, changes, now);
+    }
+    return changes;
+}
+
+bool admission::cancel(std::uint64_t id, state::time_point now)
+{
+    for (auto& queue : m_lanes)
+    {
+        if (auto const item = queue.erase(id, now))
+        {
+            m_entries[item->m_flow].m_queued -= 1;
+            return true;
+        }
+    }
+    return false;
+}
+
+admission_changes admission::tick(state::time_point now)
+{
+    admission_changes changes;
+    for (auto const which : lanes)
+    {
+        expire(which, changes, now);
+        give_up(which, changes, now);
+    }
+    return changes;
+}
+
+std::optional<state::time_point> admission::next_expiry() const
+{
+    std::optional<state::time_point> first;
+    for (auto const& queue : m_lanes)
+    {
+        auto const at = queue.next_expiry();
+        first = !first || (at && *at < *first) ? at : first;
+    }
+    return first;
+}
+
+admission_load admission::load(std::string_view name) const
+{
+    auto const* const asked = find(name);
+    if (asked == nullptr)
+    {
+        return {};
+    }
+    return {asked->m_running, asked->m_queued, work(asked->m_work.value_or(0))};
+}
+
+admission::entry const* admission::find(std::string_view name) const
+{
+    auto const found = m_names.find(name);
+    if (found == m_names.end() || m_entries[found->second].m_removed)
+    {
+        return nullptr;
+    }
+    return &m_entries[found->second];
+}
+
+admission::entry& admission::upsert(entry_limits const& limits)
+{
+    auto const next = static_cast<flow_id>(m_entries.size());
+    auto const flow = m_names.try_emplace(limits.m_name, next).first->second;
+    if (flow == next)
+    {
+        m_entries.emplace_back().m_flow = flow;
+    }
+    auto& changed = m_entries[flow];
+    changed.m_limits = limits;
+    auto const priority =
+        m_rule == priority_rule::strict ? limits.m_priority : 0;
+    for (auto& queue : m_lanes)
+    {
+        queue.set_flow(flow, limits.m_owner, priority, limits.m_weight);
+    }
+    return changed;
+}
+
+void admission::remove(entry const& gone, admission_changes& changes,
+                       state::time_point now)
+{
+    for (auto const which : lanes)
+    {
+        while (auto const id = in(which).oldest(gone.m_flow))
+        {
+            refuse(which, *in(which).erase(*id, now), reason::unknown_entry,
+                   changes);
+        }
+    }
+}
+
+waiting_request admission::candidate(entry const& asked,
+                                     admission_request const& request,
+                                     state::time_point now) const
+{
+    waiting_request item;
+    item.m_id = request.m_id;
+    item.m_deadline =
+        request.m_deadline.value_or(now + asked.m_limits.m_deadline);
+    item.m_cost = request.m_cost.value_or(work(asked.m_work.value_or(0)));
+    if (asked.m_running == 0 && now - asked.m_learnt >= stale_work)
+    {
+        item.m_cost = std::min(item.m_cost, work(item.m_deadline - now) / 2);
+    }
+    item.m_latest_start = std::min(now + asked.m_limits.m_queue_time,
+                                   item.m_deadline - rounded_up(item.m_cost));
+    return item;
+}
+
+std::optional<admission_decision>
+admission::refusal(entry& asked, admission_request const& request,
+                   waiting_request const& item, state::time_point now)
+{
+    if (item.m_deadline <= now)
+    {
+        return refused(reason::deadline_exceeded, state::duration{0});
+    }
+    auto const which = request.m_lane;
+    auto const wait = expected_wait(asked, which);
+    if (wait > work(item.m_latest_start - now))
+    {
+        return too_late(asked, which, item, wait, now);
+    }
+    bool const waits = !in(which).starts_at_once(asked.m_flow);
+    bool const closed = asked.m_limits.m_concurrency == 0U;
+    if (closed || (waits && asked.m_queued >= asked.m_limits.m_queue_length))
+    {
+        return over_queue(asked, which, item.m_id);
+    }
+    return over_budget(asked, request, now);
+}
+
+admission_decision admission::too_late(entry const& asked, lane which,
+                                       waiting_request const& item, work wait,
+                                       state::time_point now) const
+{
+    bool const by_deadline = wait + item.m_cost > work(item.m_deadline - now);
+    return refused(by_deadline ? reason::deadline_too_short
+                               : reason::queue_full,
+                   retry_after(asked, which, item.m_id));
+}
+
+admission_decision admission::over_queue(entry const& asked, lane which,
+                                         std::uint64_t id) const
+{
+    bool const by_slots = below(asked.m_limits.m_concurrency, asked.m_running);
+    return refused(by_slots ? reason::queue_full : reason::concurrency_limit,
+                   retry_after(asked, which, id));
+}
+
+std::optional<admission_decision>
+admission::over_budget(entry& asked, admission_request const& request,
+                       state::time_point now)
+{
+    if (request.m_retry && asked.m_retries < 1)
+    {
+        return refused(reason::rate_limit, spread(closed_retry, request.m_id));
+    }
+    if (!asked.m_rate.take(now))
+    {
+        return refused(reason::rate_limit,
+                       spread(asked.m_rate.wait(now), request.m_id));
+    }
+    double const change = request.m_retry ? -1 : asked.m_limits.m_retry_share;
+    asked.m_retries = std::min(asked.m_retries + change, most_retries);
+    return std::nullopt;
+}
+
+work admission::expected_wait(entry const& asked, lane which) const
+{
+    auto const by_slots = in(which).expected_wait(asked.m_flow);
+    auto const limit = asked.m_limits.m_concurrency;
+    if (below(limit, asked.m_running) || *limit == 0)
+    {
+        return by_slots;
+    }
+    double const rounds = static_cast<double>(asked.m_queued + 1) / *limit;
+    return std::max(by_slots, work(asked.m_work.value_or(0)) * rounds);
+}
+
+state::duration admission::retry_after(entry const& asked, lane which,
+                                       std::uint64_t id) const
+{
+    bool const closed =
+        in(which).slots() == 0 || asked.m_limits.m_concurrency == 0U;
+    return spread(closed ? closed_retry : expected_wait(asked, which), id);
+}
+
+void admission::refuse(lane which, slot_queue::taken const& item, reason why,
+                       admission_changes& changes)
+{
+    auto& asked = m_entries[item.m_flow];
+    asked.m_queued -= 1;
+    auto const id = item.m_request.m_id;
+    changes.m_refused.push_back({id, why, retry_after(asked, which, id)});
+}
+
+void admission::started(entry& asked, lane which, std::uint64_t id)
+{
+    asked.m_running += 1;
+    m_running.emplace(id, holder{asked.m_flow, which});
+    open_or_close(asked);
+}
+
+void admission::open_or_close(entry const& asked)
+{
+    bool const open = below(asked.m_limits.m_concurrency, asked.m_running);
+    for (auto& queue : m_lanes)
+    {
+        queue.set_open(asked.m_flow, open);
+    }
+}
+
+void admission::dispatch(lane which, admission_changes& changes,
+                         state::time_point now)
+{
+    while (auto const item = in(which).start_next(now))
+    {
+        if (!item->m_in_time)
+        {
+            refuse(which, *item, reason::deadline_exceeded, changes);
+            continue;
+        }
+        auto& asked = m_entries[item->m_flow];
+        asked.m_queued -= 1;
+        changes.m_admitted.push_back(item->m_request.m_id);
+        started(asked, which, item->m_request.m_id);
+    }
+}
+
+void admission::expire(lane which, admission_changes& changes,
+                       state::time_point now)
+{
+    while (auto const item = in(which).take_expired(now))
+    {
+        refuse(which, *item,
+               item->m_in_time ? reason::queue_full : reason::deadline_exceeded,
+               changes);
+    }
+}
+
+void admission::give_up(lane which, admission_changes& changes,
+                        state::time_point now)
+{
+    for (auto const& known : m_entries)
+    {
+        while (auto const item = in(which).take_hopeless(known.m_flow, now))
+        {
+            refuse(which, *item, reason::deadline_too_short, changes);
+        }
+    }
+}
+
+slot_queue& admission::in(lane which)
+{
+    return m_lanes[static_cast<std::size_t>(which)];
+}
+
+slot_queue const& admission::in(lane which) const
+{
+    return m_lanes[static_cast<std::size_t>(which)];
+}
+
+} // namespace camphortide::coordination
