--- /dev/null
+++ b/packages/transport/include/camphortide/transport/metrics/class_metrics.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <string>
+
+#include <camphortide/transport/metrics/metrics_snapshot.hpp>
+#include <camphortide/transport/metrics/request_sample.hpp>
+
+namespace camphortide::transport
+{
+
+/// The metrics of one owner's class. Thread-safe: threads write to shards of
+/// their own as long as there are no more of them than shards.
+class class_metrics
+{
+public:
+    static constexpr std::size_t shard_count = 8;
+
+    /// @param owner the owner's name
+    /// @param name the class's name
+    class_metrics(std::string owner, std::string name);
+    ~class_metrics();
+    class_metrics(class_metrics const&) = delete;
+    class_metrics& operator=(class_metrics const&) = delete;
+
+    /// Takes in one request.
+    void record(request_sample const& sample);
+
+    /// @return the sum over all shards
+    class_snapshot snapshot() const;
+
+private:
+    struct shard;
+
+    shard& own_shard();
+
+    std::string m_owner;
+    std::string m_class;
+    std::array<std::atomic<shard*>, shard_count> m_shards{};
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/metrics/metrics_registry.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+
+#include <camphortide/transport/metrics/class_metrics.hpp>
+#include <camphortide/transport/metrics/metrics_snapshot.hpp>
+
+namespace camphortide::transport
+{
+
+/// The metrics of all owners and classes. Thread-safe.
+class metrics_registry
+{
+public:
+    /// Finds the metrics of an owner's class, or makes them.
+    /// @return valid as long as the registry; callers on request paths keep it
+    class_metrics& of(std::string_view owner, std::string_view name);
+
+    /// @return the metrics of every class that of() was called for
+    metrics_snapshot snapshot() const;
+
+private:
+    using classes =
+        std::map<std::string, std::unique_ptr<class_metrics>, std::less<>>;
+
+    class_metrics* find(std::string_view owner, std::string_view name) const;
+
+    mutable std::shared_mutex m_mutex;
+    std::map<std::string, classes, std::less<>> m_owners;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/metrics/metrics_snapshot.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <camphortide/state/outcome.hpp>
+#include <camphortide/transport/metrics/histogram_snapshot.hpp>
+#include <camphortide/transport/metrics/request_sample.hpp>
+
+namespace camphortide::transport
+{
+
+inline constexpr std::size_t outcome_count =
+    static_cast<std::size_t>(state::outcome::unknown) + 1;
+inline constexpr std::size_t reason_count =
+    static_cast<std::size_t>(state::reason::internal) + 1;
+
+/// How many requests had each outcome and reason.
+using outcome_counts =
+    std::array<std::array<std::uint64_t, reason_count>, outcome_count>;
+
+/// How many requests took each route.
+using route_counts = std::array<std::uint64_t, request_route_count>;
+
+/// The metrics of one owner's class at one time.
+struct class_snapshot
+{
+    std::string m_owner;
+    std::string m_class;
+    histogram_snapshot m_latency;
+    histogram_snapshot m_queue_wait;
+    histogram_snapshot m_age;
+    outcome_counts m_outcomes{};
+    route_counts m_routes{};
+
+    /// @return the requests with an outcome, whatever the reason
+    std::uint64_t count(state::outcome of) const;
+
+    /// @return the requests with an outcome and a reason
+    std::uint64_t count(state::outcome of, state::reason why) const;
+
+    /// @return the requests that took a route
+    std::uint64_t count(request_route by) const;
+
+    friend auto operator<=>(class_snapshot const&,
+                            class_snapshot const&) = default;
+};
+
+/// The metrics of all owners and classes, sorted by both names.
+using metrics_snapshot = std::vector<class_snapshot>;
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/metrics/class_metrics.cpp
@@ -0,0 +1,134 @@
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include <camphortide/transport/metrics/class_metrics.hpp>
+#include <camphortide/transport/metrics/histogram_accumulator.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+constexpr std::size_t cache_line = 64; // bytes
+
+/// Numbers the threads, so that each keeps to one shard.
+std::size_t thread_number()
+{
+    static std::atomic<std::size_t> next{0};
+    thread_local std::size_t const mine = next.fetch_add(1);
+    return mine;
+}
+
+histogram_snapshot read(histogram_accumulator const& from)
+{
+    namespace accumulators = boost::accumulators;
+    histogram_snapshot taken;
+    taken.m_count = accumulators::count(from);
+    if (taken.m_count > 0)
+    {
+        taken.m_sum = accumulators::sum(from);
+        taken.m_max = accumulators::max(from);
+        taken.m_buckets = accumulators::extract_result<bucket_counts_tag>(from);
+    }
+    return taken;
+}
+
+template <typename Counts>
+void add(Counts& to, Counts const& from)
+{
+    for (std::size_t i = 0; i < to.size(); ++i)
+    {
+        to[i] += from[i];
+    }
+}
+
+} // namespace
+
+struct alignas(cache_line) class_metrics::shard
+{
+    mutable std::mutex m_mutex;
+    histogram_accumulator m_latency;
+    histogram_accumulator m_queue_wait;
+    histogram_accumulator m_age;
+    outcome_counts m_outcomes{};
+    route_counts m_routes{};
+};
+
+class_metrics::class_metrics(std::string owner, std::string name)
+    : m_owner(std::move(owner)),
+      m_class(std::move(name))
+{
+}
+
+class_metrics::~class_metrics()
+{
+    for (auto const& each : m_shards)
+    {
+        std::unique_ptr<shard> const owned(each.load());
+    }
+}
+
+void class_metrics::record(request_sample const& sample)
+{
+    auto& mine = own_shard();
+    std::scoped_lock const lock(mine.m_mutex);
+    mine.m_latency(sample.m_latency.count());
+    if (sample.m_queue_wait)
+    {
+        mine.m_queue_wait(sample.m_queue_wait->count());
+    }
+    if (sample.m_age)
+    {
+        mine.m_age(sample.m_age->count());
+    }
+    auto const outcome = static_cast<std::size_t>(sample.m_outcome);
+    auto const reason = static_cast<std::size_t>(sample.m_reason);
+    mine.m_outcomes.at(outcome).at(reason) += 1;
+    mine.m_routes.at(static_cast<std::size_t>(sample.m_route)) += 1;
+}
+
+class_snapshot class_metrics::snapshot() const
+{
+    class_snapshot sum;
+    sum.m_owner = m_owner;
+    sum.m_class = m_class;
+    for (auto const& each : m_shards)
+    {
+        auto const* const one = each.load(std::memory_order_acquire);
+        if (one == nullptr)
+        {
+            continue;
+        }
+        std::scoped_lock const lock(one->m_mutex);
+        sum.m_latency.add(read(one->m_latency));
+        sum.m_queue_wait.add(read(one->m_queue_wait));
+        sum.m_age.add(read(one->m_age));
+        add(sum.m_routes, one->m_routes);
+        for (std::size_t i = 0; i < sum.m_outcomes.size(); ++i)
+        {
+            add(sum.m_outcomes[i], one->m_outcomes[i]);
+        }
+    }
+    return sum;
+}
+
+class_metrics::shard& class_metrics::own_shard()
+{
+    auto& slot = m_shards[thread_number() % shard_count];
+    auto* found = slot.load(std::memory_order_acquire);
+    if (found != nullptr)
+    {
+        return *found;
+    }
+    auto made = std::make_unique<shard>();
+    if (slot.compare_exchange_strong(found, made.get(),
+                                     std::memory_order_acq_rel))
+    {
+        return *made.release();
+    }
+    return *found;
+}
+
+} // namespace camphortide::transport
