settings: a table of fields reads and checks an instance's file

The file is JSON with comments. One table names key, kind with unit and range, default and help of every setting; it reads the file, finds every fault in one go (unknown and repeated keys, wrong types, units, ranges, settings that do not fit each other), and generates the operators' page, which a test compares. The command line goes before the file.

--- /dev/null
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <camphortide/state/clock.hpp>
+
+namespace camphortide::transport
+{
+
+/// The least severe message that is logged.
+enum class log_level
+{
+    info,
+    warning,
+    error
+};
+
+/// Everything that an instance takes from its settings file and its command
+/// line. The defaults of the members are those of the settings.
+struct instance_settings
+{
+    std::string m_name;
+    std::string m_data_centre;
+    std::string m_region;
+
+    std::string m_listen_callers = "127.0.0.1:7400";
+    std::string m_listen_peers = "127.0.0.1:7401";
+    std::string m_listen_admin = "127.0.0.1:7402";
+    std::string m_listen_metrics;   ///< empty: no page is served
+    std::string m_advertised_peers; ///< empty: m_listen_peers
+    bool m_listen_beyond_loopback = false;
+
+    std::string m_platform_address;
+    state::duration m_platform_timeout{std::chrono::milliseconds(500)};
+
+    std::vector<std::string> m_seed_peers;
+    state::duration m_heartbeat_interval{std::chrono::milliseconds(200)};
+    std::uint32_t m_heartbeat_fanout = 3;
+    state::duration m_peer_timeout{std::chrono::milliseconds(1500)};
+
+    /// Homes of each group; nothing: every instance is one.
+    std::optional<std::uint32_t> m_homes_per_group = 2;
+    state::duration m_probe_interval{std::chrono::milliseconds(20)};
+    state::duration m_suspicion_timeout{std::chrono::milliseconds(300)};
+
+    std::string m_token_key; ///< 32 bytes in hexadecimal digits
+    std::string m_tls_certificate;
+    std::string m_tls_key;
+    std::string m_tls_authority;
+    std::string m_curve_public_key; ///< Z85; one pair for the whole system
+    std::string m_curve_secret_key; ///< Z85
+
+    std::uint64_t m_max_message_bytes = std::uint64_t{1} << 20;
+    std::uint32_t m_max_caller_connections = 8192;
+    std::uint32_t m_catalogue_watchers = 2; ///< in each data centre
+    state::duration m_drain_time{std::chrono::seconds(10)};
+    std::string m_log_directory; ///< empty: the standard error
+    log_level m_log_level = log_level::info;
+
+    /// @return the address that other instances reach this one at
+    std::string const& peer_address() const
+    {
+        return m_advertised_peers.empty() ? m_listen_peers : m_advertised_peers;
+    }
+
+    friend auto operator<=>(instance_settings const&,
+                            instance_settings const&) = default;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/settings/json_document.cpp
@@ -0,0 +1,95 @@
+#include "json_document.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <set>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// Notes the keys that an object repeats; the parser itself keeps the last.
+class repeated_keys
+{
+public:
+    bool operator()(json::parse_event_t event, json const& value)
+    {
+        if (event == json::parse_event_t::object_start)
+        {
+            m_open.emplace_back();
+        }
+        else if (event == json::parse_event_t::object_end)
+        {
+            m_open.pop_back();
+        }
+        else if (event == json::parse_event_t::key)
+        {
+            auto const key = value.get<std::string>();
+            if (!m_open.back().insert(key).second)
+            {
+                m_found.push_back(key);
+            }
+        }
+        return true;
+    }
+
+    std::vector<std::string> const& found() const { return m_found; }
+
+private:
+    std::vector<std::set<std::string>> m_open;
+    std::vector<std::string> m_found;
+};
+
+} // namespace
+
+std::string read_file(std::string const& path,
+                      std::vector<setting_error>& errors)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(stream),
+                     std::istreambuf_iterator<char>()};
+    if (!stream.is_open() || stream.bad())
+    {
+        errors.push_back({path, "", setting_fault::unreadable_file,
+                          "a file that can be read", ""});
+        return {};
+    }
+    return text;
+}
+
+json parse_json(std::string const& file, std::string const& text,
+                std::vector<setting_error>& errors)
+{
+    repeated_keys keys;
+    json document;
+    try
+    {
+        document = json::parse(
+            text,
+            [&keys](int, json::parse_event_t event, json& value)
+            { return keys(event, value); },
+            true, true);
+    }
+    catch (json::parse_error const& error)
+    {
+        errors.push_back({file, "", setting_fault::malformed_json,
+                          "JSON with comments", error.what()});
+        return json::object();
+    }
+    for (auto const& key : keys.found())
+    {
+        errors.push_back({file, key, setting_fault::repeated_key,
+                          "each key once in an object", ""});
+    }
+    if (!document.is_object())
+    {
+        errors.push_back({file, "", setting_fault::wrong_type,
+                          "an object at the top", document.type_name()});
+        return json::object();
+    }
+    return document;
+}
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/settings/schema.hpp
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "value_kind.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <camphortide/transport/settings/settings_file.hpp>
+
+namespace camphortide::transport
+{
+
+/// The table of the fields of one object. It reads the object, checks it, and
+/// gives the rows of the reference. A key with dots lies in inner objects.
+template <typename Value>
+class schema
+{
+public:
+    /// Adds a field that must be given.
+    /// @param key the key path below the object
+    /// @param member where the value goes
+    /// @param kind how it is read
+    /// @param help a sentence for operators
+    template <typename Field>
+    schema& required(std::string key, Field Value::*member,
+                     value_kind<Field> kind, std::string help)
+    {
+        return add(std::move(key), member, std::move(kind), std::move(help),
+                   true);
+    }
+
+    /// Adds a field whose default is that of a new Value.
+    template <typename Field>
+    schema& optional(std::string key, Field Value::*member,
+                     value_kind<Field> kind, std::string help)
+    {
+        return add(std::move(key), member, std::move(kind), std::move(help),
+                   false);
+    }
+
+    /// Reads an object.
+    /// @param document the object
+    /// @param reader its place; receives every fault
+    /// @return the value; fields that are wrong keep their defaults
+    Value read(json const& document, value_reader const& reader) const
+    {
+        Value value{};
+        std::set<std::size_t> given;
+        read_level(document, reader, "", value, given);
+        for (std::size_t i = 0; i < m_fields.size(); ++i)
+        {
+            if (m_fields[i].m_required && given.count(i) == 0)
+            {
+                reader.at(m_fields[i].m_row.m_key)
+                    .fail(setting_fault::missing_key, m_fields[i].m_row.m_type);
+            }
+        }
+        return value;
+    }
+
+    /// @return whether a key is in the table
+    bool contains(std::string_view key) const { return find(key) != nullptr; }
+
+    /// @return whether a known key's value is written as a JSON string
+    bool written_as_text(std::string_view key) const
+    {
+        return find(key)->m_written_as_text;
+    }
+
+    /// @return a row for each field, in order
+    std::vector<setting_row> rows() const
+    {
+        std::vector<setting_row> all;
+        all.reserve(m_fields.size());
+        for (auto const& each : m_fields)
+        {
+            all.push_back(each.m_row);
+        }
+        return all;
+    }
+
+    /// @return the kind of a value that is such an object
+    value_kind<Value> kind() const
+    {
+        auto const read_object =
+            [table = *this](json const& found,
+                            value_reader const& reader) -> std::optional<Value>
+        {
+            if (!found.is_object())
+            {
+                reader.fail_type("object", found);
+                return std::nullopt;
+            }
+            return table.read(found, reader);
+        };
+        return {"object", read_object,
+                [](Value const&) { return std::string("{}"); }, false};
+    }
+
+private:
+    struct field
+    {
+        setting_row m_row;
+        bool m_required;
+        bool m_written_as_text;
+        std::function<void(Value&, json const&, value_reader const&)> m_read;
+    };
+
+    template <typename Field>
+    schema& add(std::string key, Field Value::*member, value_kind<Field> kind,
+                std::string help, bool required)
+    {
+        std::string const fallback =
+            required ? "required" : kind.m_show(Value{}.*member);
+        auto const read =
+            [member, read_field = kind.m_read](Value& value, json const& found,
+                                               value_reader const& reader)
+        {
+            auto result = read_field(found, reader);
+            if (result)
+            {
+                value.*member = std::move(*result);
+            }
+        };
+        m_fields.push_back(
+            {{std::move(key), kind.m_description, fallback, std::move(help)},
+             required,
+             kind.m_written_as_text,
+             read});
+        return *this;
+    }
+
+    field const* find(std::string_view key) const
+    {
+        auto const place = std::find_if(m_fields.begin(), m_fields.end(),
+                                        [key](field const& each)
+                                        { return each.m_row.m_key == key; });
+        return place == m_fields.end() ? nullptr : &*place;
+    }
+
+    bool is_inner(std::string const& key) const
+    {
+        return std::any_of(m_fields.begin(), m_fields.end(),
+                           [prefix = key + "."](field const& each)
+                           { return each.m_row.m_key.rfind(prefix, 0) == 0; });
+    }
+
+    void read_level(json const& level, value_reader const& reader,
+                    std::string const& prefix, Value& value,
+                    std::set<std::size_t>& given) const
+    {
+        for (auto const& [key, found] : level.items())
+        {
+            std::string const path =
+                prefix.empty() ? key : joined({prefix, ".", key});
+            auto const place = reader.at(key);
+            field const* const known = find(path);
+            if (known != nullptr)
+            {
+                given.insert(static_cast<std::size_t>(known - &m_fields[0]));
+                known->m_read(value, found, place);
+            }
+            else if (!is_inner(path))
+            {
+                place.fail(setting_fault::unknown_key, keys_below(prefix), "");
+            }
+            else if (!found.is_object())
+            {
+                place.fail_type("object with " + keys_below(path), found);
+            }
+            else
+            {
+                read_level(found, place, path, value, given);
+            }
+        }
+    }
+
+    std::string keys_below(std::string const& prefix) const
+    {
+        std::string const start = prefix.empty() ? "" : prefix + ".";
+        std::set<std::string> keys;
+        for (auto const& each : m_fields)
+        {
+            if (each.m_row.m_key.rfind(start, 0) == 0)
+            {
+                auto const rest = each.m_row.m_key.substr(start.size());
+                keys.insert(rest.substr(0, rest.find('.')));
+            }
+        }
+        std::string text = "one of";
+        for (auto const& key : keys)
+        {
+            text += joined({" ", key});
+        }
+        return text;
+    }
+
+    std::vector<field> m_fields;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/settings/settings_file.cpp
@@ -0,0 +1,107 @@
+#include "instance_schema.hpp"
+
+#include <camphortide/transport/settings/settings_file.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// The value of an override: text where the field is text, else JSON.
+json override_value(setting_override const& given)
+{
+    if (!instance_schema().written_as_text(given.m_key) &&
+        json::accept(given.m_value))
+    {
+        return json::parse(given.m_value);
+    }
+    return given.m_value;
+}
+
+/// Puts a value at a key path; inner objects are made where they lack.
+void put(json& document, std::string const& key, json value)
+{
+    json* level = &document;
+    std::size_t start = 0;
+    for (auto dot = key.find('.'); dot != std::string::npos;
+         dot = key.find('.', start))
+    {
+        json& inner = (*level)[key.substr(start, dot - start)];
+        if (!inner.is_object())
+        {
+            inner = json::object();
+        }
+        level = &inner;
+        start = dot + 1;
+    }
+    (*level)[key.substr(start)] = std::move(value);
+}
+
+void apply_overrides(json& document, reading_context& context,
+                     std::vector<setting_override> const& overrides)
+{
+    for (auto const& each : overrides)
+    {
+        context.m_overridden.insert(each.m_key);
+        if (!instance_schema().contains(each.m_key))
+        {
+            value_reader(context)
+                .at(each.m_key)
+                .fail(setting_fault::unknown_key,
+                      "a key of the settings' reference");
+            continue;
+        }
+        put(document, each.m_key, override_value(each));
+    }
+}
+
+checked<instance_settings> read(json document, reading_context context,
+                                std::vector<setting_override> const& overrides)
+{
+    apply_overrides(document, context, overrides);
+    value_reader const reader(context);
+    auto value = instance_schema().read(document, reader);
+    check_instance_settings(value, reader);
+    return {std::move(value), std::move(context.m_errors)};
+}
+
+} // namespace
+
+checked<instance_settings>
+parse_instance_settings(std::string const& file, std::string const& text,
+                        std::vector<setting_override> const& overrides)
+{
+    reading_context context{file, {}, {}};
+    json document = parse_json(file, text, context.m_errors);
+    if (!context.m_errors.empty() && document.empty())
+    {
+        return {{}, std::move(context.m_errors)};
+    }
+    return read(std::move(document), std::move(context), overrides);
+}
+
+checked<instance_settings>
+read_instance_settings(std::string const& path,
+                       std::vector<setting_override> const& overrides)
+{
+    if (path.empty())
+    {
+        return parse_instance_settings(std::string(command_line_name), "{}",
+                                       overrides);
+    }
+    std::vector<setting_error> errors;
+    auto const text = read_file(path, errors);
+    if (!errors.empty())
+    {
+        return {{}, std::move(errors)};
+    }
+    return parse_instance_settings(path, text, overrides);
+}
+
+std::vector<setting_row> instance_setting_rows()
+{
+    return instance_schema().rows();
+}
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/settings/value_kind.cpp
@@ -0,0 +1,401 @@
+#include "value_kind.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <string_view>
+#include <system_error>
+
+#include <arpa/inet.h>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+constexpr std::size_t most_name_characters = 63;
+constexpr std::size_t curve_key_characters = 40;
+constexpr std::string_view z85_marks = ".-:+=^!/*?&<>()[]{}@%$#";
+constexpr std::string_view hidden = "a hidden value";
+
+using milliseconds = std::chrono::duration<std::int64_t, std::milli>;
+
+struct unit
+{
+    std::string_view m_name;
+    double m_factor;
+};
+
+constexpr std::array<unit, 4> time_units{
+    {{"us", 1.0}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}}};
+constexpr std::array<unit, 3> size_units{
+    {{"B", 1.0}, {"KiB", 1024.0}, {"MiB", 1048576.0}}};
+
+bool is_alphanumeric(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9');
+}
+
+bool is_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= most_name_characters &&
+           is_alphanumeric(text.front()) &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c) {
+                           return is_alphanumeric(c) || c == '-' || c == '_' ||
+                                  c == '.';
+                       });
+}
+
+bool is_ip_number(std::string const& host)
+{
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    {
+        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(),
+                         buffer.data()) == 1;
+    }
+    return inet_pton(AF_INET, host.c_str(), buffer.data()) == 1;
+}
+
+bool is_address(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return false;
+    }
+    std::uint16_t port = 0;
+    char const* const end = text.data() + text.size();
+    auto const [rest, error] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    return error == std::errc() && rest == end &&
+           is_ip_number(text.substr(0, colon));
+}
+
+bool is_hexadecimal(std::string_view text, std::size_t bytes)
+{
+    return text.size() == 2 * bytes &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c)
+                       {
+                           return (c >= '0' && c <= '9') ||
+                                  (c >= 'a' && c <= 'f') ||
+                                  (c >= 'A' && c <= 'F');
+                       });
+}
+
+bool is_curve_key(std::string_view text)
+{
+    return text.size() == curve_key_characters &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c) {
+                           return is_alphanumeric(c) ||
+                                  z85_marks.find(c) != std::string_view::npos;
+                       });
+}
+
+/// A kind of text that a predicate accepts.
+template <typename Accepts>
+value_kind<std::string> checked_text(std::string const& description,
+                                     bool secret, Accepts accepts)
+{
+    auto const read =
+        [description, secret,
+         accepts](json const& found,
+                  value_reader const& reader) -> std::optional<std::string>
+    {
+        if (!found.is_string())
+        {
+            reader.fail(setting_fault::wrong_type, description,
+                        secret ? std::string(hidden) : shown(found));
+            return std::nullopt;
+        }
+        auto text = found.get<std::string>();
+        if (!accepts(text))
+        {
+            reader.fail(setting_fault::bad_format, description,
+                        secret ? std::string(hidden) : shown(found));
+            return std::nullopt;
+        }
+        return text;
+    };
+    return {description, read,
+            [](std::string const& value)
+            {
+                return in_quotes(value);
+            }};
+}
+
+std::string number_text(double value)
+{
+    std::array<char, 32> buffer{};
+    auto const end =
+        std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    return {buffer.data(), end.ptr};
+}
+
+/// Shows a number of base units in the largest unit that keeps it whole.
+template <std::size_t Size>
+std::string with_unit(double value, std::array<unit, Size> const& units)
+{
+    unit best = units.front();
+    for (auto const& each : units)
+    {
+        double const scaled = value / each.m_factor;
+        if (scaled >= 1.0 && scaled == std::floor(scaled))
+        {
+            best = each;
+        }
+    }
+    return number_text(value / best.m_factor) + " " + std::string(best.m_name);
+}
+
+/// Reads "NUMBER UNIT" into base units.
+template <std::size_t Size>
+std::optional<double> measured(std::string_view text,
+                               std::array<unit, Size> const& units)
+{
+    double number = 0;
+    char const* const end = text.data() + text.size();
+    auto const [rest, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc() || !std::isfinite(number))
+    {
+        return std::nullopt;
+    }
+    std::string_view name(rest, static_cast<std::size_t>(end - rest));
+    name.remove_prefix(std::min(name.find_first_not_of(' '), name.size()));
+    auto const place =
+        std::find_if(units.begin(), units.end(),
+                     [name](unit const& each) { return each.m_name == name; });
+    if (place == units.end())
+    {
+        return std::nullopt;
+    }
+    return number * place->m_factor;
+}
+
+/// A number with a unit, in whole steps of a number of base units.
+template <typename Value, std::size_t Size>
+value_kind<Value> measured_kind(std::string const& type,
+                                std::array<unit, Size> const& units,
+                                value_range<double> range, double step,
+                                Value (*make)(double), double (*count)(Value))
+{
+    std::string const description = type + ", " +
+                                    with_unit(range.m_low, units) + " to " +
+                                    with_unit(range.m_high, units);
+    auto const read = [=](json const& found,
+                          value_reader const& reader) -> std::optional<Value>
+    {
+        if (!found.is_string())
+        {
+            reader.fail(found.is_number() ? setting_fault::wrong_unit
+                                          : setting_fault::wrong_type,
+                        description, shown(found));
+            return std::nullopt;
+        }
+        auto const value = measured(found.get<std::string>(), units);
+        if (!value)
+        {
+            reader.fail(setting_fault::wrong_unit, description, shown(found));
+            return std::nullopt;
+        }
+        double const steps = *value / step;
+        if (*value < range.m_low || *value > range.m_high ||
+            std::abs(steps - std::round(steps)) > 1e-6)
+        {
+            reader.fail(setting_fault::out_of_range, description, shown(found));
+            return std::nullopt;
+        }
+        return make(std::round(steps));
+    };
+    return {description, read,
+            [units, count, step](Value const& value)
+            {
+                return in_quotes(with_unit(count(value) * step, units));
+            }};
+}
+
+template <typename Duration>
+value_kind<Duration> duration_kind(value_range<Duration> range, double step)
+{
+    using rep = typename Duration::rep;
+    return measured_kind<Duration>(
+        "text of a number and us, ms, s or min", time_units,
+        {static_cast<double>(range.m_low.count()) * step,
+         static_cast<double>(range.m_high.count()) * step},
+        step, [](double steps) { return Duration(static_cast<rep>(steps)); },
+        [](Duration value) { return static_cast<double>(value.count()); });
+}
+
+std::optional<std::uint32_t> read_count(json const& found,
+                                        value_range<std::uint32_t> range)
+{
+    if (!found.is_number_unsigned())
+    {
+        return std::nullopt;
+    }
+    auto const value = found.get<std::uint64_t>();
+    if (value < range.m_low || value > range.m_high)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(value);
+}
+
+} // namespace
+
+value_kind<std::string> text_kind()
+{
+    return checked_text("text", false, [](std::string const&) { return true; });
+}
+
+value_kind<std::string> name_kind()
+{
+    return checked_text("name of 1 to 63 letters, digits, '-', '_' or '.'",
+                        false, is_name);
+}
+
+value_kind<std::string> address_kind()
+{
+    return checked_text("address, as IP:PORT", false, is_address);
+}
+
+value_kind<std::string> hexadecimal_kind(std::size_t bytes)
+{
+    return checked_text(std::to_string(2 * bytes) + " hexadecimal digits", true,
+                        [bytes](std::string const& text)
+                        { return is_hexadecimal(text, bytes); });
+}
+
+value_kind<std::string> curve_key_kind()
+{
+    return checked_text("CURVE key, 40 characters of Z85", true, is_curve_key);
+}
+
+value_kind<std::string> path_kind()
+{
+    return checked_text("path", false,
+                        [](std::string const& text) { return !text.empty(); });
+}
+
+value_kind<bool> boolean_kind()
+{
+    auto const read = [](json const& found,
+                         value_reader const& reader) -> std::optional<bool>
+    {
+        if (!found.is_boolean())
+        {
+            reader.fail_type("true or false", found);
+            return std::nullopt;
+        }
+        return found.get<bool>();
+    };
+    return {"true or false", read,
+            [](bool value) { return std::string(value ? "true" : "false"); },
+            false};
+}
+
+value_kind<std::uint32_t> count_kind(value_range<std::uint32_t> range)
+{
+    std::string const description = std::string("whole number, ") +
+                                    std::to_string(range.m_low) + " to " +
+                                    std::to_string(range.m_high);
+    auto const read = [range, description](json const& found,
+                                           value_reader const& reader)
+        -> std::optional<std::uint32_t>
+    {
+        auto const value = read_count(found, range);
+        if (!value)
+        {
+            reader.fail(found.is_number_integer() ? setting_fault::out_of_range
+                                                  : setting_fault::wrong_type,
+                        description, shown(found));
+        }
+        return value;
+    };
+    return {description, read,
+            [](std::uint32_t value) { return std::to_string(value); }, false};
+}
+
+value_kind<double> number_kind(value_range<double> range)
+{
+    std::string const description = "number, " + number_text(range.m_low) +
+                                    " to " + number_text(range.m_high);
+    auto const read = [range, description](
+                          json const& found,
+                          value_reader const& reader) -> std::optional<double>
+    {
+        if (!found.is_number())
+        {
+            reader.fail_type(description, found);
+            return std::nullopt;
+        }
+        auto const value = found.get<double>();
+        if (!(value >= range.m_low && value <= range.m_high))
+        {
+            reader.fail(setting_fault::out_of_range, description, shown(found));
+            return std::nullopt;
+        }
+        return value;
+    };
+    return {description, read, number_text, false};
+}
+
+value_kind<std::uint64_t> size_kind(value_range<std::uint64_t> range)
+{
+    return measured_kind<std::uint64_t>(
+        "text of a number and B, KiB or MiB", size_units,
+        {static_cast<double>(range.m_low), static_cast<double>(range.m_high)},
+        1.0, [](double value) { return static_cast<std::uint64_t>(value); },
+        [](std::uint64_t value) { return static_cast<double>(value); });
+}
+
+value_kind<milliseconds> time_kind(value_range<milliseconds> range)
+{
+    return duration_kind(range, 1e3);
+}
+
+value_kind<std::chrono::microseconds>
+fine_time_kind(value_range<std::chrono::microseconds> range)
+{
+    return duration_kind(range, 1.0);
+}
+
+value_kind<std::optional<std::uint32_t>>
+count_or_all_kind(value_range<std::uint32_t> range)
+{
+    using value_type = std::optional<std::uint32_t>;
+    auto const count = count_kind(range);
+    std::string const description = count.m_description + ", or \"all\"";
+    auto const read =
+        [range,
+         description](json const& found,
+                      value_reader const& reader) -> std::optional<value_type>
+    {
+        if (found == "all")
+        {
+            return std::make_optional<value_type>(std::nullopt);
+        }
+        auto const value = read_count(found, range);
+        if (!value)
+        {
+            reader.fail(found.is_number_integer() ? setting_fault::out_of_range
+                                                  : setting_fault::wrong_type,
+                        description, shown(found));
+            return std::nullopt;
+        }
+        return std::make_optional<value_type>(value);
+    };
+    auto const show = [](value_type const& value)
+    {
+        return value ? std::to_string(*value) : std::string("\"all\"");
+    };
+    return {description, read, show, false};
+}
+
+} // namespace camphortide::transport
