--- a/packages/transport/include/camphortide/transport/access/access_service.hpp
+++ b/packages/transport/include/camphortide/transport/access/access_service.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <camphortide/transport/access/request_check.hpp>
-#include <camphortide/transport/gateway/request_router.hpp>
-#include <camphortide/v1/access.grpc.pb.h>
-
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include <camphortide/transport/access/request_check.hpp>
+#include <camphortide/transport/gateway/request_router.hpp>
+#include <camphortide/v1/access.grpc.pb.h>
+
 namespace camphortide::transport
 {
 
@@ -21,8 +21,9 @@
         std::function<std::shared_ptr<state::catalogue const>()>;
 
     /// Told of each request that has ended.
-    using observer = std::function<void(checked_request const&,
-        group_reply const&, std::chrono::microseconds latency)>;
+    using observer =
+        std::function<void(checked_request const&, group_reply const&,
+                           std::chrono::microseconds latency)>;
 
     /// @param check what callers send; outlives this
     /// @param router takes requests to their groups; outlives this
@@ -30,8 +31,8 @@
     /// @param catalogue gives the catalogue in force, or null
     /// @param ended is called on any thread
     access_service(request_check& check, request_router& router,
-        protocol::token_codec const& codec, catalogue_source catalogue,
-        observer ended);
+                   protocol::token_codec const& codec,
+                   catalogue_source catalogue, observer ended);
 
     /// Refuses new requests from now on.
     void drain() { m_draining = true; }
@@ -40,25 +41,29 @@
     std::uint64_t in_flight() const { return m_in_flight; }
 
     grpc::ServerUnaryReactor* Read(grpc::CallbackServerContext* context,
-        v1::Request const* request, v1::Reply* reply) override;
+                                   v1::Request const* request,
+                                   v1::Reply* reply) override;
 
     grpc::ServerUnaryReactor* Write(grpc::CallbackServerContext* context,
-        v1::Request const* request, v1::Reply* reply) override;
+                                    v1::Request const* request,
+                                    v1::Reply* reply) override;
 
-    grpc::ServerUnaryReactor* GetOutcome(
-        grpc::CallbackServerContext* context,
-        v1::OutcomeRequest const* request, v1::OutcomeReply* reply) override;
+    grpc::ServerUnaryReactor* GetOutcome(grpc::CallbackServerContext* context,
+                                         v1::OutcomeRequest const* request,
+                                         v1::OutcomeReply* reply) override;
 
 private:
     grpc::ServerUnaryReactor* serve(grpc::CallbackServerContext* context,
-        v1::Request const& request, v1::Reply* reply, request_kind kind);
+                                    v1::Request const& request,
+                                    v1::Reply* reply, request_kind kind);
 
     /// Runs a request and hands over the answer.
-    void run(checked_request checked,
+    void
+    run(checked_request checked,
         std::function<void(checked_request const&, group_reply const&)> done);
 
-    std::string token_after(
-        checked_request const& checked, group_reply const& reply) const;
+    std::string token_after(checked_request const& checked,
+                            group_reply const& reply) const;
 
     request_check& m_check;
     request_router& m_router;
--- a/packages/transport/include/camphortide/transport/access/authenticator.hpp
+++ b/packages/transport/include/camphortide/transport/access/authenticator.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <camphortide/state/catalogue.hpp>
-#include <camphortide/state/outcome.hpp>
-
-#include <grpcpp/grpcpp.h>
-
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/state/catalogue.hpp>
+#include <camphortide/state/outcome.hpp>
+
 namespace camphortide::transport
 {
 
@@ -28,6 +28,7 @@
 /// @return the entry; bad_credential for a secret of no owner, unknown_entry
 ///     for an entry that is not there, wrong_owner for one of another owner
 authentication authenticate(grpc::CallbackServerContext const& context,
-    state::catalogue const& entries, std::string_view entry);
+                            state::catalogue const& entries,
+                            std::string_view entry);
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/access/request_check.hpp
+++ b/packages/transport/include/camphortide/transport/access/request_check.hpp
@@ -1,18 +1,18 @@
 #pragma once
 
-#include <camphortide/protocol/token_codec.hpp>
-#include <camphortide/state/catalogue.hpp>
-#include <camphortide/transport/gateway/group_request.hpp>
-#include <camphortide/v1/access.pb.h>
-
-#include <grpcpp/grpcpp.h>
-
 #include <atomic>
 #include <cstddef>
 #include <memory>
 #include <string>
 #include <variant>
 
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/protocol/token_codec.hpp>
+#include <camphortide/state/catalogue.hpp>
+#include <camphortide/transport/gateway/group_request.hpp>
+#include <camphortide/v1/access.pb.h>
+
 namespace camphortide::transport
 {
 
@@ -34,23 +34,23 @@
     /// @param most_bytes of a statement
     /// @param instance name, for the keys of writes that come without one
     request_check(protocol::token_codec const& codec, std::size_t most_bytes,
-        std::string instance);
+                  std::string instance);
 
     /// Checks a read or write.
     /// @param context with the credential and the caller's gRPC deadline
     /// @param entries the catalogue in force; null if there is none yet
     /// @param now the time of arrival
     /// @return the request, or a failure with outcome not executed
-    std::variant<checked_request, v1::Failure> check(
-        grpc::CallbackServerContext const& context,
-        std::shared_ptr<state::catalogue const> const& entries,
-        v1::Request const& request, request_kind kind, state::time_point now);
+    std::variant<checked_request, v1::Failure>
+    check(grpc::CallbackServerContext const& context,
+          std::shared_ptr<state::catalogue const> const& entries,
+          v1::Request const& request, request_kind kind, state::time_point now);
 
     /// Checks a question after a request key.
-    std::variant<checked_request, v1::Failure> check(
-        grpc::CallbackServerContext const& context,
-        std::shared_ptr<state::catalogue const> const& entries,
-        v1::OutcomeRequest const& request, state::time_point now);
+    std::variant<checked_request, v1::Failure>
+    check(grpc::CallbackServerContext const& context,
+          std::shared_ptr<state::catalogue const> const& entries,
+          v1::OutcomeRequest const& request, state::time_point now);
 
 private:
     std::string new_key();
--- a/packages/transport/include/camphortide/transport/instance/control_loop.hpp
+++ b/packages/transport/include/camphortide/transport/instance/control_loop.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <camphortide/state/clock.hpp>
-
-#include <oneapi/tbb/concurrent_queue.h>
-
 #include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <thread>
 
+#include <oneapi/tbb/concurrent_queue.h>
+
+#include <camphortide/state/clock.hpp>
+
 namespace camphortide::transport
 {
 
--- a/packages/transport/src/access/access_service.cpp
+++ b/packages/transport/src/access/access_service.cpp
@@ -1,10 +1,9 @@
-#include <camphortide/transport/access/access_service.hpp>
-
-#include <camphortide/transport/grpc_failure.hpp>
-
 #include <chrono>
 #include <utility>
 
+#include <camphortide/transport/access/access_service.hpp>
+#include <camphortide/transport/grpc_failure.hpp>
+
 namespace camphortide::transport
 {
 
@@ -25,8 +24,7 @@
     return v1::OUTCOME_UNSPECIFIED;
 }
 
-v1::Failure failure_of(
-    checked_request const& checked, group_reply const& reply)
+v1::Failure failure_of(checked_request const& checked, group_reply const& reply)
 {
     v1::Failure failure;
     failure.set_outcome(to_proto(reply.m_outcome));
@@ -46,30 +44,34 @@
 } // namespace
 
 access_service::access_service(request_check& check, request_router& router,
-    protocol::token_codec const& codec, catalogue_source catalogue,
-    observer ended)
-    : m_check(check), m_router(router), m_codec(codec),
-      m_catalogue(std::move(catalogue)), m_ended(std::move(ended))
+                               protocol::token_codec const& codec,
+                               catalogue_source catalogue, observer ended)
+    : m_check(check),
+      m_router(router),
+      m_codec(codec),
+      m_catalogue(std::move(catalogue)),
+      m_ended(std::move(ended))
 {
 }
 
-grpc::ServerUnaryReactor* access_service::Read(
-    grpc::CallbackServerContext* context, v1::Request const* request,
-    v1::Reply* reply)
+grpc::ServerUnaryReactor*
+access_service::Read(grpc::CallbackServerContext* context,
+                     v1::Request const* request, v1::Reply* reply)
 {
     return serve(context, *request, reply, request_kind::read);
 }
 
-grpc::ServerUnaryReactor* access_service::Write(
-    grpc::CallbackServerContext* context, v1::Request const* request,
-    v1::Reply* reply)
+grpc::ServerUnaryReactor*
+access_service::Write(grpc::CallbackServerContext* context,
+                      v1::Request const* request, v1::Reply* reply)
 {
     return serve(context, *request, reply, request_kind::write);
 }
 
-grpc::ServerUnaryReactor* access_service::serve(
-    grpc::CallbackServerContext* context, v1::Request const& request,
-    v1::Reply* reply, request_kind kind)
+grpc::ServerUnaryReactor*
+access_service::serve(grpc::CallbackServerContext* context,
+                      v1::Request const& request, v1::Reply* reply,
+                      request_kind kind)
 {
     auto* const reactor = context->DefaultReactor();
     if (m_draining)
@@ -77,16 +79,16 @@
         finish(reactor, not_executed(state::reason::draining));
         return reactor;
     }
-    auto checked = m_check.check(
-        *context, m_catalogue(), request, kind, state::clock::now());
+    auto checked = m_check.check(*context, m_catalogue(), request, kind,
+                                 state::clock::now());
     if (auto const* const failure = std::get_if<v1::Failure>(&checked))
     {
         finish(reactor, *failure);
         return reactor;
     }
     run(std::get<checked_request>(std::move(checked)),
-        [this, reactor, reply](
-            checked_request const& asked, group_reply const& answer)
+        [this, reactor, reply](checked_request const& asked,
+                               group_reply const& answer)
         {
             if (answer.m_outcome != state::outcome::executed)
             {
@@ -105,21 +107,22 @@
     return reactor;
 }
 
-grpc::ServerUnaryReactor* access_service::GetOutcome(
-    grpc::CallbackServerContext* context, v1::OutcomeRequest const* request,
-    v1::OutcomeReply* reply)
+grpc::ServerUnaryReactor*
+access_service::GetOutcome(grpc::CallbackServerContext* context,
+                           v1::OutcomeRequest const* request,
+                           v1::OutcomeReply* reply)
 {
     auto* const reactor = context->DefaultReactor();
-    auto checked = m_check.check(
-        *context, m_catalogue(), *request, state::clock::now());
+    auto checked =
+        m_check.check(*context, m_catalogue(), *request, state::clock::now());
     if (auto const* const failure = std::get_if<v1::Failure>(&checked))
     {
         finish(reactor, *failure);
         return reactor;
     }
     run(std::get<checked_request>(std::move(checked)),
-        [this, reactor, reply](
-            checked_request const& asked, group_reply const& answer)
+        [this, reactor, reply](checked_request const& asked,
+                               group_reply const& answer)
         {
             bool const definite =
                 answer.m_outcome == state::outcome::executed ||
@@ -140,13 +143,15 @@
     return reactor;
 }
 
-void access_service::run(checked_request checked,
+void access_service::run(
+    checked_request checked,
     std::function<void(checked_request const&, group_reply const&)> done)
 {
     ++m_in_flight;
     auto const start = std::chrono::steady_clock::now();
     auto const asked = std::make_shared<checked_request>(std::move(checked));
-    m_router.submit(asked->m_request,
+    m_router.submit(
+        asked->m_request,
         [this, asked, start, done = std::move(done)](group_reply const& reply)
         {
             auto const latency =
@@ -161,11 +166,11 @@
         });
 }
 
-std::string access_service::token_after(
-    checked_request const& checked, group_reply const& reply) const
+std::string access_service::token_after(checked_request const& checked,
+                                        group_reply const& reply) const
 {
-    return m_codec.encode(checked.m_token.advanced(
-        checked.m_request.m_group, reply.m_position));
+    return m_codec.encode(
+        checked.m_token.advanced(checked.m_request.m_group, reply.m_position));
 }
 
 } // namespace camphortide::transport
--- a/packages/transport/src/access/authenticator.cpp
+++ b/packages/transport/src/access/authenticator.cpp
@@ -1,9 +1,9 @@
-#include <camphortide/transport/access/authenticator.hpp>
+#include <algorithm>
+#include <array>
 
 #include <openssl/sha.h>
 
-#include <algorithm>
-#include <array>
+#include <camphortide/transport/access/authenticator.hpp>
 
 namespace camphortide::transport
 {
@@ -29,8 +29,8 @@
 
 bool is_known(state::catalogue const& entries, std::string const& hash)
 {
-    return std::ranges::any_of(entries.entries(),
-        [&](auto const& entry) { return entry.m_credential_hash == hash; });
+    return std::ranges::any_of(entries.entries(), [&](auto const& entry)
+                               { return entry.m_credential_hash == hash; });
 }
 
 } // namespace
@@ -39,8 +39,8 @@
 {
     static constexpr char digits[] = "0123456789abcdef";
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<unsigned char const*>(secret.data()),
-        secret.size(), digest.data());
+    SHA256(reinterpret_cast<unsigned char const*>(secret.data()), secret.size(),
+           digest.data());
     std::string hex;
     hex.reserve(2 * digest.size());
     for (auto const byte : digest)
@@ -52,7 +52,8 @@
 }
 
 authentication authenticate(grpc::CallbackServerContext const& context,
-    state::catalogue const& entries, std::string_view entry)
+                            state::catalogue const& entries,
+                            std::string_view entry)
 {
     auto const secret = secret_of(context);
     if (secret.empty())
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -1,13 +1,12 @@
-#include <camphortide/transport/access/request_check.hpp>
-
-#include <camphortide/transport/access/authenticator.hpp>
-
-#include <google/protobuf/message.h>
-
 #include <algorithm>
 #include <random>
 #include <utility>
 
+#include <google/protobuf/message.h>
+
+#include <camphortide/transport/access/authenticator.hpp>
+#include <camphortide/transport/access/request_check.hpp>
+
 namespace camphortide::transport
 {
 
@@ -51,16 +50,18 @@
 }
 
 request_check::request_check(protocol::token_codec const& codec,
-    std::size_t most_bytes, std::string instance)
-    : m_codec(codec), m_most_bytes(most_bytes),
+                             std::size_t most_bytes, std::string instance)
+    : m_codec(codec),
+      m_most_bytes(most_bytes),
       m_key_prefix(random_prefix(instance))
 {
 }
 
-std::variant<checked_request, v1::Failure> request_check::check(
-    grpc::CallbackServerContext const& context,
-    std::shared_ptr<state::catalogue const> const& entries,
-    v1::Request const& request, request_kind kind, state::time_point now)
+std::variant<checked_request, v1::Failure>
+request_check::check(grpc::CallbackServerContext const& context,
+                     std::shared_ptr<state::catalogue const> const& entries,
+                     v1::Request const& request, request_kind kind,
+                     state::time_point now)
 {
     using state::reason;
     if (!entries)
@@ -72,7 +73,7 @@
         request.request_key().size() > most_key_bytes)
     {
         return not_executed(reason::bad_request,
-            "unknown field, or entry or key beyond 200 bytes");
+                            "unknown field, or entry or key beyond 200 bytes");
     }
     if (request.statement().size() > m_most_bytes)
     {
@@ -87,12 +88,14 @@
     if (auto const* const why = std::get_if<protocol::token_error>(&token))
     {
         return not_executed(reason::bad_token,
-            "session token: " + std::string(protocol::to_string(*why)));
+                            "session token: " +
+                                std::string(protocol::to_string(*why)));
     }
     auto const& entry = *std::get<state::catalogue_entry const*>(allowed);
     auto const asked = state::duration(request.deadline_ms());
-    auto const left = std::min(left_of(context),
-        asked.count() > 0 ? asked : entry.m_limits.m_deadline);
+    auto const left =
+        std::min(left_of(context),
+                 asked.count() > 0 ? asked : entry.m_limits.m_deadline);
     if (left.count() <= 0)
     {
         return not_executed(reason::deadline_exceeded, "deadline has passed");
@@ -125,15 +128,15 @@
     return result;
 }
 
-std::variant<checked_request, v1::Failure> request_check::check(
-    grpc::CallbackServerContext const& context,
-    std::shared_ptr<state::catalogue const> const& entries,
-    v1::OutcomeRequest const& request, state::time_point now)
+std::variant<checked_request, v1::Failure>
+request_check::check(grpc::CallbackServerContext const& context,
+                     std::shared_ptr<state::catalogue const> const& entries,
+                     v1::OutcomeRequest const& request, state::time_point now)
 {
     if (request.request_key().empty() || has_unknown_fields(request))
     {
-        return not_executed(
-            state::reason::bad_request, "request key is missing");
+        return not_executed(state::reason::bad_request,
+                            "request key is missing");
     }
     v1::Request translated;
     translated.set_entry(request.entry());
--- a/packages/transport/src/grpc_failure.cpp
+++ b/packages/transport/src/grpc_failure.cpp
@@ -61,7 +61,7 @@
     bool const unknown = failure.outcome() == v1::OUTCOME_UNKNOWN &&
                          why != state::reason::deadline_exceeded;
     return {unknown ? grpc::StatusCode::UNKNOWN : status_code(why), message,
-        failure.SerializeAsString()};
+            failure.SerializeAsString()};
 }
 
 } // namespace camphortide::transport
--- a/packages/transport/src/instance/control_loop.cpp
+++ b/packages/transport/src/instance/control_loop.cpp
@@ -1,18 +1,22 @@
-#include <camphortide/transport/instance/control_loop.hpp>
-
 #include <chrono>
 #include <utility>
 
+#include <camphortide/transport/instance/control_loop.hpp>
+
 namespace camphortide::transport
 {
 
 control_loop::control_loop(state::duration interval, task periodic)
-    : m_interval(interval), m_periodic(std::move(periodic)),
+    : m_interval(interval),
+      m_periodic(std::move(periodic)),
       m_thread([this] { run(); })
 {
 }
 
-control_loop::~control_loop() { stop(); }
+control_loop::~control_loop()
+{
+    stop();
+}
 
 void control_loop::post(task run)
 {
@@ -47,8 +51,8 @@
     {
         {
             std::unique_lock lock(m_mutex);
-            m_wake.wait_until(
-                lock, due, [this] { return m_pending || m_stopped; });
+            m_wake.wait_until(lock, due,
+                              [this] { return m_pending || m_stopped; });
             if (m_stopped)
             {
                 return;
--- a/packages/transport/test/control_loop/control_loop_test.cpp
+++ b/packages/transport/test/control_loop/control_loop_test.cpp
@@ -1,9 +1,9 @@
-#include <camphortide/transport/instance/control_loop.hpp>
+#include <future>
+#include <vector>
 
 #include <doctest/doctest.h>
 
-#include <future>
-#include <vector>
+#include <camphortide/transport/instance/control_loop.hpp>
 
 namespace state = camphortide::state;
 using camphortide::transport::control_loop;
@@ -13,13 +13,13 @@
     std::promise<void> periodic;
     std::atomic<bool> seen{false};
     control_loop loop(state::duration(1),
-        [&]
-        {
-            if (!seen.exchange(true))
-            {
-                periodic.set_value();
-            }
-        });
+                      [&]
+                      {
+                          if (!seen.exchange(true))
+                          {
+                              periodic.set_value();
+                          }
+                      });
     std::vector<int> order;
     std::promise<std::thread::id> first;
     std::promise<std::thread::id> last;
