--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/group_core.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <camphortide/coordination/group/group_action.hpp>
+#include <camphortide/coordination/limits/admission.hpp>
+#include <camphortide/coordination/request/freshness.hpp>
+#include <camphortide/coordination/request/log_tracker.hpp>
+#include <camphortide/transport/gateway/group_operation.hpp>
+#include <camphortide/transport/gateway/member_link.hpp>
+
+namespace camphortide::transport
+{
+
+/// What the services of one group share: the members, what is known of the
+/// log, the requests under way and the slots. Guarded by the gateway's mutex.
+class group_core
+{
+public:
+    using completion = std::function<void()>;
+
+    explicit group_core(std::size_t members)
+        : m_freshness(members),
+          m_log(members)
+    {
+    }
+
+    /// @return the member to use for writes; null if there is none
+    member_link* primary();
+
+    /// @return the primary's place among the members
+    std::optional<std::size_t> primary_index() const;
+
+    /// @return true if new writes and transactions may be sent
+    bool admits_writes() const { return m_primary.has_value() && !m_paused; }
+
+    /// Adds a request.
+    group_operation& add(group_request request, reply_handler done);
+
+    /// @return the request; null if it has ended
+    group_operation* find(std::uint64_t id);
+
+    /// Gives the slot of a request back.
+    /// @param sent when its statement was sent; nothing if it was not
+    void leave_slot(std::uint64_t id,
+                    std::optional<group_operation::moment> sent);
+
+    /// Ends a request. Its reply goes out once the mutex is free.
+    void complete(group_operation& work, group_reply reply);
+
+    /// Takes over requests that were admitted from the queue, and ends those
+    /// that were refused.
+    void note_changes(coordination::admission_changes const& changes);
+
+    /// @return the views of all members for read routing
+    std::vector<coordination::member_view> views() const;
+
+    /// @return a number that differs with each call
+    std::uint64_t random();
+
+    /// @return the time since a moment, in whole milliseconds
+    static state::duration since(group_operation::moment start);
+
+    std::vector<std::unique_ptr<member_link>> m_members;
+    coordination::freshness m_freshness;
+    coordination::log_tracker m_log;
+    coordination::admission m_admission;
+    std::optional<coordination::group_primary> m_primary;
+    bool m_paused = false;
+    std::size_t m_writes_sent = 0; ///< without an answer
+    state::time_point m_now;
+    std::vector<completion> m_completions; ///< run without the mutex
+    std::vector<std::uint64_t> m_admitted; ///< to be started
+    std::unordered_map<std::uint64_t, std::unique_ptr<group_operation>>
+        m_operations;
+
+private:
+    std::uint64_t m_last_id = 0;
+    std::uint64_t m_random = 0;
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -1,90 +1,142 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include <camphortide/coordination/group/group_action.hpp>
 #include <camphortide/endpoint/v1/member.pb.h>
-#include <camphortide/state/member_status.hpp>
-#include <camphortide/transport/gateway/group_request.hpp>
-#include <camphortide/transport/gateway/member_client.hpp>
+#include <camphortide/state/group_description.hpp>
+#include <camphortide/transport/gateway/group_core.hpp>
+#include <camphortide/transport/gateway/member_link.hpp>
+#include <camphortide/transport/gateway/read_service.hpp>
+#include <camphortide/transport/gateway/transaction_service.hpp>
+#include <camphortide/transport/gateway/write_service.hpp>
 
 namespace camphortide::transport
 {
 
-/// Where a member can be reached.
-struct member_address
+/// What operators see of one member at this home.
+struct member_report
 {
-    std::string m_name;
-    std::string m_address;
+    state::member_status m_status;
+    std::uint32_t m_budget = 0;
+    std::uint32_t m_idle = 0;
+    std::uint32_t m_busy = 0;
+    bool m_reachable = false;
+};
+
+/// What operators see of one group at this home.
+struct group_report
+{
+    std::vector<member_report> m_members;
+    std::optional<coordination::group_primary> m_primary;
+    std::uint64_t m_safe = 0;
+    std::uint32_t m_queued = 0;
 };
 
 /// Serves the requests for one database group over the connections that this
-/// instance holds to its members.
-class group_gateway : public std::enable_shared_from_this<group_gateway>
+/// instance holds to its members. May be used from any thread.
+class group_gateway final : public member_events,
+                            public std::enable_shared_from_this<group_gateway>
 {
 public:
-    /// Made by make_shared, and closed before it is let go.
-    /// @param members of the group
-    /// @param connections to hold to each member
-    group_gateway(std::vector<member_address> const& members,
-                  std::size_t connections);
-    ~group_gateway();
+    using status_handler = std::function<void(state::member_status const&)>;
+
+    /// Made by make_shared, then started, and closed before it is let go.
+    /// @param group describes the members
+    /// @param on_status is told of each change that matters to the change of
+    ///     primary, on any thread
+    group_gateway(state::group_description group, status_handler on_status);
+    ~group_gateway() override;
     group_gateway(group_gateway const&) = delete;
     group_gateway& operator=(group_gateway const&) = delete;
 
-    /// Closes every connection. Requests that wait are not executed.
+    /// Connects to the members.
+    void start();
+
+    /// Closes every connection. What has no answer yet ends.
     void close();
 
+    /// Sets how many connections to hold to each member.
+    void set_budget(std::size_t connections);
+
+    /// Sets the limits of the entries that use the group, for this home.
+    void set_entries(std::span<coordination::entry_limits const> entries);
+
+    /// Marks members as leaving: they get no new work.
+    void set_leaving(std::vector<std::string> const& members);
+
+    /// Sets the primary to use for writes; none holds them back.
+    void set_primary(std::optional<coordination::group_primary> primary);
+
+    /// Holds new writes and transactions back, or admits them again.
+    void pause_writes(bool paused);
+
+    /// @return true if no write or transaction has been sent without an end
+    bool writes_drained() const;
+
     /// Runs a request.
     /// @param done is called once, on any thread
     void submit(group_request request, reply_handler done);
 
-    /// Probes the members, reopens connections, expires requests.
+    /// Sends a probe to a member.
+    /// @param number rises from round to round
+    void probe(std::string_view member, std::uint64_t number);
+
+    /// @return the client of a member; null if there is no such member.
+    ///     Lives as long as the gateway
+    member_client* client(std::string_view member);
+
+    /// Does what is due: opens connections, expires requests.
     void tick(state::time_point now);
 
-    /// @return the latest status of each member that is known
-    std::vector<state::member_status> statuses() const;
+    /// @return what operators see
+    group_report report() const;
+
+    /// @return the group's name
+    std::string const& name() const { return m_group.m_name; }
+    state::group_description const& group() const { return m_group; }
 
 private:
-    struct operation;
-    struct connection;
-    struct member;
-    using operation_ptr = std::shared_ptr<operation>;
-    using completions = std::vector<std::function<void()>>;
-
-    void dispatch(operation_ptr const& work, completions& done);
-    void send(member& target, connection& on, operation_ptr const& work);
-    void on_reply(std::size_t at, std::uint64_t id,
-                  endpoint::v1::StatementReply const& reply);
-    void on_close(std::size_t at, std::uint64_t id);
-    void on_status(std::size_t at, state::member_status status);
-    void update(member& of, state::member_status status, completions& done);
-    void answer_read(member& from, operation_ptr const& work,
-                     endpoint::v1::StatementReply const& reply,
-                     completions& done);
-    void answer_write(member& from, operation_ptr const& work,
-                      endpoint::v1::StatementReply const& reply,
-                      completions& done);
-    void acknowledge_safe(completions& done);
-    void complete(operation_ptr const& work, group_reply reply,
-                  completions& done);
-    void open(std::size_t at);
-    void observe(std::size_t at);
-    member* primary();
-    member* choose(operation const& work);
-    std::vector<state::member_status> known() const;
-
-    std::size_t const m_connections;
+    using awaited = std::optional<awaited_answer>;
+
+    void on_reply(std::size_t member, coordination::connection_id connection,
+                  endpoint::v1::StatementReply const& reply) override;
+    void on_connection_closed(std::size_t member,
+                              coordination::connection_id connection) override;
+    void on_status(std::size_t member,
+                   endpoint::v1::MemberStatus const& status) override;
+    void on_observation_closed(std::size_t member) override;
+
+    /// Runs a function under the mutex, then what it left to do.
+    template <typename Function>
+    void locked(Function const& function);
+    void settle();
+    void arrive(group_operation& work);
+    void start(group_operation& work);
+    void note_status(std::size_t member, state::member_status const& status);
+    void dispatch_answer(awaited_answer const& whose, std::size_t member,
+                         endpoint::v1::StatementReply const& reply);
+    void set_capacity();
+    bool matters(state::member_status const& before,
+                 state::member_status const& after) const;
+
+    state::group_description const m_group;
+    status_handler const m_on_status;
     mutable std::mutex m_mutex;
-    std::vector<std::unique_ptr<member>> m_members;
-    std::vector<operation_ptr> m_unsafe; ///< answered, not yet safe
-    std::deque<operation_ptr> m_waiting; ///< for a primary or a connection
-    std::uint64_t m_last_id = 0;
+    group_core m_core;
+    read_service m_reads;
+    write_service m_writes;
+    transaction_service m_transactions;
+    std::vector<state::member_status> m_told; ///< statuses passed on
+    std::vector<state::member_status> m_to_tell;
+    std::size_t m_budget = 0;
     std::uint64_t m_probe = 0;
     bool m_closed = false;
 };
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/group_operation.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include <camphortide/coordination/limits/admission_types.hpp>
+#include <camphortide/coordination/request/connection_pool.hpp>
+#include <camphortide/coordination/request/read_requirement.hpp>
+#include <camphortide/transport/gateway/group_request.hpp>
+
+namespace camphortide::transport
+{
+
+/// A request that a home works on.
+struct group_operation
+{
+    using moment = std::chrono::steady_clock::time_point;
+
+    std::uint64_t m_id = 0;
+    group_request m_request;
+    reply_handler m_done;
+    group_reply m_reply; ///< what is known so far
+    coordination::read_requirement m_needed;
+    moment m_arrived;
+    coordination::lane m_lane = coordination::lane::primary;
+    bool m_outstanding = false; ///< a statement of it has no answer
+    bool m_waits = false;       ///< for a member or a connection
+    std::size_t m_member = 0;   ///< that the statement was sent to
+    coordination::connection_id m_connection;
+    state::time_point m_route_at; ///< when to route again, while waiting
+    std::uint32_t m_tried = 0;    ///< members that failed this read
+    bool m_primary_next = false;
+    bool m_resolving = false; ///< RESOLVE is sent in place of the write
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/gateway/group_request.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_request.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 
 #include <camphortide/state/clock.hpp>
-#include <camphortide/state/log_position.hpp>
 #include <camphortide/state/outcome.hpp>
+#include <camphortide/state/session_token.hpp>
 
 namespace camphortide::transport
 {
@@ -17,7 +18,12 @@
 {
     read,
     write,
-    resolve ///< find out what became of a request key
+    resolve, ///< find out what became of a request key
+    begin,   ///< open a transaction
+    execute, ///< run a statement in a transaction
+    commit,
+    roll_back,
+    leave ///< the caller of a transaction has left
 };
 
 /// A checked request on its way to a home of its group.
@@ -31,8 +37,10 @@
     bool m_idempotent = false;
     state::time_point m_deadline;
     std::optional<state::duration> m_max_age;
-    std::optional<state::log_position> m_required; ///< from the token
-    bool m_token_complete = true; ///< false: positions were left out
+    state::session_token m_token; ///< bounded to the group's own position
+    std::string m_transaction;    ///< names an open transaction
+    std::string m_home;           ///< the home that holds the transaction
+    state::duration m_onward{};   ///< time an answer takes to the caller
 };
 
 /// What became of a request at a home.
@@ -43,13 +51,21 @@
     std::string m_result;
     state::log_position m_position;
     std::string m_member;
+    std::string m_home;
     bool m_from_replica = false;
     bool m_replayed = false;
-    state::duration m_age{};
+    std::optional<state::duration> m_age; ///< upper bound, of a read's data
     state::duration m_retry_after{};
-    state::duration m_queue_wait{};
+    std::chrono::microseconds m_queue_wait{};
 };
 
+/// Builds the reply to a request that did not succeed.
+/// @param outcome not executed or unknown
+/// @param reason why
+/// @param retry_after hint for the caller; zero for none
+group_reply failed_reply(state::outcome outcome, state::reason reason,
+                         state::duration retry_after = {});
+
 using reply_handler = std::function<void(group_reply)>;
 
 } // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <camphortide/coordination/request/apply_lag.hpp>
+#include <camphortide/coordination/request/connection_pool.hpp>
+#include <camphortide/coordination/request/endpoint_health.hpp>
+#include <camphortide/coordination/request/member_view.hpp>
+#include <camphortide/endpoint/v1/member.pb.h>
+#include <camphortide/state/group_description.hpp>
+#include <camphortide/state/member_status.hpp>
+#include <camphortide/transport/gateway/member_client.hpp>
+
+namespace camphortide::transport
+{
+
+/// Receives what comes from the members of a group, on threads of gRPC.
+class member_events
+{
+public:
+    virtual ~member_events() = default;
+
+    /// A message came on a connection.
+    virtual void on_reply(std::size_t member,
+                          coordination::connection_id connection,
+                          endpoint::v1::StatementReply const& reply) = 0;
+
+    /// A connection has ended.
+    virtual void
+    on_connection_closed(std::size_t member,
+                         coordination::connection_id connection) = 0;
+
+    /// A status came on the observation stream.
+    virtual void on_status(std::size_t member,
+                           endpoint::v1::MemberStatus const& status) = 0;
+
+    /// The observation stream has ended.
+    virtual void on_observation_closed(std::size_t member) = 0;
+};
+
+/// Which request an answer on a connection belongs to.
+struct awaited_answer
+{
+    enum class service
+    {
+        read,
+        write,
+        transaction
+    };
+
+    service m_service = service::read;
+    std::uint64_t m_operation = 0;
+    std::chrono::steady_clock::time_point m_sent =
+        std::chrono::steady_clock::now();
+};
+
+/// What an instance holds of one member: the connections, its latest status
+/// and its health. Not thread-safe.
+class member_link
+{
+public:
+    /// @param index the member's place in its group
+    /// @param events outlived by nobody: held weakly
+    member_link(state::member_description const& description, std::size_t index,
+                std::weak_ptr<member_events> events);
+
+    /// Sets how many connections may be held.
+    void set_budget(std::size_t connections);
+
+    /// Opens and closes what the pool wants, and the observation stream.
+    void step(state::time_point now);
+
+    /// @return true if step has something to do
+    bool wants_step(state::time_point now) const;
+
+    /// Takes an idle connection.
+    std::optional<coordination::connection_id> acquire(state::time_point now);
+
+    /// Sends a statement on an acquired connection.
+    /// @param message its request number is filled in
+    void send(coordination::connection_id connection,
+              endpoint::v1::Statement message, awaited_answer const& whose);
+
+    /// Finds whose answer came.
+    /// @return nothing for a late or unexpected one
+    std::optional<awaited_answer> take(coordination::connection_id connection,
+                                       std::uint64_t request);
+
+    /// Gives a clean connection back.
+    void release(coordination::connection_id connection, state::time_point now);
+
+    /// Closes a connection that may have an answer outstanding.
+    void abandon(coordination::connection_id connection);
+
+    /// Notes that a connection is open.
+    void opened(coordination::connection_id connection, state::time_point now);
+
+    /// Notes that a connection has ended.
+    /// @return whose answer was outstanding on it
+    std::optional<awaited_answer> lost(coordination::connection_id connection,
+                                       state::time_point now);
+
+    /// Takes a status.
+    /// @return false if it is older than the one held
+    bool note_status(state::member_status const& status,
+                     coordination::freshness const& samples,
+                     state::time_point now);
+
+    /// Sends a probe on the observation stream.
+    void probe(std::uint64_t number);
+
+    void observation_lost();
+
+    /// Counts the end of a request in the member's health.
+    void note_answer(coordination::answer_quality quality,
+                     state::duration latency, state::time_point now);
+
+    /// @return what read routing knows of the member
+    /// @param peer_latency mean latency of the group's other members
+    coordination::member_view view(state::duration peer_latency,
+                                   state::time_point now) const;
+
+    /// Notes that a read went to the member while it was ejected.
+    void note_sent_read(state::time_point now);
+
+    /// Sets how many requests wait for a connection.
+    void set_waiting(std::size_t requests);
+
+    /// Closes everything.
+    void close();
+
+    state::member_description const& description() const
+    {
+        return m_description;
+    }
+    void set_leaving(bool leaving) { m_description.m_leaving = leaving; }
+    state::member_status const& status() const { return m_status; }
+    member_client& client() { return *m_client; }
+    coordination::connection_pool const& pool() const { return m_pool; }
+    bool reachable() const { return m_reachable; }
+
+private:
+    void open(coordination::connection_id connection);
+
+    state::member_description m_description;
+    std::size_t const m_index;
+    std::weak_ptr<member_events> const m_events;
+    std::unique_ptr<member_client> m_client;
+    std::shared_ptr<member_observation> m_observation;
+    coordination::connection_pool m_pool;
+    coordination::endpoint_health m_health;
+    coordination::apply_lag m_lag;
+    std::unordered_map<std::uint64_t, std::shared_ptr<member_connection>>
+        m_streams;
+    std::unordered_map<std::uint64_t, awaited_answer> m_awaited;
+    state::member_status m_status;
+    std::size_t m_waiting = 0;
+    bool m_changed = true;
+    bool m_reachable = false;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/read_service.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include <camphortide/coordination/request/read_router.hpp>
+#include <camphortide/coordination/request/retry_budget.hpp>
+#include <camphortide/transport/gateway/group_core.hpp>
+
+namespace camphortide::transport
+{
+
+/// Runs the reads of one group: routes them to members, checks the answers,
+/// and moves on to another member inside the deadline and the retry budget.
+class read_service
+{
+public:
+    /// @param core outlives this
+    explicit read_service(group_core& core);
+
+    /// Routes an admitted read.
+    void start(group_operation& work);
+
+    /// Takes a member's answer.
+    void answered(group_operation& work, std::size_t member,
+                  endpoint::v1::StatementReply const& reply);
+
+    /// Takes the loss of the connection that a read was sent on.
+    void connection_lost(group_operation& work, std::size_t member);
+
+    /// Checks again what waits for a member, a status or a sample.
+    void advance();
+
+    /// @return reads that wait for a connection or a replica
+    std::size_t waiting() const { return m_waiting.size(); }
+
+private:
+    void route(group_operation& work);
+    void send(group_operation& work, std::size_t member);
+    void check(group_operation& work);
+    void retry(group_operation& work, state::reason why);
+    void wait(group_operation& work, state::time_point until);
+    void give_up(group_operation& work, state::reason why);
+    void advance_held();
+    void advance_waiting();
+
+    group_core& m_core;
+    coordination::read_router m_router;
+    coordination::retry_budget m_retries;
+    std::vector<std::uint64_t> m_waiting; ///< to be routed again
+    std::vector<std::uint64_t> m_held;    ///< answered, not released yet
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/transaction_service.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <camphortide/coordination/request/transaction.hpp>
+#include <camphortide/transport/gateway/group_core.hpp>
+
+namespace camphortide::transport
+{
+
+/// Runs the transactions of one group, each on a connection of its own.
+class transaction_service
+{
+public:
+    /// @param core outlives this
+    explicit transaction_service(group_core& core);
+
+    /// Begins a transaction; its request was admitted.
+    void begin(group_operation& work);
+
+    /// Takes a later step of a transaction.
+    void step(group_operation& work);
+
+    /// Takes the primary's answer to a statement of a transaction.
+    void answered(std::uint64_t transaction,
+                  endpoint::v1::StatementReply const& reply);
+
+    /// Takes the loss of a connection of a transaction.
+    void connection_lost(std::uint64_t transaction);
+
+    /// Takes what changed of the log, and sends what waits.
+    void advance();
+
+    /// Ends what has come to its deadline.
+    void expire();
+
+    /// @return transactions that are open or wait for their end
+    std::size_t open() const { return m_open.size(); }
+
+    /// Sets how many may be open at a time.
+    void set_most(std::size_t most) { m_most = most; }
+
+private:
+    struct open_transaction
+    {
+        std::string m_name;
+        coordination::transaction m_decision;
+        std::size_t m_member = 0;
+        std::optional<coordination::connection_id> m_connection;
+        std::uint64_t m_operation = 0; ///< the step that waits for its answer
+        std::string m_statement;       ///< of that step
+        std::string m_key;
+        std::string m_result;
+        bool m_resolving = false; ///< m_connection is for RESOLVE
+        bool m_resolve_waits = false;
+    };
+
+    void apply(std::uint64_t id, coordination::transaction_step const& step);
+    void use_connection(open_transaction& open,
+                        coordination::transaction_step::connection_use use);
+    void send(std::uint64_t id, open_transaction& open,
+              coordination::transaction_step::statement statement);
+    void send_resolve(std::uint64_t id, open_transaction& open);
+    void answer(open_transaction& open,
+                coordination::transaction_step const& step);
+    void end_resolve(open_transaction& open, bool clean);
+    bool start(group_operation& work);
+
+    group_core& m_core;
+    std::map<std::uint64_t, open_transaction> m_open;
+    std::map<std::string, std::uint64_t, std::less<>> m_names;
+    std::vector<std::uint64_t> m_waiting; ///< begins without a connection
+    std::uint64_t m_last_id = 0;
+    std::size_t m_most = 1;
+    coordination::log_view m_seen;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/write_service.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include <camphortide/coordination/request/key_registry.hpp>
+#include <camphortide/coordination/request/write_tracker.hpp>
+#include <camphortide/transport/gateway/group_core.hpp>
+
+namespace camphortide::transport
+{
+
+/// Runs the writes of one group and the questions after their keys. Sends
+/// each at most once for every proof that it did not run.
+class write_service
+{
+public:
+    /// @param core outlives this
+    explicit write_service(group_core& core);
+
+    /// Sends an admitted write or question, or holds it until it can be.
+    void start(group_operation& work);
+
+    /// Takes the primary's answer.
+    void answered(group_operation& work,
+                  endpoint::v1::StatementReply const& reply);
+
+    /// Takes the loss of the connection that a write was sent on.
+    void connection_lost(group_operation& work);
+
+    /// Takes what changed of the log, and sends what waits.
+    void advance();
+
+    /// Ends what has come to its deadline.
+    void expire();
+
+    /// @return writes that wait for a primary or a connection
+    std::size_t waiting() const { return m_waiting.size(); }
+
+private:
+    bool conflicts(group_operation const& work);
+    void apply(std::uint64_t id, coordination::keyed_step const& step);
+    void finish(group_operation& work,
+                coordination::request_result const& result);
+    bool send(group_operation& work);
+    void wait(group_operation& work);
+
+    group_core& m_core;
+    coordination::write_tracker m_tracker;
+    coordination::key_registry m_keys;
+    std::deque<std::uint64_t> m_waiting;
+    coordination::log_view m_seen;
+};
+
+/// @return the decision's view of a member's answer
+coordination::keyed_answer
+to_keyed_answer(endpoint::v1::StatementReply const& reply);
+
+} // namespace camphortide::transport
--- a/packages/transport/src/access/access_service.cpp
+++ b/packages/transport/src/access/access_service.cpp
@@ -100,7 +100,8 @@
             reply->set_session_token(token_after(asked, answer));
             reply->set_member(answer.m_member);
             reply->set_from_replica(answer.m_from_replica);
-            reply->set_age_ms(static_cast<std::uint32_t>(answer.m_age.count()));
+            reply->set_age_ms(static_cast<std::uint32_t>(
+                answer.m_age.value_or(state::duration{}).count()));
             reply->set_replayed(answer.m_replayed);
             reactor->Finish(grpc::Status::OK);
         });
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -112,8 +112,7 @@
     out.m_statement = request.statement();
     out.m_idempotent = request.idempotent() || entry.m_limits.m_idempotent;
     out.m_deadline = now + left;
-    out.m_required = result.m_token.find(entry.m_group);
-    out.m_token_complete = result.m_token.complete();
+    out.m_token = result.m_token;
     out.m_max_age = request.has_max_age_ms()
                         ? state::duration(request.max_age_ms())
                         : entry.m_limits.m_age;
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -1,528 +1,476 @@
 #include <algorithm>
 #include <utility>
 
-#include <camphortide/coordination/safe_position.hpp>
 #include <camphortide/protocol/member_conversion.hpp>
 #include <camphortide/transport/gateway/group_gateway.hpp>
 
 namespace camphortide::transport
 {
 
-struct group_gateway::operation
-{
-    group_request m_request;
-    reply_handler m_done;
-    group_reply m_reply; ///< held until its position is safe
-    state::term m_term;
-    bool m_completed = false;
-};
-
-struct group_gateway::connection
-{
-    std::uint64_t m_id = 0;
-    std::shared_ptr<member_connection> m_stream;
-    bool m_open = false;
-    operation_ptr m_work;
-    std::uint64_t m_request = 0;
-};
-
-struct group_gateway::member
-{
-    std::string m_name;
-    std::unique_ptr<member_client> m_client;
-    std::shared_ptr<member_observation> m_observation;
-    std::optional<state::member_status> m_status;
-    std::vector<std::unique_ptr<connection>> m_connections;
-
-    connection* idle()
-    {
-        auto const found =
-            std::ranges::find_if(m_connections, [](auto const& one)
-                                 { return one->m_open && !one->m_work; });
-        return found == m_connections.end() ? nullptr : found->get();
-    }
-
-    connection* find(std::uint64_t id)
-    {
-        auto const found = std::ranges::find_if(
-            m_connections, [&](auto const& one) { return one->m_id == id; });
-        return found == m_connections.end() ? nullptr : found->get();
-    }
-
-    bool leads() const
-    {
-        return m_status && m_status->m_role == state::member_role::primary &&
-               m_status->m_granted == m_status->m_followed;
-    }
-};
-
 namespace
 {
 
-group_reply failed(state::outcome outcome, state::reason reason)
-{
-    group_reply reply;
-    reply.m_outcome = outcome;
-    reply.m_reason = reason;
-    return reply;
-}
+/// Requests sent to a member for each of its slots, so that the next one is
+/// there when a slot is free.
+constexpr std::uint32_t requests_per_slot = 2;
+constexpr state::duration drain_hint{100};
 
-endpoint::v1::StatementKind to_proto(request_kind kind)
+bool goes_to_primary(group_request const& request,
+                     coordination::read_requirement const& needed)
 {
-    switch (kind)
-    {
-    case request_kind::read:
-        return endpoint::v1::STATEMENT_KIND_READ;
-    case request_kind::write:
-        return endpoint::v1::STATEMENT_KIND_WRITE;
-    case request_kind::resolve:
-        return endpoint::v1::STATEMENT_KIND_RESOLVE;
-    }
-    return endpoint::v1::STATEMENT_KIND_UNSPECIFIED;
+    return request.m_kind != request_kind::read ||
+           needed.m_source != coordination::read_requirement::source::any;
 }
 
-void run_all(std::vector<std::function<void()>> const& completions)
+bool is_later_step(request_kind kind)
 {
-    for (auto const& completion : completions)
-    {
-        completion();
-    }
+    return kind == request_kind::execute || kind == request_kind::commit ||
+           kind == request_kind::roll_back || kind == request_kind::leave;
 }
 
 } // namespace
 
-group_gateway::group_gateway(std::vector<member_address> const& members,
-                             std::size_t connections)
-    : m_connections(connections)
+group_gateway::group_gateway(state::group_description group,
+                             status_handler on_status)
+    : m_group(std::move(group)),
+      m_on_status(std::move(on_status)),
+      m_core(m_group.m_members.size()),
+      m_reads(m_core),
+      m_writes(m_core),
+      m_transactions(m_core),
+      m_told(m_group.m_members.size())
 {
-    for (auto const& address : members)
-    {
-        auto added = std::make_unique<member>();
-        added->m_name = address.m_name;
-        added->m_client = std::make_unique<member_client>(
-            address.m_address, grpc::InsecureChannelCredentials());
-        m_members.push_back(std::move(added));
-    }
 }
 
 group_gateway::~group_gateway() = default;
 
+void group_gateway::start()
+{
+    locked(
+        [this]
+        {
+            for (std::size_t at = 0; at < m_group.m_members.size(); ++at)
+            {
+                m_core.m_members.push_back(std::make_unique<member_link>(
+                    m_group.m_members[at], at, weak_from_this()));
+            }
+        });
+    tick(state::clock::now());
+}
+
 void group_gateway::close()
 {
-    std::vector<std::shared_ptr<member_connection>> connections;
-    std::vector<std::shared_ptr<member_observation>> observations;
-    {
-        std::scoped_lock const lock(m_mutex);
-        m_closed = true;
-        for (auto const& one : m_members)
+    locked(
+        [this]
         {
-            for (auto const& held : one->m_connections)
+            m_closed = true;
+            for (auto const& member : m_core.m_members)
             {
-                connections.push_back(held->m_stream);
+                member->close();
             }
-            if (one->m_observation)
+            std::vector<group_operation*> left;
+            for (auto const& [id, work] : m_core.m_operations)
             {
-                observations.push_back(one->m_observation);
+                left.push_back(work.get());
             }
-        }
-    }
-    for (auto const& one : connections)
-    {
-        one->close();
-    }
-    for (auto const& one : observations)
-    {
-        one->close();
-    }
+            for (auto* const work : left)
+            {
+                bool const sent = work->m_outstanding &&
+                                  work->m_request.m_kind != request_kind::read;
+                m_core.complete(
+                    *work, failed_reply(sent ? state::outcome::unknown
+                                             : state::outcome::not_executed,
+                                        state::reason::draining, drain_hint));
+            }
+        });
 }
 
-void group_gateway::submit(group_request request, reply_handler done)
+void group_gateway::set_budget(std::size_t connections)
 {
-    auto work = std::make_shared<operation>();
-    work->m_request = std::move(request);
-    work->m_done = std::move(done);
-    completions completed;
-    {
-        std::scoped_lock const lock(m_mutex);
-        dispatch(work, completed);
-    }
-    run_all(completed);
+    locked(
+        [this, connections]
+        {
+            m_budget = connections;
+            for (auto const& member : m_core.m_members)
+            {
+                member->set_budget(connections);
+            }
+            m_transactions.set_most(std::max<std::size_t>(1, connections / 2));
+            set_capacity();
+        });
 }
 
-void group_gateway::tick(state::time_point now)
+void group_gateway::set_entries(
+    std::span<coordination::entry_limits const> entries)
 {
-    completions completed;
-    {
-        std::scoped_lock const lock(m_mutex);
-        ++m_probe;
-        for (std::size_t at = 0; at < m_members.size(); ++at)
+    locked(
+        [this, entries]
         {
-            auto& one = *m_members[at];
-            observe(at);
-            endpoint::v1::Probe probe;
-            probe.set_probe(m_probe);
-            one.m_observation->send(probe);
-            while (one.m_connections.size() < m_connections)
-            {
-                open(at);
-            }
-        }
-        for (auto const& work : std::exchange(m_waiting, {}))
+            m_core.note_changes(
+                m_core.m_admission.set_entries(entries, m_core.m_now));
+        });
+}
+
+void group_gateway::set_leaving(std::vector<std::string> const& members)
+{
+    locked(
+        [this, &members]
         {
-            if (work->m_request.m_deadline <= now)
+            for (auto const& member : m_core.m_members)
             {
-                complete(work,
-                         failed(state::outcome::not_executed,
-                                state::reason::deadline_exceeded),
-                         completed);
-                continue;
+                member->set_leaving(
+                    std::ranges::find(members, member->description().m_name) !=
+                    members.end());
             }
-            dispatch(work, completed);
-        }
-    }
-    run_all(completed);
+        });
 }
 
-std::vector<state::member_status> group_gateway::statuses() const
+void group_gateway::set_primary(
+    std::optional<coordination::group_primary> primary)
 {
-    std::scoped_lock const lock(m_mutex);
-    return known();
+    locked([this, &primary] { m_core.m_primary = std::move(primary); });
 }
 
-std::vector<state::member_status> group_gateway::known() const
+void group_gateway::pause_writes(bool paused)
 {
-    std::vector<state::member_status> result;
-    for (auto const& one : m_members)
-    {
-        if (one->m_status)
-        {
-            result.push_back(*one->m_status);
-        }
-    }
-    return result;
+    locked([this, paused] { m_core.m_paused = paused; });
 }
 
-group_gateway::member* group_gateway::primary()
+bool group_gateway::writes_drained() const
 {
-    member* best = nullptr;
-    for (auto const& one : m_members)
-    {
-        if (one->leads() && (best == nullptr || one->m_status->m_followed >
-                                                    best->m_status->m_followed))
-        {
-            best = one.get();
-        }
-    }
-    return best;
+    std::scoped_lock const lock(m_mutex);
+    return m_core.m_writes_sent == 0 && m_transactions.open() == 0;
 }
 
-group_gateway::member* group_gateway::choose(operation const& work)
+void group_gateway::submit(group_request request, reply_handler done)
 {
-    if (work.m_request.m_kind == request_kind::read &&
-        work.m_request.m_required)
-    {
-        for (auto const& one : m_members)
+    locked(
+        [this, &request, &done]
         {
-            if (one->m_status &&
-                one->m_status->m_role == state::member_role::replica &&
-                one->m_status->m_applied.m_index >=
-                    work.m_request.m_required->m_index &&
-                one->idle() != nullptr)
+            auto& work = m_core.add(std::move(request), std::move(done));
+            if (m_closed)
             {
-                return one.get();
+                m_core.complete(work, failed_reply(state::outcome::not_executed,
+                                                   state::reason::draining,
+                                                   drain_hint));
+                return;
             }
-        }
-    }
-    return primary();
+            arrive(work);
+        });
 }
 
-void group_gateway::dispatch(operation_ptr const& work, completions& done)
+void group_gateway::arrive(group_operation& work)
 {
-    if (m_closed)
+    auto const& request = work.m_request;
+    if (is_later_step(request.m_kind))
     {
-        complete(work,
-                 failed(state::outcome::not_executed, state::reason::draining),
-                 done);
+        m_transactions.step(work);
         return;
     }
-    auto* const target = choose(*work);
-    auto* const on = target == nullptr ? nullptr : target->idle();
-    if (on == nullptr)
+    work.m_needed = coordination::require_for(
+        request.m_token, m_group.m_name, request.m_max_age, m_core.m_now,
+        coordination::deadline(request.m_deadline));
+    work.m_needed.m_onward = request.m_onward;
+    work.m_lane = goes_to_primary(request, work.m_needed)
+                      ? coordination::lane::primary
+                      : coordination::lane::replica;
+    auto const decision =
+        m_core.m_admission.arrive({work.m_id, request.m_entry, work.m_lane,
+                                   request.m_deadline, std::nullopt, false},
+                                  m_core.m_now);
+    if (decision.m_verdict == coordination::verdict::refused)
     {
-        m_waiting.push_back(work);
+        m_core.complete(work, failed_reply(state::outcome::not_executed,
+                                           decision.m_reason,
+                                           decision.m_retry_after));
         return;
     }
-    send(*target, *on, work);
+    if (decision.m_verdict == coordination::verdict::admitted)
+    {
+        start(work);
+    }
 }
 
-void group_gateway::send(member& target, connection& on,
-                         operation_ptr const& work)
+void group_gateway::start(group_operation& work)
 {
-    endpoint::v1::Statement message;
-    message.set_request(++on.m_request);
-    message.set_kind(to_proto(work->m_request.m_kind));
-    work->m_term = target.m_status->m_followed;
-    message.set_term(work->m_term.value());
-    message.set_key(work->m_request.m_key);
-    message.set_text(work->m_request.m_statement);
-    on.m_work = work;
-    on.m_stream->send(std::move(message));
+    work.m_reply.m_queue_wait =
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            group_operation::moment::clock::now() - work.m_arrived);
+    switch (work.m_request.m_kind)
+    {
+    case request_kind::read:
+        m_reads.start(work);
+        return;
+    case request_kind::begin:
+        m_transactions.begin(work);
+        return;
+    default:
+        m_writes.start(work);
+        return;
+    }
 }
 
-void group_gateway::on_reply(std::size_t at, std::uint64_t id,
+void group_gateway::on_reply(std::size_t member,
+                             coordination::connection_id connection,
                              endpoint::v1::StatementReply const& reply)
 {
-    completions done;
-    {
-        std::scoped_lock const lock(m_mutex);
-        auto& from = *m_members[at];
-        auto* const on = from.find(id);
-        if (on == nullptr || m_closed)
+    locked(
+        [&]
         {
-            return;
-        }
-        auto status = protocol::from_proto(reply.status());
-        if (reply.code() == endpoint::v1::STATEMENT_CODE_OPENED)
-        {
-            on->m_open = true;
-        }
-        else if (on->m_work && reply.request() == on->m_request)
-        {
-            auto const work = std::exchange(on->m_work, nullptr);
-            if (work->m_request.m_kind == request_kind::read)
+            if (m_closed)
             {
-                answer_read(from, work, reply, done);
+                return;
             }
-            else
+            auto& link = *m_core.m_members[member];
+            note_status(member, protocol::from_proto(reply.status()));
+            if (reply.code() == endpoint::v1::STATEMENT_CODE_OPENED)
             {
-                answer_write(from, work, reply, done);
+                link.opened(connection, m_core.m_now);
+                return;
             }
-        }
-        update(from, std::move(status), done);
-        if (!m_waiting.empty())
-        {
-            auto const next = std::move(m_waiting.front());
-            m_waiting.pop_front();
-            dispatch(next, done);
-        }
-    }
-    run_all(done);
+            auto const whose = link.take(connection, reply.request());
+            if (!whose)
+            {
+                return;
+            }
+            link.note_answer(coordination::answer_quality::good,
+                             group_core::since(whose->m_sent), m_core.m_now);
+            if (whose->m_service != awaited_answer::service::transaction)
+            {
+                link.release(connection, m_core.m_now);
+            }
+            dispatch_answer(*whose, member, reply);
+        });
 }
 
-void group_gateway::answer_read(member& from, operation_ptr const& work,
-                                endpoint::v1::StatementReply const& reply,
-                                completions& done)
+void group_gateway::dispatch_answer(awaited_answer const& whose,
+                                    std::size_t member,
+                                    endpoint::v1::StatementReply const& reply)
 {
-    if (reply.code() != endpoint::v1::STATEMENT_CODE_OK)
+    if (whose.m_service == awaited_answer::service::transaction)
     {
-        auto refused = failed(state::outcome::not_executed,
-                              state::reason::statement_failed);
-        refused.m_result = reply.result();
-        complete(work, std::move(refused), done);
+        m_transactions.answered(whose.m_operation, reply);
         return;
     }
-    auto const position = protocol::from_proto(reply.position());
-    if (work->m_request.m_required &&
-        position.m_index < work->m_request.m_required->m_index)
+    m_core.leave_slot(whose.m_operation, whose.m_sent);
+    bool const is_write = whose.m_service == awaited_answer::service::write;
+    m_core.m_writes_sent -= is_write ? 1 : 0;
+    auto* const work = m_core.find(whose.m_operation);
+    if (work == nullptr)
     {
-        m_waiting.push_back(work);
         return;
     }
-    work->m_reply.m_outcome = state::outcome::executed;
-    work->m_reply.m_reason = state::reason::none;
-    work->m_reply.m_result = reply.result();
-    work->m_reply.m_position = position;
-    work->m_reply.m_member = from.m_name;
-    work->m_reply.m_from_replica =
-        protocol::from_proto(reply.status()).m_role ==
-        state::member_role::replica;
-    m_unsafe.push_back(work);
-}
-
-void group_gateway::answer_write(member& from, operation_ptr const& work,
-                                 endpoint::v1::StatementReply const& reply,
-                                 completions& done)
-{
-    switch (reply.code())
+    if (is_write)
     {
-    case endpoint::v1::STATEMENT_CODE_OK:
-        work->m_reply.m_outcome = state::outcome::executed;
-        work->m_reply.m_reason = state::reason::none;
-        break;
-    case endpoint::v1::STATEMENT_CODE_KEY_BARRED:
-        work->m_reply.m_outcome = state::outcome::not_executed;
-        work->m_reply.m_reason = state::reason::key_barred;
-        break;
-    case endpoint::v1::STATEMENT_CODE_NOT_PRIMARY:
-    case endpoint::v1::STATEMENT_CODE_WRONG_TERM:
-        m_waiting.push_back(work);
-        return;
-    default:
-        work->m_reply.m_reason = state::reason::statement_failed;
-        work->m_reply.m_result = reply.result();
-        complete(work, work->m_reply, done);
+        m_writes.answered(*work, reply);
         return;
     }
-    work->m_reply.m_result = reply.result();
-    work->m_reply.m_position = protocol::from_proto(reply.position());
-    work->m_reply.m_member = from.m_name;
-    work->m_reply.m_replayed = reply.replayed();
-    m_unsafe.push_back(work);
+    m_reads.answered(*work, member, reply);
 }
 
-void group_gateway::acknowledge_safe(completions& done)
+void group_gateway::on_connection_closed(std::size_t member,
+                                         coordination::connection_id connection)
 {
-    auto* const leader = primary();
-    if (leader == nullptr || m_unsafe.empty())
-    {
-        return;
-    }
-    auto const safe = coordination::safe_index(known(), m_members.size(),
-                                               leader->m_status->m_followed);
-    auto const& history = leader->m_status->m_history;
-    std::erase_if(
-        m_unsafe,
-        [&](operation_ptr const& work)
+    locked(
+        [&]
         {
-            auto const& position = work->m_reply.m_position;
-            if (position.m_index > safe)
+            auto& link = *m_core.m_members[member];
+            auto const whose = link.lost(connection, m_core.m_now);
+            if (!whose || m_closed)
             {
-                return false;
+                return;
             }
-            if (history.contains(position, leader->m_status->m_received))
+            link.note_answer(coordination::answer_quality::failed,
+                             group_core::since(whose->m_sent), m_core.m_now);
+            if (whose->m_service == awaited_answer::service::transaction)
             {
-                complete(work, work->m_reply, done);
+                m_transactions.connection_lost(whose->m_operation);
+                return;
             }
-            else if (work->m_request.m_kind == request_kind::read)
+            m_core.leave_slot(whose->m_operation, whose->m_sent);
+            bool const is_write =
+                whose->m_service == awaited_answer::service::write;
+            m_core.m_writes_sent -= is_write ? 1 : 0;
+            auto* const work = m_core.find(whose->m_operation);
+            if (work != nullptr && is_write)
             {
-                m_waiting.push_back(work);
+                m_writes.connection_lost(*work);
             }
-            else
+            else if (work != nullptr)
             {
-                complete(work,
-                         failed(state::outcome::unknown,
-                                state::reason::term_superseded),
-                         done);
+                m_reads.connection_lost(*work, member);
             }
-            return true;
         });
 }
 
-void group_gateway::complete(operation_ptr const& work, group_reply reply,
-                             completions& done)
+void group_gateway::on_status(std::size_t member,
+                              endpoint::v1::MemberStatus const& status)
 {
-    if (std::exchange(work->m_completed, true))
-    {
-        return;
-    }
-    done.emplace_back([work, reply = std::move(reply)]
-                      { work->m_done(reply); });
+    locked([&] { note_status(member, protocol::from_proto(status)); });
 }
 
-void group_gateway::update(member& of, state::member_status status,
-                           completions& done)
+void group_gateway::on_observation_closed(std::size_t member)
 {
-    if (!of.m_status || status.m_granted >= of.m_status->m_granted)
+    locked([&] { m_core.m_members[member]->observation_lost(); });
+}
+
+void group_gateway::note_status(std::size_t member,
+                                state::member_status const& status)
+{
+    m_core.m_freshness.note_status(status);
+    m_core.m_log.note_status(status);
+    m_core.m_members[member]->note_status(status, m_core.m_freshness,
+                                          m_core.m_now);
+    if (matters(m_told[member], status))
     {
-        of.m_status = std::move(status);
+        m_told[member] = status;
+        m_to_tell.push_back(status);
     }
-    acknowledge_safe(done);
 }
 
-void group_gateway::on_status(std::size_t at, state::member_status status)
+bool group_gateway::matters(state::member_status const& before,
+                            state::member_status const& after) const
 {
-    completions done;
-    {
-        std::scoped_lock const lock(m_mutex);
-        if (m_closed)
-        {
-            return;
-        }
-        update(*m_members[at], std::move(status), done);
-        auto const waiting = std::exchange(m_waiting, {});
-        for (auto const& work : waiting)
+    return before.m_probe < after.m_probe || before.m_role != after.m_role ||
+           before.m_granted != after.m_granted ||
+           before.m_followed != after.m_followed ||
+           before.m_leaving != after.m_leaving;
+}
+
+void group_gateway::probe(std::string_view member, std::uint64_t number)
+{
+    locked(
+        [&]
         {
-            dispatch(work, done);
-        }
-    }
-    run_all(done);
+            if (number > m_probe)
+            {
+                m_probe = number;
+                m_core.m_freshness.note_probe_sent(number, m_core.m_now);
+            }
+            for (auto const& link : m_core.m_members)
+            {
+                if (link->description().m_name == member)
+                {
+                    link->probe(number);
+                }
+            }
+        });
 }
 
-void group_gateway::on_close(std::size_t at, std::uint64_t id)
+member_client* group_gateway::client(std::string_view member)
 {
-    completions done;
+    std::scoped_lock const lock(m_mutex);
+    for (auto const& link : m_core.m_members)
     {
-        std::scoped_lock const lock(m_mutex);
-        auto& from = *m_members[at];
-        auto* const on = from.find(id);
-        if (on == nullptr || m_closed)
+        if (link->description().m_name == member)
         {
-            return;
-        }
-        auto const work = std::exchange(on->m_work, nullptr);
-        std::erase_if(from.m_connections,
-                      [&](auto const& one) { return one->m_id == id; });
-        if (work && work->m_request.m_kind == request_kind::read)
-        {
-            m_waiting.push_back(work);
-        }
-        else if (work)
-        {
-            complete(
-                work,
-                failed(state::outcome::unknown, state::reason::connection_lost),
-                done);
+            return &link->client();
         }
     }
-    run_all(done);
+    return nullptr;
 }
 
-void group_gateway::open(std::size_t at)
+void group_gateway::tick(state::time_point now)
 {
-    auto const id = ++m_last_id;
-    auto added = std::make_unique<connection>();
-    added->m_id = id;
-    added->m_stream = m_members[at]->m_client->connect(
-        [weak = weak_from_this(), at, id](auto const& reply)
-        {
-            if (auto const self = weak.lock())
-            {
-                self->on_reply(at, id, reply);
-            }
-        },
-        [weak = weak_from_this(), at, id](auto const&)
+    locked(
+        [this, now]
         {
-            if (auto const self = weak.lock())
+            m_core.note_changes(m_core.m_admission.tick(now));
+            m_writes.expire();
+            m_transactions.expire();
+            auto const waiting = m_writes.waiting() + m_reads.waiting();
+            for (auto const& member : m_core.m_members)
             {
-                self->on_close(at, id);
+                member->set_waiting(waiting);
+                if (!m_closed)
+                {
+                    member->step(now);
+                }
             }
         });
-    m_members[at]->m_connections.push_back(std::move(added));
 }
 
-void group_gateway::observe(std::size_t at)
+group_report group_gateway::report() const
 {
-    auto& one = *m_members[at];
-    if (one.m_observation)
+    std::scoped_lock const lock(m_mutex);
+    group_report result;
+    for (auto const& member : m_core.m_members)
     {
-        return;
+        auto const& pool = member->pool();
+        result.m_members.push_back(
+            {member->status(), static_cast<std::uint32_t>(pool.budget()),
+             static_cast<std::uint32_t>(pool.idle()),
+             static_cast<std::uint32_t>(pool.busy()), member->reachable()});
     }
-    one.m_observation = one.m_client->observe(
-        [weak = weak_from_this(), at](auto const& status)
+    result.m_primary = m_core.m_primary;
+    result.m_safe = m_core.m_log.view().m_safe;
+    result.m_queued =
+        static_cast<std::uint32_t>(m_writes.waiting() + m_reads.waiting());
+    return result;
+}
+
+void group_gateway::set_capacity()
+{
+    auto const slots = std::max<std::uint32_t>(1, m_group.m_slots);
+    auto const most = static_cast<std::uint32_t>(m_budget);
+    auto const each = std::min(most, slots * requests_per_slot);
+    auto const replicas =
+        static_cast<std::uint32_t>(m_group.m_members.size() - 1);
+    m_core.note_changes(m_core.m_admission.set_capacity(
+        coordination::lane::primary, each, m_core.m_now));
+    m_core.note_changes(m_core.m_admission.set_capacity(
+        coordination::lane::replica, each * std::max(1U, replicas),
+        m_core.m_now));
+}
+
+void group_gateway::settle()
+{
+    m_writes.advance();
+    m_transactions.advance();
+    m_reads.advance();
+    while (!m_core.m_admitted.empty())
+    {
+        for (auto const id : std::exchange(m_core.m_admitted, {}))
         {
-            if (auto const self = weak.lock())
+            if (auto* const work = m_core.find(id))
             {
-                self->on_status(at, protocol::from_proto(status));
+                start(*work);
             }
-        },
-        [weak = weak_from_this(), at](auto const&)
+        }
+    }
+    for (auto const& member : m_core.m_members)
+    {
+        if (!m_closed && member->wants_step(m_core.m_now))
         {
-            if (auto const self = weak.lock())
-            {
-                std::scoped_lock const lock(self->m_mutex);
-                self->m_members[at]->m_observation.reset();
-            }
-        });
+            member->step(m_core.m_now);
+        }
+    }
+}
+
+template <typename Function>
+void group_gateway::locked(Function const& function)
+{
+    std::vector<group_core::completion> completions;
+    std::vector<state::member_status> statuses;
+    {
+        std::scoped_lock const lock(m_mutex);
+        m_core.m_now = state::clock::now();
+        function();
+        settle();
+        completions.swap(m_core.m_completions);
+        statuses.swap(m_to_tell);
+    }
+    for (auto const& completion : completions)
+    {
+        completion();
+    }
+    if (m_on_status)
+    {
+        for (auto const& status : statuses)
+        {
+            m_on_status(status);
+        }
+    }
 }
 
 } // namespace camphortide::transport
--- a/tests/test/path/gateway_test.cpp
+++ b/tests/test/path/gateway_test.cpp
@@ -1,12 +1,12 @@
 #include <future>
 #include <memory>
-#include <thread>
 
 #include <doctest/doctest.h>
 
 #include <camphortide/standin/group/group_server.hpp>
 #include <camphortide/transport/gateway/group_gateway.hpp>
 
+namespace coordination = camphortide::coordination;
 namespace standin = camphortide::standin;
 namespace state = camphortide::state;
 namespace transport = camphortide::transport;
@@ -16,52 +16,144 @@
 
 constexpr state::duration deadline{10000};
 
-transport::group_reply run(transport::group_gateway& gateway,
-                           transport::group_request request)
+/// A stand-in group and a gateway to it whose first member leads.
+class gateway_fixture
 {
-    std::promise<transport::group_reply> promise;
-    request.m_deadline = state::clock::now() + deadline;
-    gateway.submit(std::move(request), [&](transport::group_reply reply)
-                   { promise.set_value(reply); });
-    auto future = promise.get_future();
-    while (future.wait_for(std::chrono::milliseconds(20)) !=
-           std::future_status::ready)
+public:
+    gateway_fixture() : m_group(options())
     {
-        gateway.tick(state::clock::now());
+        state::group_description description;
+        description.m_name = "loans";
+        description.m_slots = 2;
+        for (auto const& name : options().m_members)
+        {
+            description.m_members.push_back(
+                {name, m_group.address(name), "sede-centro", false});
+        }
+        m_gateway =
+            std::make_shared<transport::group_gateway>(description, nullptr);
+        m_gateway->start();
+        m_gateway->set_budget(4);
+        coordination::entry_limits limits;
+        limits.m_name = "desk";
+        limits.m_owner = "library";
+        m_gateway->set_entries({&limits, 1});
+        m_gateway->set_primary(coordination::group_primary{
+            "a", state::term(std::uint64_t{1} << state::term::tag_bits), {}});
+    }
+
+    ~gateway_fixture() { m_gateway->close(); }
+
+    transport::group_reply run(transport::group_request request)
+    {
+        std::promise<transport::group_reply> promise;
+        request.m_entry = "desk";
+        request.m_group = "loans";
+        request.m_deadline = state::clock::now() + deadline;
+        m_gateway->submit(std::move(request), [&](transport::group_reply reply)
+                          { promise.set_value(reply); });
+        auto future = promise.get_future();
+        while (future.wait_for(std::chrono::milliseconds(5)) !=
+               std::future_status::ready)
+        {
+            m_gateway->tick(state::clock::now());
+        }
+        return future.get();
+    }
+
+    transport::group_reply write(std::string const& statement,
+                                 std::string const& key)
+    {
+        transport::group_request request;
+        request.m_kind = transport::request_kind::write;
+        request.m_statement = statement;
+        request.m_key = key;
+        return run(request);
+    }
+
+    transport::group_reply step(transport::request_kind kind,
+                                std::string const& statement = {})
+    {
+        transport::group_request request;
+        request.m_kind = kind;
+        request.m_statement = statement;
+        request.m_transaction = "t1";
+        request.m_key = "library/t1";
+        return run(request);
     }
-    return future.get();
-}
+
+    standin::group_server& group() { return m_group; }
+
+private:
+    static standin::group_options options()
+    {
+        standin::group_options result;
+        result.m_name = "loans";
+        result.m_members = {"a", "b", "c"};
+        return result;
+    }
+
+    standin::group_server m_group;
+    std::shared_ptr<transport::group_gateway> m_gateway;
+};
 
 } // namespace
 
 TEST_CASE("a write is acknowledged, and a replica that covers it serves a read")
 {
-    standin::group_options options;
-    options.m_name = "loans";
-    options.m_members = {"a", "b", "c"};
-    standin::group_server group(options);
-    std::vector<transport::member_address> members;
-    for (auto const& name : options.m_members)
-    {
-        members.push_back({name, group.address(name)});
-    }
-    auto const gateway = std::make_shared<transport::group_gateway>(members, 2);
-    gateway->tick(state::clock::now());
-
-    transport::group_request write;
-    write.m_kind = transport::request_kind::write;
-    write.m_statement = "set puzzle out";
-    write.m_key = "desk/1";
-    auto const written = run(*gateway, write);
+    gateway_fixture fixture;
+    auto const written = fixture.write("set puzzle out", "library/1");
     REQUIRE(written.m_outcome == state::outcome::executed);
     CHECK(written.m_position.m_index > 0);
 
     transport::group_request read;
     read.m_statement = "get puzzle";
-    read.m_required = written.m_position;
-    auto const answer = run(*gateway, read);
+    read.m_token = state::session_token({{"loans", written.m_position}});
+    auto const answer = fixture.run(read);
     CHECK(answer.m_outcome == state::outcome::executed);
     CHECK(answer.m_result == "out");
+    CHECK(answer.m_from_replica);
     CHECK(answer.m_position >= written.m_position);
-    gateway->close();
+}
+
+TEST_CASE("a repeated key gives the first result, another statement conflicts")
+{
+    gateway_fixture fixture;
+    CHECK(fixture.write("add loans 1", "library/1").m_result == "1");
+    auto const again = fixture.write("add loans 1", "library/1");
+    CHECK(again.m_replayed);
+    CHECK(again.m_result == "1");
+    CHECK(fixture.write("add loans 2", "library/1").m_reason ==
+          state::reason::key_conflict);
+}
+
+TEST_CASE("a transaction takes effect at its commit and not before")
+{
+    using transport::request_kind;
+    gateway_fixture fixture;
+    REQUIRE(fixture.step(request_kind::begin).m_outcome ==
+            state::outcome::executed);
+    CHECK(fixture.step(request_kind::execute, "set trike held").m_outcome ==
+          state::outcome::executed);
+    CHECK(fixture.group().rows("a").empty());
+    auto const committed = fixture.step(request_kind::commit);
+    CHECK(committed.m_outcome == state::outcome::executed);
+    CHECK(committed.m_position.m_index > 0);
+    CHECK(fixture.group().rows("a").at("trike") == "held");
+    CHECK(fixture.step(request_kind::execute, "get trike").m_reason ==
+          state::reason::transaction_lost);
+}
+
+TEST_CASE("a question about a key that never ran bars it")
+{
+    gateway_fixture fixture;
+    transport::group_request question;
+    question.m_kind = transport::request_kind::resolve;
+    question.m_key = "library/late";
+    auto const answer = fixture.run(question);
+    CHECK(answer.m_outcome == state::outcome::not_executed);
+    CHECK(answer.m_reason == state::reason::key_barred);
+    auto const late = fixture.write("add loans 1", "library/late");
+    CHECK(late.m_outcome == state::outcome::not_executed);
+    CHECK(late.m_reason == state::reason::key_barred);
 }
