fleet: catalogue follower and catalogue edit

Cause: an operator's change has to be accepted or refused as a whole, and to be in force everywhere in seconds without every instance calling the store.

Change: the catalogue is a head and content-checked chunks. An edit is one conditional write of the head that carries the change's identifier, so that a lost reply is resolved by reading it back. A follower puts only higher versions in force, gets them from the store in two instances of each data centre and from peers in the others, and a newcomer first learns which version is the newest.

--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower_settings.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+
+#include <camphortide/state/clock.hpp>
+
+namespace camphortide::coordination
+{
+
+/// Times and bounds of a catalogue follower.
+struct catalogue_follower_settings
+{
+    state::duration m_poll{2000}; ///< between a watcher's reads of the head
+    state::duration m_first_read{500};  ///< newcomers' first reads spread over
+    state::duration m_retry_least{250}; ///< after a failed call of the store
+    state::duration m_retry_most{2000};
+    state::duration m_call_timeout{10'000}; ///< a call of the store is given up
+    state::duration m_peer_timeout{1000};   ///< a request to a peer is given up
+    state::duration m_survey{500};          ///< between a newcomer's questions
+    state::duration m_patience{3000};       ///< until most answers are enough
+    state::duration m_stale{4000}; ///< unconfirmed for so long: read the store
+    std::size_t m_watchers = 2;    ///< in each data centre
+    std::size_t m_offer_peers = 4; ///< receivers of a new version
+    std::size_t m_survey_peers = 64;    ///< questions sent at a time
+    std::size_t m_chunk_calls = 8;      ///< chunks read at a time
+    std::size_t m_part_bytes = 262'144; ///< chunk bytes in one message
+    std::size_t m_stale_reads = 5;      ///< by all instances in a second, about
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/src/fleet/catalogue_edit.cpp
@@ -0,0 +1,358 @@
+#include <algorithm>
+#include <utility>
+
+#include <camphortide/coordination/fleet/catalogue_edit.hpp>
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+#include <camphortide/state/catalogue_validation.hpp>
+
+namespace camphortide::coordination
+{
+
+using state::time_point;
+
+catalogue_edit::catalogue_edit(catalogue_edit_settings const& settings,
+                               catalogue_change change, purpose wanted,
+                               catalogue_codec const& codec, time_point now)
+    : m_settings(settings),
+      m_change(std::move(change)),
+      m_purpose(wanted),
+      m_codec(codec),
+      m_deadline(now + settings.m_deadline)
+{
+}
+
+catalogue_edit::actions catalogue_edit::tick(time_point now)
+{
+    actions out;
+    if (m_result.m_outcome != edit_outcome::pending)
+    {
+        return out;
+    }
+    if (now >= m_deadline)
+    {
+        finish(m_may_be_written ? edit_outcome::undetermined
+                                : edit_outcome::unavailable);
+        return out;
+    }
+    if (!m_started)
+    {
+        m_started = true;
+        out.emplace_back(read_head{});
+        return out;
+    }
+    if (m_retry_at && now >= *m_retry_at)
+    {
+        m_retry_at.reset();
+        out.push_back(*std::exchange(m_repeat, std::nullopt));
+    }
+    return out;
+}
+
+void catalogue_edit::finish(edit_outcome outcome, std::uint64_t version)
+{
+    m_result.m_outcome = outcome;
+    m_result.m_version = version;
+}
+
+catalogue_edit::actions
+catalogue_edit::on_head(std::uint64_t object_version,
+                        std::optional<catalogue_parts> parts)
+{
+    actions out;
+    if (m_result.m_outcome != edit_outcome::pending)
+    {
+        return out;
+    }
+    bool const unmoved = m_next && object_version <= m_object_version;
+    if (unmoved)
+    {
+        // The write whose reply was lost has not arrived, or the read is
+        // old. Only one of two equal writes can take effect, so it is safe to
+        // repeat it.
+        next_write(out);
+        return out;
+    }
+    m_base = parts ? parts->m_head : state::catalogue_head{};
+    m_object_version = object_version;
+    if (settle_by_head())
+    {
+        drop(out, m_replaced);
+        return out;
+    }
+    // The object has moved on, so an earlier write can't take effect.
+    m_may_be_written = false;
+    if (m_next)
+    {
+        std::vector<std::string> created;
+        for (auto const& [name, bytes] : m_new)
+        {
+            created.push_back(name);
+        }
+        drop(out, created);
+        m_next.reset();
+        m_new.clear();
+    }
+    m_replaced.clear();
+    if (parts)
+    {
+        m_known.merge(parts->m_chunks);
+    }
+    next_read(out);
+    return out;
+}
+
+bool catalogue_edit::settle_by_head()
+{
+    auto const found = std::ranges::find_if(
+        m_base.m_history, [this](state::accepted_change const& accepted)
+        { return accepted.m_stamp.m_change == m_change.m_id; });
+    if (found != m_base.m_history.end())
+    {
+        finish(edit_outcome::accepted, found->m_stamp.m_version);
+        return true;
+    }
+    if (std::ranges::find(m_base.m_barred, m_change.m_id) !=
+        m_base.m_barred.end())
+    {
+        m_replaced.clear();
+        finish(edit_outcome::barred);
+        return true;
+    }
+    return false;
+}
+
+void catalogue_edit::next_read(actions& out)
+{
+    if (m_purpose == purpose::resolve)
+    {
+        prepare_bar(out);
+        return;
+    }
+    for (auto const& reference : m_base.m_chunks)
+    {
+        if (!m_known.contains(reference.m_name))
+        {
+            out.emplace_back(read_chunk{reference.m_name});
+            return;
+        }
+    }
+    prepare(out);
+}
+
+catalogue_edit::actions catalogue_edit::on_chunk(std::string const& chunk,
+                                                 chunk_bytes bytes)
+{
+    actions out;
+    if (m_result.m_outcome != edit_outcome::pending)
+    {
+        return out;
+    }
+    if (bytes == nullptr)
+    {
+        out.emplace_back(read_head{}); // replaced meanwhile
+        return out;
+    }
+    m_known.insert_or_assign(chunk, std::move(bytes));
+    next_read(out);
+    return out;
+}
+
+void catalogue_edit::prepare(actions& out)
+{
+    auto const base = assemble(m_base, m_known, m_codec);
+    if (!base)
+    {
+        finish(edit_outcome::damaged);
+        return;
+    }
+    m_result.m_conflicts = find_conflicts(*base, m_change, m_base);
+    if (!m_result.m_conflicts.empty())
+    {
+        finish(edit_outcome::conflict);
+        return;
+    }
+    auto const next = apply_change(*base, m_change, m_base.m_version + 1);
+    m_result.m_problems = state::validate(next);
+    if (!m_result.m_problems.empty())
+    {
+        finish(edit_outcome::invalid);
+        return;
+    }
+    build_parts(next);
+    next_write(out);
+}
+
+void catalogue_edit::prepare_bar(actions& out)
+{
+    catalogue_parts parts;
+    parts.m_head = m_base;
+    parts.m_head.m_barred.push_back(m_change.m_id);
+    auto& barred = parts.m_head.m_barred;
+    if (barred.size() > m_settings.m_history)
+    {
+        barred.erase(barred.begin());
+    }
+    m_next = std::move(parts);
+    next_write(out);
+}
+
+void catalogue_edit::build_parts(state::catalogue const& next)
+{
+    m_next.emplace();
+    auto& head = m_next->m_head;
+    head = m_base;
+    head.m_version = next.version();
+    auto const contents = split_into_buckets(next);
+    for (std::uint32_t const bucket : touched_buckets())
+    {
+        auto const place = contents.find(bucket);
+        replace_bucket(bucket,
+                       place == contents.end() ? nullptr : &place->second);
+    }
+    std::ranges::sort(head.m_chunks, {}, &state::chunk_reference::m_bucket);
+    head.m_history.push_back(
+        {{m_change.m_id, m_change.m_operator, head.m_version},
+         touched_records()});
+    if (head.m_history.size() > m_settings.m_history)
+    {
+        head.m_history.erase(head.m_history.begin());
+    }
+    std::size_t bytes = 0;
+    for (auto const& [name, chunk] : m_new)
+    {
+        m_to_create.push_back(name);
+        bytes += chunk->size();
+    }
+    if (bytes <= m_settings.m_inline_bytes)
+    {
+        m_next->m_chunks = m_new;
+    }
+}
+
+void catalogue_edit::replace_bucket(std::uint32_t bucket,
+                                    chunk_content const* content)
+{
+    auto& chunks = m_next->m_head.m_chunks;
+    auto const old =
+        std::ranges::find(chunks, bucket, &state::chunk_reference::m_bucket);
+    if (old != chunks.end())
+    {
+        m_replaced.push_back(old->m_name);
+        chunks.erase(old);
+    }
+    if (content == nullptr)
+    {
+        return;
+    }
+    auto bytes = std::make_shared<std::string const>(m_codec.encode(*content));
+    auto digest = m_codec.digest(*bytes);
+    // The store's version of the head never returns, nor does the name.
+    auto const name = std::to_string(bucket) + "-" + m_change.m_id + "-" +
+                      std::to_string(m_object_version) + "-" +
+                      std::to_string(hash_name(digest));
+    chunks.push_back(
+        {name, std::move(digest), bucket, m_next->m_head.m_version});
+    m_new.emplace(name, std::move(bytes));
+}
+
+void catalogue_edit::next_write(actions& out)
+{
+    if (!m_to_create.empty())
+    {
+        auto const& name = m_to_create.back();
+        out.emplace_back(create_chunk{name, m_new.at(name)});
+        return;
+    }
+    m_may_be_written = true;
+    out.emplace_back(write_head{m_object_version, *m_next});
+}
+
+catalogue_edit::actions catalogue_edit::on_chunk_created(write_reply reply,
+                                                         time_point now)
+{
+    actions out;
+    if (m_result.m_outcome != edit_outcome::pending || m_to_create.empty())
+    {
+        return out;
+    }
+    if (reply == write_reply::lost)
+    {
+        auto const& name = m_to_create.back();
+        m_repeat = create_chunk{name, m_new.at(name)};
+        m_retry_at = now + m_settings.m_retry;
+        return out;
+    }
+    m_to_create.pop_back();
+    next_write(out);
+    return out;
+}
+
+catalogue_edit::actions catalogue_edit::on_head_written(write_reply reply,
+                                                        time_point now)
+{
+    actions out;
+    if (m_result.m_outcome != edit_outcome::pending || !m_next)
+    {
+        return out;
+    }
+    switch (reply)
+    {
+    case write_reply::done:
+        m_base = m_next->m_head;
+        settle_by_head();
+        drop(out, m_replaced);
+        break;
+    case write_reply::conflict:
+        out.emplace_back(read_head{});
+        break;
+    case write_reply::lost:
+        m_repeat = read_head{};
+        m_retry_at = now + m_settings.m_retry;
+        break;
+    }
+    return out;
+}
+
+catalogue_edit::actions catalogue_edit::on_read_failed(time_point now)
+{
+    if (m_result.m_outcome == edit_outcome::pending)
+    {
+        m_repeat = read_head{};
+        m_retry_at = now + m_settings.m_retry;
+    }
+    return {};
+}
+
+void catalogue_edit::drop(actions& out, std::vector<std::string> const& chunks)
+{
+    for (auto const& name : chunks)
+    {
+        out.emplace_back(remove_chunk{name});
+    }
+}
+
+std::set<std::uint32_t> catalogue_edit::touched_buckets() const
+{
+    std::set<std::uint32_t> result;
+    for (auto const& record : touched_records())
+    {
+        result.insert(bucket_of(record));
+    }
+    return result;
+}
+
+std::vector<std::string> catalogue_edit::touched_records() const
+{
+    std::vector<std::string> result;
+    for (auto const& item : m_change.m_groups)
+    {
+        result.push_back(item.m_name);
+    }
+    for (auto const& item : m_change.m_entries)
+    {
+        result.push_back(item.m_name);
+    }
+    return result;
+}
+
+} // namespace camphortide::coordination
