fleet: planned stops

Cause: a planned stop must interrupt nothing, and an endpoint that leaves must get no new work in seconds.

Change: stops are objects of their own with a list that spreads like the catalogue; a pure plan tells each instance what to keep new work off, which primary to move and what to report. A member that is done gets no new work until the stop is cancelled, and of two stops that would take a group's majority away the later one waits.

--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/stop_list_follower.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+#include <camphortide/state/clock.hpp>
+#include <camphortide/state/instance_record.hpp>
+#include <camphortide/state/planned_stop.hpp>
+
+namespace camphortide::coordination
+{
+
+/// Action: read all objects below the stops' prefix.
+struct list_stops
+{
+};
+
+/// Action: send the list of stops.
+struct send_stops
+{
+    std::string m_peer;
+    state::stop_list m_list;
+};
+
+/// Action: ask a peer for its list of stops.
+struct request_stops
+{
+    std::string m_peer;
+};
+
+using stop_list_action = std::variant<list_stops, send_stops, request_stops>;
+
+/// Times and bounds of a follower of the planned stops.
+struct stop_list_settings
+{
+    state::duration m_poll{2000};           ///< between a watcher's reads
+    state::duration m_peer_timeout{1000};   ///< a request is given up
+    state::duration m_call_timeout{10'000}; ///< a read is given up
+    std::size_t m_send_peers = 4;           ///< receivers of a new list
+};
+
+/// Keeps an instance's list of planned stops at the newest version that it
+/// can learn of: watchers read the store, the others hear of it from peers.
+class stop_list_follower
+{
+public:
+    using actions = std::vector<stop_list_action>;
+
+    /// @param settings times and bounds
+    /// @param self the own name
+    /// @param seed of jitter and of the choice of peers
+    /// @param now the time
+    stop_list_follower(stop_list_settings const& settings, std::string self,
+                       std::uint64_t seed, state::time_point now);
+
+    /// @param view all instances that are known
+    /// @param is_watcher true if this instance reads the store
+    void on_view(std::span<state::instance_record const> view, bool is_watcher);
+
+    /// Lets time pass.
+    /// @return what to do
+    actions tick(state::time_point now);
+
+    /// Tells that a watch saw a change below the prefix.
+    void on_store_changed(state::time_point now) { m_next_read = now; }
+
+    /// Takes the list that the store has.
+    /// @return what to do
+    actions on_store_list(state::stop_list list, state::time_point now);
+
+    /// Takes the failure of a read.
+    void on_store_failed(state::time_point now);
+
+    /// Takes a peer's version, from a heartbeat.
+    /// @return what to do
+    actions on_peer_version(std::string const& peer, std::uint64_t version,
+                            state::time_point now);
+
+    /// Takes a peer's list.
+    /// @return what to do
+    actions on_stops(state::stop_list list);
+
+    /// Takes a peer's request.
+    /// @return what to do
+    actions on_request(std::string const& peer) const;
+
+    /// @return the newest list known
+    state::stop_list const& list() const { return m_list; }
+
+private:
+    actions take(state::stop_list list);
+    state::duration around(state::duration middle);
+
+    stop_list_settings m_settings;
+    std::string m_self;
+    seeded_sequence m_random;
+    std::vector<std::string> m_peers;
+    bool m_is_watcher = false;
+    bool m_is_reading = false;
+    state::time_point m_read_sent;
+    state::time_point m_next_read;
+    state::time_point m_next_request;
+    state::stop_list m_list;
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/stop_targets.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include <camphortide/coordination/fleet/stop_planner.hpp>
+
+namespace camphortide::coordination
+{
+
+/// @param address HOST:PORT
+/// @return the host
+std::string_view host_of(std::string_view address);
+
+/// Finds the members that a stop takes out of service.
+/// @param stop of a member, a primary or an endpoint
+/// @param value the catalogue
+/// @return the members, by group; none for the stop of an instance
+std::vector<member_place> stop_targets(state::planned_stop const& stop,
+                                       state::catalogue const& value);
+
+/// @param group a group
+/// @return how many of its members may stop at a time
+std::size_t stoppable_members(state::group_description const& group);
+
+} // namespace camphortide::coordination
