instance: carry out what a group's monitor decides

Cause: the monitor's actions need a place to run. Change: group_control on the control thread sends probes and orders, and posts the replies back.

--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <camphortide/coordination/group/group_monitor.hpp>
+#include <camphortide/transport/gateway/group_gateway.hpp>
+#include <camphortide/transport/instance/control_loop.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace camphortide::transport
+{
+
+/// Carries out what the monitor of one group decides. Lives on the control
+/// thread; replies of members are posted to it.
+class group_control : public std::enable_shared_from_this<group_control>
+{
+public:
+    /// What concerns the other homes of the group, or operators.
+    struct handlers
+    {
+        /// writes are to be held back, or admitted again, at every home
+        std::function<void(std::string const& group, bool paused)> m_on_pause;
+        std::function<void(std::string const& group,
+            coordination::switchover_ended const&)>
+            m_on_switchover;
+    };
+
+    /// @param gateway of the group
+    /// @param monitor of the group
+    /// @param loop runs the replies; outlives this
+    group_control(std::shared_ptr<group_gateway> gateway,
+        coordination::group_monitor monitor, control_loop& loop,
+        handlers calls);
+
+    /// Does what is due.
+    void tick(state::time_point now);
+
+    /// Takes a member's status.
+    void status_received(state::member_status const& status);
+
+    /// Starts a planned change of primary.
+    /// @param target the member to promote; empty for any
+    void request_switchover(std::string const& target);
+
+    /// Gives it up unless its promotion has begun.
+    void cancel_switchover();
+
+    /// Takes the word of the other homes that their writes have ended.
+    void others_drained() { m_others_drained = true; }
+
+    /// Begins a pause that another home asked for.
+    void pause_for_other(bool paused);
+
+    coordination::group_monitor const& monitor() const { return m_monitor; }
+    std::shared_ptr<group_gateway> const& gateway() const { return m_gateway; }
+
+private:
+    void perform(coordination::group_actions const& actions);
+    void perform(coordination::send_probe const& action);
+    void perform(coordination::send_fence const& action);
+    void perform(coordination::send_promote const& action);
+    void perform(coordination::send_follow const& action);
+    void perform(coordination::primary_changed const& action);
+    void perform(coordination::pause_writes const& action);
+    void perform(coordination::resume_writes const& action);
+    void perform(coordination::switchover_ended const& action);
+    void apply_pause();
+
+    /// Posts a function to the control thread, if this still lives.
+    template <typename Function>
+    void post(Function function);
+
+    std::shared_ptr<group_gateway> m_gateway;
+    coordination::group_monitor m_monitor;
+    control_loop& m_loop;
+    handlers m_calls;
+    bool m_paused_here = false;
+    bool m_others_drained = true;
+    state::time_point m_paused_for_other_until{};
+    bool m_paused_for_other = false;
+};
+
+} // namespace camphortide::transport
