--- a/packages/coordination/include/camphortide/coordination/request/freshness.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/freshness.hpp
@@ -52,7 +52,8 @@
     ///     the index; nothing if no sample tells
     std::optional<state::time_point> as_of(std::uint64_t index) const;
 
-    /// @return an upper bound of the age of the data up to an index
+    /// @return an upper bound of the age of the data up to an index; the
+    ///     clock cuts off parts of a millisecond, which the bound includes
     std::optional<state::duration> bound_for(std::uint64_t index,
                                              state::time_point now) const;
 
@@ -62,7 +63,8 @@
     ///     confirmed that was sent at that time or later
     std::optional<std::uint64_t> index_covering(state::time_point time) const;
 
-    /// @return the least index that satisfies an age; nothing if none does
+    /// @return the least index whose age is within a bound; nothing if none
+    ///     is known
     std::optional<std::uint64_t> required_index(state::duration age,
                                                 state::time_point now) const;
 
--- a/packages/coordination/include/camphortide/coordination/request/read_requirement.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/read_requirement.hpp
@@ -40,6 +40,12 @@
     ///     time; nothing if no age is stated
     std::optional<state::time_point> current_to(state::time_point now) const;
 
+    /// Bounds the age of an answer when the caller has it.
+    /// @param current the answer holds every write acknowledged before this
+    /// @param now the time of release
+    state::duration age_on_arrival(state::time_point current,
+                                   state::time_point now) const;
+
     /// Finds the index that an answer needs if it is released at a time.
     /// @return the index; nothing while no sample can tell
     std::optional<std::uint64_t> index_at(freshness const& samples,
--- a/packages/coordination/src/request/accept_read.cpp
+++ b/packages/coordination/src/request/accept_read.cpp
@@ -53,8 +53,9 @@
         return {read_verdict::hold, reason::none, {}};
     }
     auto const current = samples.as_of(answer.m_index);
-    auto const age = current ? std::optional(now + needed.m_onward - *current)
-                             : std::nullopt;
+    auto const age = current
+                         ? std::optional(needed.age_on_arrival(*current, now))
+                         : std::nullopt;
     auto const needed_time = needed.current_to(now);
     if (needed_time && (!current || *current < *needed_time))
     {
--- a/packages/coordination/src/request/freshness.cpp
+++ b/packages/coordination/src/request/freshness.cpp
@@ -60,7 +60,7 @@
     {
         return std::nullopt;
     }
-    return now - *time;
+    return now - *time + state::duration(1);
 }
 
 std::optional<std::uint64_t>
@@ -78,7 +78,7 @@
 std::optional<std::uint64_t>
 freshness::required_index(state::duration age, state::time_point now) const
 {
-    return index_covering(now - age);
+    return index_covering(now + state::duration(1) - age);
 }
 
 std::optional<state::time_point>
--- /dev/null
+++ b/packages/coordination/src/request/read_attempts.cpp
@@ -0,0 +1,43 @@
+#include <camphortide/coordination/request/read_attempts.hpp>
+#include <camphortide/coordination/request/read_router.hpp>
+
+namespace camphortide::coordination
+{
+
+read_attempts::read_attempts(deadline end) : m_end(end) {}
+
+attempt_result read_attempts::failed(std::size_t member, state::reason why,
+                                     retry_budget& budget,
+                                     state::time_point now)
+{
+    if (member < read_router::max_members)
+    {
+        m_tried |= std::uint32_t{1} << member;
+    }
+    return again(true, why, budget, now);
+}
+
+attempt_result read_attempts::rejected(state::reason why, retry_budget& budget,
+                                       state::time_point now)
+{
+    bool const charged = m_primary_next;
+    m_primary_next = true;
+    return again(charged, why, budget, now);
+}
+
+attempt_result read_attempts::again(bool charged, state::reason why,
+                                    retry_budget& budget, state::time_point now)
+{
+    ++m_count;
+    if (m_end.expired(now))
+    {
+        return {false, state::reason::deadline_exceeded};
+    }
+    if (charged && !budget.take())
+    {
+        return {false, why};
+    }
+    return {true, state::reason::none};
+}
+
+} // namespace camphortide::coordination
--- a/packages/coordination/src/request/read_requirement.cpp
+++ b/packages/coordination/src/request/read_requirement.cpp
@@ -5,6 +5,17 @@
 namespace camphortide::coordination
 {
 
+namespace
+{
+
+/// The clock cuts off parts of a millisecond: the true time is below this.
+state::time_point latest(state::time_point now)
+{
+    return now + state::duration(1);
+}
+
+} // namespace
+
 std::uint64_t read_requirement::covered_index() const
 {
     return m_covered ? m_covered->m_index : 0;
@@ -25,7 +36,13 @@
     {
         return m_arrival;
     }
-    return now + m_onward - *m_max_age;
+    return latest(now) + m_onward - *m_max_age;
+}
+
+state::duration read_requirement::age_on_arrival(state::time_point current,
+                                                 state::time_point now) const
+{
+    return latest(now) + m_onward - current;
 }
 
 std::optional<std::uint64_t>
