platform, peers: stand-in and client of the platform, socket between instances

The stand-in serves camphortide.platform.v1 over pure models (objects, list of instances with lag, gate with outage, rates and counts). The client is asynchronous, maps every failure to a kind, tells a change without a reply as unknown, and its watch goes on after the last change seen, with jittered backoff. The peer socket moves messages over ZeroMQ ROUTER and DEALER on one thread; queues are bounded by peer, reported messages that were not sent are told to the handler, and with CURVE only the system's key pair is let in.

--- /dev/null
+++ b/benchmarks/peer_round_trip.cpp
@@ -0,0 +1,121 @@
+// Prints the round trip of a message between two peer sockets on loopback.
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <future>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <camphortide/transport/peers/peer_socket.hpp>
+
+namespace transport = camphortide::transport;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+using microseconds = std::chrono::duration<double, std::micro>;
+
+constexpr int warm_up_rounds = 1000;
+constexpr int measured_rounds = 20000;
+constexpr int messages_in_flight = 64;
+constexpr std::size_t message_bytes = 256;
+
+transport::peer_socket_settings any_port()
+{
+    transport::peer_socket_settings settings;
+    settings.m_listen = "127.0.0.1:0";
+    return settings;
+}
+
+/// Sends every message back.
+class echo : public transport::peer_handler
+{
+public:
+    void on_message(transport::peer_route const& from,
+                    std::string_view bytes) override
+    {
+        m_socket->send({from, std::string(bytes), {}, 0, {}});
+    }
+    void on_undelivered(std::uint64_t) override {}
+
+    std::unique_ptr<transport::peer_socket> m_socket;
+};
+
+/// Sends a message for each answer until enough have come back.
+class driver : public transport::peer_handler
+{
+public:
+    explicit driver(int rounds) : m_left(rounds) {}
+
+    void on_message(transport::peer_route const& from,
+                    std::string_view bytes) override
+    {
+        m_times.push_back(microseconds(steady::now() - m_sent).count());
+        if (--m_left == 0)
+        {
+            m_done.set_value();
+        }
+        if (m_left > 0)
+        {
+            m_sent = steady::now();
+            m_socket->send({from, std::string(bytes), {}, 0, {}});
+        }
+    }
+    void on_undelivered(std::uint64_t) override {}
+
+    int m_left;
+    steady::time_point m_sent;
+    std::vector<double> m_times;
+    std::promise<void> m_done;
+    std::unique_ptr<transport::peer_socket> m_socket;
+};
+
+void print_round_trips(std::string const& address)
+{
+    driver one(warm_up_rounds + measured_rounds);
+    one.m_socket =
+        std::move(transport::peer_socket::open(any_port(), one)).value();
+    one.m_sent = steady::now();
+    one.m_socket->send(
+        {{address, {}}, std::string(message_bytes, 'x'), {}, 0, {}});
+    one.m_done.get_future().get();
+    auto& times = one.m_times;
+    times.erase(times.begin(), times.begin() + warm_up_rounds);
+    std::sort(times.begin(), times.end());
+    std::printf("round trip of %zu bytes: p50 %.1f us, p99 %.1f us\n",
+                message_bytes, times[times.size() / 2],
+                times[times.size() * 99 / 100]);
+}
+
+void print_throughput(std::string const& address)
+{
+    driver many(measured_rounds * messages_in_flight / 4);
+    many.m_socket =
+        std::move(transport::peer_socket::open(any_port(), many)).value();
+    auto const total = many.m_left;
+    auto const begun = steady::now();
+    for (int i = 0; i < messages_in_flight; ++i)
+    {
+        many.m_socket->send(
+            {{address, {}}, std::string(message_bytes, 'x'), {}, 0, {}});
+    }
+    many.m_done.get_future().get();
+    std::chrono::duration<double> const took = steady::now() - begun;
+    std::printf("round trips a second with %d in flight: %.0f\n",
+                messages_in_flight, total / took.count());
+}
+
+} // namespace
+
+int main()
+{
+    echo server;
+    server.m_socket =
+        std::move(transport::peer_socket::open(any_port(), server)).value();
+    print_round_trips(server.m_socket->address());
+    print_throughput(server.m_socket->address());
+    return 0;
+}
--- /dev/null
+++ b/packages/standin/src/platform/platform_service.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/platform/v1/objects.grpc.pb.h>
+#include <camphortide/standin/platform/call_gate.hpp>
+#include <camphortide/standin/platform/instance_list_model.hpp>
+#include <camphortide/standin/platform/object_store_model.hpp>
+
+namespace camphortide::standin
+{
+
+class watch_stream;
+
+/// The gRPC service over the models, under one lock.
+class platform_service : public platform::v1::Objects::CallbackService
+{
+public:
+    grpc::ServerUnaryReactor* Get(grpc::CallbackServerContext* context,
+                                  platform::v1::GetRequest const* request,
+                                  platform::v1::Object* reply) override;
+    grpc::ServerUnaryReactor* List(grpc::CallbackServerContext* context,
+                                   platform::v1::ListRequest const* request,
+                                   platform::v1::ListReply* reply) override;
+    grpc::ServerUnaryReactor* Put(grpc::CallbackServerContext* context,
+                                  platform::v1::PutRequest const* request,
+                                  platform::v1::Object* reply) override;
+    grpc::ServerUnaryReactor* Delete(grpc::CallbackServerContext* context,
+                                     platform::v1::DeleteRequest const* request,
+                                     platform::v1::DeleteReply* reply) override;
+    grpc::ServerUnaryReactor*
+    ListInstances(grpc::CallbackServerContext* context,
+                  platform::v1::InstancesRequest const* request,
+                  platform::v1::InstancesReply* reply) override;
+    grpc::ServerWriteReactor<platform::v1::WatchEvent>*
+    Watch(grpc::CallbackServerContext* context,
+          platform::v1::WatchRequest const* request) override;
+
+    /// Makes a change and tells the watches.
+    change_result change_object(std::string const& name,
+                                std::uint64_t if_version, std::string value);
+
+    /// Breaks every open watch.
+    void break_watches();
+
+    /// Forgets a watch that has ended.
+    void watch_ended(watch_stream const* stream);
+
+    // The models and faults; guarded by m_mutex.
+    mutable std::mutex m_mutex;
+    object_store_model m_store;
+    instance_list_model m_instances;
+    call_gate m_gate;
+    state::duration m_delay{};
+    std::uint32_t m_lost_replies = 0;
+
+    std::unique_ptr<grpc::Server> m_server;
+
+private:
+    grpc::Status admit(platform_call call);
+    grpc::Status answer(change_result const& result);
+    void tell(object_change const& change);
+    grpc::ServerUnaryReactor* finish(grpc::CallbackServerContext* context,
+                                     grpc::Status const& status);
+
+    std::vector<std::shared_ptr<watch_stream>> m_watches;
+};
+
+} // namespace camphortide::standin
--- /dev/null
+++ b/packages/transport/src/platform/watch_call.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+#include <grpcpp/alarm.h>
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/platform/v1/objects.grpc.pb.h>
+#include <camphortide/transport/platform/backoff.hpp>
+#include <camphortide/transport/platform/platform_client.hpp>
+
+namespace camphortide::transport
+{
+
+/// One watch over all its attempts. An attempt holds it, so it outlives the
+/// handle that stopped it.
+class watch_call : public std::enable_shared_from_this<watch_call>
+{
+public:
+    /// @param stub shared with the client
+    watch_call(std::shared_ptr<platform::v1::Objects::Stub> stub,
+               std::string prefix, std::uint64_t after_version,
+               watch_handlers handlers);
+
+    /// Opens the first attempt.
+    void start();
+
+    /// Ends the watch; afterwards no handler runs.
+    void stop();
+
+private:
+    class attempt;
+
+    void open();
+    void opened();
+    void changed(platform::v1::WatchEvent const& event);
+    void broken();
+
+    std::shared_ptr<platform::v1::Objects::Stub> const m_stub;
+    std::string const m_prefix;
+    watch_handlers const m_handlers;
+
+    std::mutex m_mutex; ///< held while a handler runs
+    std::uint64_t m_after_version;
+    bool m_stopped = false;
+    bool m_connected = false;
+    std::shared_ptr<attempt> m_attempt;
+    std::shared_ptr<grpc::Alarm> m_alarm;
+    backoff m_backoff;
+    std::minstd_rand m_random;
+};
+
+} // namespace camphortide::transport
