--- a/packages/transport/include/camphortide/transport/gateway/group_request.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_request.hpp
@@ -39,7 +39,9 @@
     std::optional<state::duration> m_max_age;
     state::session_token m_token; ///< bounded to the group's own position
     std::string m_transaction;    ///< names an open transaction
-    std::string m_home;           ///< the home that holds the transaction
+    std::string m_home;           ///< that holds the transaction
+    std::string m_entry_instance; ///< that took the request in, if forwarded
+    std::uint32_t m_hops = 0;     ///< instances that forwarded it
     state::duration m_onward{};   ///< time an answer takes to the caller
 };
 
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/home_registry.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <camphortide/transport/gateway/group_gateway.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphortide::transport
+{
+
+/// The groups that this instance is a home of, and where the homes of every
+/// group are. Written by the control thread, read by all.
+class home_registry
+{
+public:
+    /// @return the gateway to a group; null if this is no home of it
+    std::shared_ptr<group_gateway> find(std::string_view group) const;
+
+    /// @return the homes of a group, the preferred one first
+    std::vector<std::string> homes_of(std::string_view group) const;
+
+    /// @return the gateways of all groups
+    std::vector<std::shared_ptr<group_gateway>> all() const;
+
+    /// Adds or replaces a gateway.
+    void set(std::shared_ptr<group_gateway> gateway);
+
+    /// Removes a gateway.
+    void erase(std::string const& group);
+
+    /// Sets where the homes of every group are.
+    void set_homes(
+        std::map<std::string, std::vector<std::string>, std::less<>> homes);
+
+private:
+    mutable std::shared_mutex m_mutex;
+    std::map<std::string, std::shared_ptr<group_gateway>, std::less<>>
+        m_gateways;
+    std::map<std::string, std::vector<std::string>, std::less<>> m_homes;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <camphortide/peer/v1/peer.pb.h>
+#include <camphortide/state/instance_record.hpp>
+#include <camphortide/transport/peers/peer_socket.hpp>
+
+#include <oneapi/tbb/task_arena.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace camphortide::transport
+{
+
+/// Sends and receives the envelopes of the peers' protocol. May be used from
+/// any thread.
+class peer_exchange final : private peer_handler
+{
+public:
+    /// Where messages go.
+    struct handlers
+    {
+        /// control messages, on the socket's thread; must not block
+        std::function<void(
+            peer_route const&, std::shared_ptr<peer::v1::Envelope const>)>
+            m_on_control;
+        /// forwarded requests and their replies, on a traffic thread
+        std::function<void(
+            peer_route const&, std::shared_ptr<peer::v1::Envelope const>)>
+            m_on_forward;
+        /// a reported message that was not sent, on a traffic thread
+        std::function<void(std::uint64_t ticket)> m_on_undelivered;
+    };
+
+    /// Begins to listen.
+    /// @return UNAVAILABLE or INVALID_ARGUMENT as peer_socket::open
+    static absl::StatusOr<std::unique_ptr<peer_exchange>> open(
+        peer_socket_settings const& settings, handlers calls);
+
+    ~peer_exchange() override;
+    peer_exchange(peer_exchange const&) = delete;
+    peer_exchange& operator=(peer_exchange const&) = delete;
+
+    /// Sets who this instance is, for the envelopes.
+    void set_self(state::instance_record const& self);
+
+    /// Sets where the instances are reached.
+    void set_view(std::vector<state::instance_record> const& view);
+
+    /// Sends an envelope that may be lost.
+    /// @param name of the instance; nothing is sent to an unknown one
+    void send(std::string const& name, peer::v1::Envelope envelope);
+
+    /// Sends an envelope that may be lost to an address.
+    void send_to_address(
+        std::string const& address, peer::v1::Envelope envelope);
+
+    /// Sends an envelope, and tells if it was not sent.
+    /// @param ticket names it to m_on_undelivered
+    /// @param expires when it is of no use any more
+    /// @return false if the instance is unknown
+    bool send_reported(std::string const& name, peer::v1::Envelope envelope,
+        std::uint64_t ticket, state::time_point expires);
+
+    /// Answers on the way that a message came.
+    void reply(peer_route const& to, peer::v1::Envelope envelope);
+
+    /// @return the address that it listens on
+    std::string const& address() const { return m_socket->address(); }
+
+    peer_socket_counts counts() const { return m_socket->counts(); }
+
+private:
+    explicit peer_exchange(handlers calls);
+
+    void on_message(peer_route const& from, std::string_view bytes) override;
+    void on_undelivered(std::uint64_t ticket) override;
+    std::string address_of(std::string const& name) const;
+    std::string encode(peer::v1::Envelope envelope) const;
+
+    handlers const m_calls;
+    oneapi::tbb::task_arena m_arena;
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::string, std::less<>> m_addresses;
+    std::string m_name;
+    std::uint64_t m_incarnation = 0;
+    std::unique_ptr<peer_socket> m_socket;
+};
+
+} // namespace camphortide::transport
