--- a/packages/coordination/include/camphortide/coordination/fleet/heartbeat.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/heartbeat.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <camphortide/state/clock.hpp>
 #include <camphortide/state/instance_record.hpp>
 
 namespace camphortide::coordination
@@ -25,6 +26,7 @@
 {
     std::uint64_t m_catalogue = 0;
     std::uint64_t m_stops = 0;
+    state::duration m_confirmed_age{}; ///< since the store confirmed the first
 
     friend auto operator<=>(held_versions const&,
                             held_versions const&) = default;
--- /dev/null
+++ b/packages/protocol/include/camphortide/protocol/hexadecimal.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace camphortide::protocol
+{
+
+/// @param bytes any bytes
+/// @return two lower-case digits for each byte
+std::string to_hexadecimal(std::string_view bytes);
+
+/// @param digits hexadecimal digits of either case
+/// @return the bytes; none if the digits are odd in number or not digits
+std::optional<std::string> from_hexadecimal(std::string_view digits);
+
+} // namespace camphortide::protocol
--- a/packages/state/include/camphortide/state/entry_limits.hpp
+++ b/packages/state/include/camphortide/state/entry_limits.hpp
@@ -21,7 +21,7 @@
     std::optional<duration> m_age;        ///< age allowed; none: no old data
     std::uint32_t m_retry_percent = 10;   ///< retries per hundred requests
     bool m_idempotent = false;            ///< of a request that says nothing
-    std::uint32_t m_priority = 1;         ///< lower is served first
+    std::uint32_t m_priority = 0;         ///< higher goes first, if strict
     std::uint32_t m_weight = 1;           ///< share within a priority
     duration m_key_retention{86'400'000}; ///< how long a request key is kept
 
