--- a/packages/transport/include/camphortide/transport/instance/forward_client.hpp
+++ b/packages/transport/include/camphortide/transport/instance/forward_client.hpp
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <camphortide/transport/gateway/group_request.hpp>
-#include <camphortide/transport/instance/peer_exchange.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include <camphortide/transport/gateway/group_request.hpp>
+#include <camphortide/transport/instance/peer_exchange.hpp>
+
 namespace camphortide::transport
 {
 
@@ -36,7 +36,7 @@
     /// @param give_up when the wait for the answer ends
     /// @param done is called once, on any thread
     void forward(std::string const& home, group_request const& request,
-        state::time_point give_up, handler done);
+                 state::time_point give_up, handler done);
 
     /// Takes a home's reply.
     void answered(peer::v1::ForwardReply const& reply);
--- a/packages/transport/include/camphortide/transport/instance/forward_conversion.hpp
+++ b/packages/transport/include/camphortide/transport/instance/forward_conversion.hpp
@@ -9,15 +9,15 @@
 /// @param request to be forwarded
 /// @param now for the time that its deadline leaves
 /// @return the message
-peer::v1::ForwardRequest to_proto(
-    group_request const& request, state::time_point now);
+peer::v1::ForwardRequest to_proto(group_request const& request,
+                                  state::time_point now);
 
 /// @param message as it came
 /// @param sender names its transactions apart from those of others
 /// @param now the time of arrival
 /// @return the request, with a deadline on this process's clock
 group_request from_proto(peer::v1::ForwardRequest const& message,
-    std::string const& sender, state::time_point now);
+                         std::string const& sender, state::time_point now);
 
 /// @return the message of a reply
 peer::v1::ForwardReply to_proto(group_reply const& reply);
--- a/packages/transport/include/camphortide/transport/instance/group_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <camphortide/coordination/group/group_monitor.hpp>
-#include <camphortide/transport/gateway/group_gateway.hpp>
-#include <camphortide/transport/instance/control_loop.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include <camphortide/coordination/group/group_monitor.hpp>
+#include <camphortide/transport/gateway/group_gateway.hpp>
+#include <camphortide/transport/instance/control_loop.hpp>
+
 namespace camphortide::transport
 {
 
@@ -23,7 +23,7 @@
         /// writes are to be held back, or admitted again, at every home
         std::function<void(std::string const& group, bool paused)> m_on_pause;
         std::function<void(std::string const& group,
-            coordination::switchover_ended const&)>
+                           coordination::switchover_ended const&)>
             m_on_switchover;
     };
 
@@ -31,8 +31,8 @@
     /// @param monitor of the group
     /// @param loop runs the replies; outlives this
     group_control(std::shared_ptr<group_gateway> gateway,
-        coordination::group_monitor monitor, control_loop& loop,
-        handlers calls);
+                  coordination::group_monitor monitor, control_loop& loop,
+                  handlers calls);
 
     /// Does what is due.
     void tick(state::time_point now);
--- a/packages/transport/include/camphortide/transport/instance/home_registry.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_registry.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <camphortide/transport/gateway/group_gateway.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include <camphortide/transport/gateway/group_gateway.hpp>
+
 namespace camphortide::transport
 {
 
--- a/packages/transport/include/camphortide/transport/instance/instance_router.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance_router.hpp
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <camphortide/transport/gateway/request_router.hpp>
-#include <camphortide/transport/instance/forward_client.hpp>
-#include <camphortide/transport/instance/home_registry.hpp>
-
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -12,6 +8,10 @@
 #include <string>
 #include <vector>
 
+#include <camphortide/transport/gateway/request_router.hpp>
+#include <camphortide/transport/instance/forward_client.hpp>
+#include <camphortide/transport/instance/home_registry.hpp>
+
 namespace camphortide::transport
 {
 
@@ -22,8 +22,8 @@
 public:
     /// @param self the name of this instance
     /// @param homes and the client outlive this
-    instance_router(
-        std::string self, home_registry const& homes, forward_client& client);
+    instance_router(std::string self, home_registry const& homes,
+                    forward_client& client);
 
     void submit(group_request request, reply_handler done) override;
 
@@ -48,10 +48,9 @@
     void travel(journey_ptr const& on);
     void forward(journey_ptr const& on, std::string const& home);
     void returned(journey_ptr const& on, std::string const& home,
-        forward_result result, group_reply reply);
+                  forward_result result, group_reply reply);
     void move_on(journey_ptr const& on);
-    void end(journey_ptr const& on, state::outcome outcome,
-        state::reason why);
+    void end(journey_ptr const& on, state::outcome outcome, state::reason why);
     void wait(journey_ptr const& on);
     std::string choose(journey const& on) const;
 
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/membership_control.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <camphortide/coordination/fleet/membership.hpp>
+#include <camphortide/transport/instance/control_loop.hpp>
+#include <camphortide/transport/instance/peer_exchange.hpp>
+#include <camphortide/transport/platform/platform_client.hpp>
+
+namespace camphortide::transport
+{
+
+/// Runs membership on the control thread: sends its heartbeats and gives it
+/// the platform's list.
+class membership_control
+{
+public:
+    using view_handler =
+        std::function<void(std::vector<state::instance_record> const&)>;
+
+    /// @param membership as it starts
+    /// @param on_view is called after each change of the view
+    membership_control(coordination::membership membership,
+                       peer_exchange& exchange, platform_client* platform,
+                       control_loop& loop, view_handler on_view);
+
+    /// Does what is due.
+    /// @param reads_list true if this instance asks the platform for its list
+    void tick(state::time_point now, bool reads_list);
+
+    /// Takes a heartbeat.
+    void on_heartbeat(coordination::heartbeat const& message);
+
+    /// Announces that this instance leaves.
+    void leave();
+
+    coordination::membership& decision() { return m_membership; }
+    coordination::membership const& decision() const { return m_membership; }
+
+private:
+    void send(std::vector<coordination::heartbeat_to> const& heartbeats);
+    void read_list(state::time_point now);
+    void tell_view();
+
+    coordination::membership m_membership;
+    peer_exchange& m_exchange;
+    platform_client* const m_platform;
+    control_loop& m_loop;
+    view_handler const m_on_view;
+    std::uint64_t m_told_revision = 0;
+    bool m_told = false;
+    bool m_reading = false;
+    state::time_point m_next_read{};
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <camphortide/peer/v1/peer.pb.h>
-#include <camphortide/state/instance_record.hpp>
-#include <camphortide/transport/peers/peer_socket.hpp>
-
-#include <oneapi/tbb/task_arena.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +8,12 @@
 #include <string>
 #include <vector>
 
+#include <oneapi/tbb/task_arena.h>
+
+#include <camphortide/peer/v1/peer.pb.h>
+#include <camphortide/state/instance_record.hpp>
+#include <camphortide/transport/peers/peer_socket.hpp>
+
 namespace camphortide::transport
 {
 
@@ -26,12 +26,12 @@
     struct handlers
     {
         /// control messages, on the socket's thread; must not block
-        std::function<void(
-            peer_route const&, std::shared_ptr<peer::v1::Envelope const>)>
+        std::function<void(peer_route const&,
+                           std::shared_ptr<peer::v1::Envelope const>)>
             m_on_control;
         /// forwarded requests and their replies, on a traffic thread
-        std::function<void(
-            peer_route const&, std::shared_ptr<peer::v1::Envelope const>)>
+        std::function<void(peer_route const&,
+                           std::shared_ptr<peer::v1::Envelope const>)>
             m_on_forward;
         /// a reported message that was not sent, on a traffic thread
         std::function<void(std::uint64_t ticket)> m_on_undelivered;
@@ -39,8 +39,8 @@
 
     /// Begins to listen.
     /// @return UNAVAILABLE or INVALID_ARGUMENT as peer_socket::open
-    static absl::StatusOr<std::unique_ptr<peer_exchange>> open(
-        peer_socket_settings const& settings, handlers calls);
+    static absl::StatusOr<std::unique_ptr<peer_exchange>>
+    open(peer_socket_settings const& settings, handlers calls);
 
     ~peer_exchange() override;
     peer_exchange(peer_exchange const&) = delete;
@@ -57,15 +57,15 @@
     void send(std::string const& name, peer::v1::Envelope envelope);
 
     /// Sends an envelope that may be lost to an address.
-    void send_to_address(
-        std::string const& address, peer::v1::Envelope envelope);
+    void send_to_address(std::string const& address,
+                         peer::v1::Envelope envelope);
 
     /// Sends an envelope, and tells if it was not sent.
     /// @param ticket names it to m_on_undelivered
     /// @param expires when it is of no use any more
     /// @return false if the instance is unknown
     bool send_reported(std::string const& name, peer::v1::Envelope envelope,
-        std::uint64_t ticket, state::time_point expires);
+                       std::uint64_t ticket, state::time_point expires);
 
     /// Answers on the way that a message came.
     void reply(peer_route const& to, peer::v1::Envelope envelope);
--- a/packages/transport/src/instance/forward_client.cpp
+++ b/packages/transport/src/instance/forward_client.cpp
@@ -1,14 +1,14 @@
-#include <camphortide/transport/instance/forward_client.hpp>
+#include <utility>
 
+#include <camphortide/transport/instance/forward_client.hpp>
 #include <camphortide/transport/instance/forward_conversion.hpp>
 
-#include <utility>
-
 namespace camphortide::transport
 {
 
 void forward_client::forward(std::string const& home,
-    group_request const& request, state::time_point give_up, handler done)
+                             group_request const& request,
+                             state::time_point give_up, handler done)
 {
     std::uint64_t number = 0;
     {
@@ -21,8 +21,7 @@
     auto& message = *envelope.mutable_forward_request();
     message = to_proto(request, state::clock::now());
     message.set_number(number);
-    if (!m_exchange.send_reported(
-            home, std::move(envelope), number, give_up))
+    if (!m_exchange.send_reported(home, std::move(envelope), number, give_up))
     {
         undelivered(number);
     }
@@ -81,8 +80,8 @@
     return m_pending.size();
 }
 
-void forward_client::finish(
-    std::uint64_t number, forward_result result, group_reply reply)
+void forward_client::finish(std::uint64_t number, forward_result result,
+                            group_reply reply)
 {
     handler done;
     {
--- a/packages/transport/src/instance/forward_conversion.cpp
+++ b/packages/transport/src/instance/forward_conversion.cpp
@@ -1,8 +1,7 @@
-#include <camphortide/transport/instance/forward_conversion.hpp>
+#include <algorithm>
 
 #include <camphortide/protocol/member_conversion.hpp>
-
-#include <algorithm>
+#include <camphortide/transport/instance/forward_conversion.hpp>
 
 namespace camphortide::transport
 {
@@ -45,8 +44,8 @@
 
 } // namespace
 
-peer::v1::ForwardRequest to_proto(
-    group_request const& request, state::time_point now)
+peer::v1::ForwardRequest to_proto(group_request const& request,
+                                  state::time_point now)
 {
     peer::v1::ForwardRequest message;
     message.set_kind(static_cast<peer::v1::ForwardKind>(
@@ -72,7 +71,7 @@
 }
 
 group_request from_proto(peer::v1::ForwardRequest const& message,
-    std::string const& sender, state::time_point now)
+                         std::string const& sender, state::time_point now)
 {
     group_request request;
     request.m_kind =
@@ -93,8 +92,8 @@
         positions.push_back(
             {message.group(), protocol::from_proto(message.required())});
     }
-    request.m_token = state::session_token(
-        std::move(positions), message.token_complete());
+    request.m_token =
+        state::session_token(std::move(positions), message.token_complete());
     request.m_transaction = message.transaction();
     request.m_entry_instance = sender;
     request.m_hops = message.hops();
--- a/packages/transport/src/instance/group_control.cpp
+++ b/packages/transport/src/instance/group_control.cpp
@@ -1,10 +1,9 @@
-#include <camphortide/transport/instance/group_control.hpp>
+#include <utility>
 
 #include <camphortide/protocol/member_conversion.hpp>
+#include <camphortide/transport/instance/group_control.hpp>
 #include <camphortide/transport/logging/log.hpp>
 
-#include <utility>
-
 namespace camphortide::transport
 {
 
@@ -19,9 +18,12 @@
 } // namespace
 
 group_control::group_control(std::shared_ptr<group_gateway> gateway,
-    coordination::group_monitor monitor, control_loop& loop, handlers calls)
-    : m_gateway(std::move(gateway)), m_monitor(std::move(monitor)),
-      m_loop(loop), m_calls(std::move(calls))
+                             coordination::group_monitor monitor,
+                             control_loop& loop, handlers calls)
+    : m_gateway(std::move(gateway)),
+      m_monitor(std::move(monitor)),
+      m_loop(loop),
+      m_calls(std::move(calls))
 {
 }
 
@@ -102,22 +104,24 @@
     request.set_term(action.m_term.value());
     request.set_proposer(action.m_proposer);
     client->fence(request, order_timeout,
-        [weak = weak_from_this(), term = action.m_term](
-            grpc::Status const& status, endpoint::v1::FenceReply const& reply)
-        {
-            auto const self = weak.lock();
-            if (!self || !status.ok())
-            {
-                return;
-            }
-            self->post(
-                [term, reply](group_control& control)
-                {
-                    control.perform(control.m_monitor.fence_replied(term,
-                        reply.granted(), protocol::from_proto(reply.status()),
-                        state::clock::now()));
-                });
-        });
+                  [weak = weak_from_this(),
+                   term = action.m_term](grpc::Status const& status,
+                                         endpoint::v1::FenceReply const& reply)
+                  {
+                      auto const self = weak.lock();
+                      if (!self || !status.ok())
+                      {
+                          return;
+                      }
+                      self->post(
+                          [term, reply](group_control& control)
+                          {
+                              control.perform(control.m_monitor.fence_replied(
+                                  term, reply.granted(),
+                                  protocol::from_proto(reply.status()),
+                                  state::clock::now()));
+                          });
+                  });
 }
 
 void group_control::perform(coordination::send_promote const& action)
@@ -130,7 +134,8 @@
     endpoint::v1::PromoteRequest request;
     request.set_term(action.m_term.value());
     request.set_proposer(action.m_proposer);
-    client->promote(request, order_timeout,
+    client->promote(
+        request, order_timeout,
         [weak = weak_from_this(), term = action.m_term](
             grpc::Status const& status, endpoint::v1::ChangeReply const& reply)
         {
@@ -142,8 +147,9 @@
             self->post(
                 [term, reply](group_control& control)
                 {
-                    control.perform(control.m_monitor.promote_replied(term,
-                        reply.done(), protocol::from_proto(reply.status()),
+                    control.perform(control.m_monitor.promote_replied(
+                        term, reply.done(),
+                        protocol::from_proto(reply.status()),
                         state::clock::now()));
                 });
         });
@@ -160,9 +166,10 @@
     request.set_term(action.m_term.value());
     request.set_proposer(action.m_proposer);
     request.set_primary(action.m_primary);
-    client->follow(request, order_timeout,
-        [weak = weak_from_this()](
-            grpc::Status const& status, endpoint::v1::ChangeReply const& reply)
+    client->follow(
+        request, order_timeout,
+        [weak = weak_from_this()](grpc::Status const& status,
+                                  endpoint::v1::ChangeReply const& reply)
         {
             auto const self = weak.lock();
             if (!self || !status.ok())
--- a/packages/transport/src/instance/home_registry.cpp
+++ b/packages/transport/src/instance/home_registry.cpp
@@ -1,12 +1,11 @@
-#include <camphortide/transport/instance/home_registry.hpp>
-
 #include <utility>
 
+#include <camphortide/transport/instance/home_registry.hpp>
+
 namespace camphortide::transport
 {
 
-std::shared_ptr<group_gateway> home_registry::find(
-    std::string_view group) const
+std::shared_ptr<group_gateway> home_registry::find(std::string_view group) const
 {
     std::shared_lock const lock(m_mutex);
     auto const found = m_gateways.find(group);
@@ -17,8 +16,7 @@
 {
     std::shared_lock const lock(m_mutex);
     auto const found = m_homes.find(group);
-    return found == m_homes.end() ? std::vector<std::string>()
-                                  : found->second;
+    return found == m_homes.end() ? std::vector<std::string>() : found->second;
 }
 
 std::vector<std::shared_ptr<group_gateway>> home_registry::all() const
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -1,8 +1,8 @@
-#include <camphortide/transport/instance/instance_router.hpp>
-
 #include <algorithm>
 #include <utility>
 
+#include <camphortide/transport/instance/instance_router.hpp>
+
 namespace camphortide::transport
 {
 
@@ -30,14 +30,16 @@
 {
     return reply.m_outcome == state::outcome::not_executed &&
            (reply.m_reason == state::reason::no_home ||
-               reply.m_reason == state::reason::draining);
+            reply.m_reason == state::reason::draining);
 }
 
 } // namespace
 
-instance_router::instance_router(
-    std::string self, home_registry const& homes, forward_client& client)
-    : m_self(std::move(self)), m_homes(homes), m_client(client)
+instance_router::instance_router(std::string self, home_registry const& homes,
+                                 forward_client& client)
+    : m_self(std::move(self)),
+      m_homes(homes),
+      m_client(client)
 {
 }
 
@@ -62,8 +64,8 @@
                            request.m_kind != request_kind::begin;
     if (!passed_on)
     {
-        done(failed_reply(
-            state::outcome::not_executed, state::reason::no_home));
+        done(
+            failed_reply(state::outcome::not_executed, state::reason::no_home));
         return;
     }
     ++request.m_hops;
@@ -90,11 +92,12 @@
         return;
     }
     gateway->submit(on->m_request,
-        [this, on](group_reply reply)
-        {
-            reply.m_home = m_self;
-            returned(on, m_self, forward_result::answered, std::move(reply));
-        });
+                    [this, on](group_reply reply)
+                    {
+                        reply.m_home = m_self;
+                        returned(on, m_self, forward_result::answered,
+                                 std::move(reply));
+                    });
 }
 
 std::string instance_router::choose(journey const& on) const
@@ -105,7 +108,9 @@
         return request.m_home;
     }
     auto const fits = [&](std::string const& home)
-    { return std::ranges::find(on.m_tried, home) == on.m_tried.end(); };
+    {
+        return std::ranges::find(on.m_tried, home) == on.m_tried.end();
+    };
     if (fits(m_self) && m_homes.find(request.m_group))
     {
         return m_self;
@@ -127,15 +132,15 @@
     auto const patience = is_read ? read_patience : write_patience;
     auto const give_up = std::min(on->m_request.m_deadline, now + patience);
     m_client.forward(home, on->m_request, give_up,
-        [this, on, home](forward_result result, group_reply reply)
-        {
-            reply.m_home = home;
-            returned(on, home, result, std::move(reply));
-        });
+                     [this, on, home](forward_result result, group_reply reply)
+                     {
+                         reply.m_home = home;
+                         returned(on, home, result, std::move(reply));
+                     });
 }
 
 void instance_router::returned(journey_ptr const& on, std::string const& home,
-    forward_result result, group_reply reply)
+                               forward_result result, group_reply reply)
 {
     if (result == forward_result::answered && !is_no_home(reply))
     {
@@ -198,8 +203,8 @@
     m_waiting.push_back(on);
 }
 
-void instance_router::end(
-    journey_ptr const& on, state::outcome outcome, state::reason why)
+void instance_router::end(journey_ptr const& on, state::outcome outcome,
+                          state::reason why)
 {
     on->m_done(failed_reply(outcome, why, retry_hint));
 }
--- /dev/null
+++ b/packages/transport/src/instance/membership_control.cpp
@@ -0,0 +1,126 @@
+#include <utility>
+
+#include <camphortide/protocol/peer_conversion.hpp>
+#include <camphortide/transport/instance/membership_control.hpp>
+#include <camphortide/transport/logging/log.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// Between two reads of the platform's list.
+constexpr state::duration list_interval{5000};
+/// Between two reads until a peer has answered.
+constexpr state::duration first_list_interval{500};
+
+state::instance_record to_record(platform_instance const& listed)
+{
+    state::instance_record record;
+    record.m_name = listed.m_name;
+    record.m_data_centre = listed.m_data_centre;
+    record.m_address = listed.m_address;
+    record.m_state = listed.m_leaving ? state::instance_state::leaving
+                                      : state::instance_state::live;
+    return record;
+}
+
+} // namespace
+
+membership_control::membership_control(coordination::membership membership,
+                                       peer_exchange& exchange,
+                                       platform_client* platform,
+                                       control_loop& loop, view_handler on_view)
+    : m_membership(std::move(membership)),
+      m_exchange(exchange),
+      m_platform(platform),
+      m_loop(loop),
+      m_on_view(std::move(on_view))
+{
+    m_exchange.set_self(m_membership.self());
+}
+
+void membership_control::tick(state::time_point now, bool reads_list)
+{
+    send(m_membership.tick(now));
+    if (reads_list || !m_membership.joined())
+    {
+        read_list(now);
+    }
+    tell_view();
+}
+
+void membership_control::on_heartbeat(coordination::heartbeat const& message)
+{
+    send(m_membership.on_heartbeat(message, state::clock::now()));
+    tell_view();
+}
+
+void membership_control::leave()
+{
+    send(m_membership.leave(state::clock::now()));
+    tell_view();
+}
+
+void membership_control::send(
+    std::vector<coordination::heartbeat_to> const& heartbeats)
+{
+    for (auto const& action : heartbeats)
+    {
+        m_exchange.send_to_address(action.m_address,
+                                   protocol::to_envelope(action.m_heartbeat));
+    }
+}
+
+void membership_control::read_list(state::time_point now)
+{
+    if (m_platform == nullptr || m_reading || now < m_next_read)
+    {
+        return;
+    }
+    m_reading = true;
+    m_platform->list_instances(
+        [this](absl::StatusOr<std::vector<platform_instance>> list)
+        {
+            m_loop.post(
+                [this, list = std::move(list)]
+                {
+                    auto const time = state::clock::now();
+                    m_reading = false;
+                    m_next_read =
+                        time + (m_membership.joined() ? list_interval
+                                                      : first_list_interval);
+                    if (!list.ok())
+                    {
+                        return;
+                    }
+                    std::vector<state::instance_record> records;
+                    for (auto const& listed : *list)
+                    {
+                        records.push_back(to_record(listed));
+                    }
+                    m_membership.on_platform_list(records, time);
+                    tell_view();
+                });
+        });
+}
+
+void membership_control::tell_view()
+{
+    auto const revision = m_membership.revision();
+    if (m_told && revision == m_told_revision)
+    {
+        return;
+    }
+    m_told = true;
+    m_told_revision = revision;
+    m_exchange.set_self(m_membership.self());
+    auto const view = m_membership.view();
+    m_exchange.set_view(view);
+    log_info(log_part::membership, "The view changed.",
+             {{"instances", view.size()}});
+    m_on_view(view);
+}
+
+} // namespace camphortide::transport
--- a/packages/transport/src/instance/peer_exchange.cpp
+++ b/packages/transport/src/instance/peer_exchange.cpp
@@ -1,10 +1,9 @@
-#include <camphortide/transport/instance/peer_exchange.hpp>
-
-#include <camphortide/transport/logging/log.hpp>
-
 #include <set>
 #include <utility>
 
+#include <camphortide/transport/instance/peer_exchange.hpp>
+#include <camphortide/transport/logging/log.hpp>
+
 namespace camphortide::transport
 {
 
@@ -21,10 +20,13 @@
 
 peer_exchange::peer_exchange(handlers calls) : m_calls(std::move(calls)) {}
 
-peer_exchange::~peer_exchange() { m_socket.reset(); }
+peer_exchange::~peer_exchange()
+{
+    m_socket.reset();
+}
 
-absl::StatusOr<std::unique_ptr<peer_exchange>> peer_exchange::open(
-    peer_socket_settings const& settings, handlers calls)
+absl::StatusOr<std::unique_ptr<peer_exchange>>
+peer_exchange::open(peer_socket_settings const& settings, handlers calls)
 {
     std::unique_ptr<peer_exchange> result(new peer_exchange(std::move(calls)));
     auto socket = peer_socket::open(settings, *result);
@@ -74,8 +76,8 @@
     send_to_address(address_of(name), std::move(envelope));
 }
 
-void peer_exchange::send_to_address(
-    std::string const& address, peer::v1::Envelope envelope)
+void peer_exchange::send_to_address(std::string const& address,
+                                    peer::v1::Envelope envelope)
 {
     if (address.empty())
     {
@@ -88,8 +90,9 @@
 }
 
 bool peer_exchange::send_reported(std::string const& name,
-    peer::v1::Envelope envelope, std::uint64_t ticket,
-    state::time_point expires)
+                                  peer::v1::Envelope envelope,
+                                  std::uint64_t ticket,
+                                  state::time_point expires)
 {
     peer_message message;
     message.m_to.m_address = address_of(name);
@@ -116,11 +119,10 @@
 void peer_exchange::on_message(peer_route const& from, std::string_view bytes)
 {
     auto envelope = std::make_shared<peer::v1::Envelope>();
-    if (!envelope->ParseFromArray(
-            bytes.data(), static_cast<int>(bytes.size())))
+    if (!envelope->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     {
         log_warning(log_part::peers, "A message is damaged.",
-            {{"bytes", bytes.size()}});
+                    {{"bytes", bytes.size()}});
         return;
     }
     if (!is_traffic(*envelope))
@@ -129,7 +131,7 @@
         return;
     }
     m_arena.enqueue([this, from, envelope = std::move(envelope)]
-        { m_calls.m_on_forward(from, envelope); });
+                    { m_calls.m_on_forward(from, envelope); });
 }
 
 void peer_exchange::on_undelivered(std::uint64_t ticket)
