--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -81,6 +81,9 @@
     /// @return true if no write or transaction has been sent without an end
     bool writes_drained() const;
 
+    /// @return true if no request is under way
+    bool idle() const;
+
     /// Runs a request.
     /// @param done is called once, on any thread
     void submit(group_request request, reply_handler done);
--- a/packages/transport/include/camphortide/transport/instance/group_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -78,7 +78,6 @@
     handlers m_calls;
     bool m_paused_here = false;
     bool m_others_drained = true;
-    state::time_point m_paused_for_other_until{};
     bool m_paused_for_other = false;
 };
 
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <camphortide/coordination/fleet/home_table.hpp>
+#include <camphortide/coordination/fleet/stop_planner.hpp>
+#include <camphortide/coordination/group/group_settings.hpp>
+#include <camphortide/state/catalogue.hpp>
+#include <camphortide/transport/instance/group_control.hpp>
+#include <camphortide/transport/instance/home_registry.hpp>
+#include <camphortide/transport/instance/write_pause_control.hpp>
+
+namespace camphortide::transport
+{
+
+/// What a home control needs to know of its instance.
+struct home_settings
+{
+    std::string m_self;
+    std::uint64_t m_incarnation = 0;
+    std::size_t m_homes = coordination::home_table::all;
+    coordination::group_settings m_group;
+};
+
+/// Keeps the gateways of the groups that this instance is a home of, on the
+/// control thread.
+class home_control
+{
+public:
+    /// @param settings of the instance
+    /// @param registry is kept up to date for the traffic threads
+    /// @param exchange reaches the other homes
+    home_control(home_settings settings, home_registry& registry,
+                 peer_exchange& exchange, control_loop& loop);
+
+    /// Takes a version of the catalogue.
+    void on_catalogue(std::shared_ptr<state::catalogue const> catalogue);
+
+    /// Takes a view of the instances.
+    void on_view(std::vector<state::instance_record> const& view);
+
+    /// Does what is due.
+    void tick(state::time_point now);
+
+    /// Carries out what planned stops ask of the groups here.
+    void apply(coordination::stop_plan const& plan, state::time_point now);
+
+    /// @return what planned stops need to know of the members
+    std::vector<coordination::member_observation> observations() const;
+
+    /// @return true if no request is under way at a home here
+    bool idle() const;
+
+    /// Closes every gateway.
+    void close();
+
+    coordination::home_table const& table() const { return m_table; }
+    std::shared_ptr<state::catalogue const> const& catalogue() const
+    {
+        return m_catalogue;
+    }
+    write_pause_control& pauses() { return m_pauses; }
+
+private:
+    struct home
+    {
+        std::shared_ptr<group_control> m_control;
+        std::optional<state::time_point> m_retire_at;
+        std::size_t m_homes = 0;
+        state::time_point m_switch_asked{};
+    };
+
+    void reconcile();
+    void update(state::group_description const& group,
+                std::vector<std::string> const& homes);
+    std::shared_ptr<group_control> make(state::group_description const& group);
+    void set_limits(home& of, state::group_description const& group);
+    void retire(home& one, state::time_point now);
+
+    home_settings const m_settings;
+    home_registry& m_registry;
+    control_loop& m_loop;
+    write_pause_control m_pauses;
+    std::shared_ptr<state::catalogue const> m_catalogue;
+    coordination::home_table m_table;
+    std::map<std::string, home, std::less<>> m_home;
+};
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <absl/status/statusor.h>
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/protocol/token_codec.hpp>
+#include <camphortide/transport/access/access_service.hpp>
+#include <camphortide/transport/admin/admin_service.hpp>
+#include <camphortide/transport/instance/fleet_control.hpp>
+#include <camphortide/transport/instance/instance_router.hpp>
+#include <camphortide/transport/metrics/metrics_registry.hpp>
+#include <camphortide/transport/settings/instance_settings.hpp>
+
+namespace camphortide::transport
+{
+
+/// One running instance: entry for callers and home of groups.
+class instance
+{
+public:
+    /// Starts an instance. The platform need not be reachable.
+    /// @param settings checked
+    /// @return UNAVAILABLE if an address is taken, INVALID_ARGUMENT for keys
+    ///     or files that cannot be used
+    static absl::StatusOr<std::unique_ptr<instance>>
+    start(instance_settings const& settings);
+
+    /// Ends at once.
+    ~instance();
+    instance(instance const&) = delete;
+    instance& operator=(instance const&) = delete;
+
+    /// Leaves, lets what is in flight end, and refuses what comes later.
+    /// Blocks until nothing is in flight or the drain time is over.
+    /// @return true if nothing was interrupted
+    bool drain();
+
+    /// @return true once planned stops want this instance to drain
+    bool asked_to_drain() const { return m_asked_to_drain; }
+
+    /// @return true once a catalogue is in force
+    bool ready() const { return catalogue() != nullptr; }
+
+    /// Tells what operators see.
+    /// @param done is called on the control thread
+    void status(admin_service::status_handler done);
+
+    std::string const& caller_address() const { return m_caller_address; }
+    std::string const& admin_address() const { return m_admin_address; }
+    std::string const& peer_address() const { return m_exchange->address(); }
+    metrics_registry const& metrics() const { return m_metrics; }
+
+    /// @return the catalogue in force, or null
+    std::shared_ptr<state::catalogue const> catalogue() const;
+
+private:
+    explicit instance(instance_settings settings);
+
+    absl::Status open_exchange();
+    absl::Status open_servers();
+    void on_forward(peer_route const& from, peer::v1::Envelope const& envelope);
+    void set_catalogue(std::shared_ptr<state::catalogue const> value);
+    void record(checked_request const& asked, group_reply const& reply,
+                std::chrono::microseconds latency);
+    admin::v1::StatusReply make_status();
+    void tick();
+
+    instance_settings m_settings;
+    std::uint64_t const m_incarnation;
+    protocol::token_codec const m_codec;
+    request_check m_check;
+    metrics_registry m_metrics;
+    home_registry m_homes;
+    mutable std::mutex m_catalogue_mutex;
+    std::shared_ptr<state::catalogue const> m_catalogue;
+    std::atomic<bool> m_asked_to_drain{false};
+    std::unique_ptr<fleet_control> m_fleet; ///< used on the control thread
+    std::unique_ptr<control_loop> m_loop;
+    std::unique_ptr<platform_client> m_platform;
+    std::unique_ptr<peer_exchange> m_exchange;
+    std::unique_ptr<forward_client> m_forwards;
+    std::unique_ptr<instance_router> m_router;
+    std::unique_ptr<access_service> m_access;
+    std::unique_ptr<admin_service> m_admin;
+    std::unique_ptr<grpc::Server> m_caller_server;
+    std::unique_ptr<grpc::Server> m_admin_server;
+    std::string m_caller_address;
+    std::string m_admin_address;
+    state::time_point const m_started;
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -142,6 +142,13 @@
     return m_core.m_writes_sent == 0 && m_transactions.open() == 0;
 }
 
+bool group_gateway::idle() const
+{
+    std::scoped_lock const lock(m_mutex);
+    return m_core.m_operations.empty() && m_core.m_writes_sent == 0 &&
+           m_transactions.open() == 0;
+}
+
 void group_gateway::submit(group_request request, reply_handler done)
 {
     locked(
--- /dev/null
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -0,0 +1,182 @@
+#include <utility>
+
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+#include <camphortide/protocol/catalogue_conversion.hpp>
+#include <camphortide/protocol/peer_conversion.hpp>
+#include <camphortide/protocol/stop_conversion.hpp>
+#include <camphortide/transport/instance/fleet_control.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+home_settings homes_of(instance_settings const& settings,
+                       std::uint64_t incarnation)
+{
+    home_settings result;
+    result.m_self = settings.m_name;
+    result.m_incarnation = incarnation;
+    result.m_homes =
+        settings.m_homes_per_group.value_or(coordination::home_table::all);
+    result.m_group.m_probe_interval = settings.m_probe_interval;
+    result.m_group.m_suspicion = settings.m_suspicion_timeout;
+    return result;
+}
+
+coordination::membership make_membership(instance_settings const& settings,
+                                         std::uint64_t incarnation)
+{
+    coordination::membership_settings times;
+    times.m_interval = settings.m_heartbeat_interval;
+    times.m_observed = settings.m_heartbeat_fanout;
+    times.m_answer_timeout = settings.m_peer_timeout;
+    times.m_suspicion = settings.m_peer_timeout;
+    state::instance_record self;
+    self.m_name = settings.m_name;
+    self.m_data_centre = settings.m_data_centre;
+    self.m_address = settings.peer_address();
+    self.m_incarnation = incarnation;
+    return {times, self, settings.m_seed_peers,
+            coordination::hash_name(settings.m_name) ^ incarnation,
+            state::clock::now()};
+}
+
+coordination::catalogue_follower_settings
+catalogue_settings(instance_settings const& settings)
+{
+    coordination::catalogue_follower_settings result;
+    result.m_watchers = settings.m_catalogue_watchers;
+    return result;
+}
+
+} // namespace
+
+fleet_control::fleet_control(instance_settings const& settings,
+                             std::uint64_t incarnation, home_registry& registry,
+                             peer_exchange& exchange, platform_client* platform,
+                             control_loop& loop, handlers calls)
+    : m_self(settings.m_name),
+      m_calls(std::move(calls)),
+      m_homes(homes_of(settings, incarnation), registry, exchange, loop),
+      m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
+                  exchange, platform, loop,
+                  [this](std::shared_ptr<state::catalogue const> value)
+                  {
+                      m_homes.on_catalogue(value);
+                      m_calls.m_on_catalogue(std::move(value));
+                  }),
+      m_stops(settings.m_name, incarnation, exchange, platform, loop),
+      m_membership(make_membership(settings, incarnation), exchange, platform,
+                   loop, [this](auto const& view) { on_view(view); })
+{
+}
+
+void fleet_control::tick(state::time_point now)
+{
+    coordination::held_versions held;
+    held.m_catalogue = m_catalogue.decision().version();
+    held.m_stops = m_stops.list().m_version;
+    m_membership.decision().set_held(held);
+    m_membership.tick(now, m_catalogue.decision().is_watcher());
+    m_catalogue.tick(now);
+    m_stops.tick(now);
+    m_homes.tick(now);
+    follow_stops(now);
+}
+
+void fleet_control::on_view(std::vector<state::instance_record> const& view)
+{
+    bool const joined = m_membership.decision().joined() || view.size() <= 1;
+    m_homes.on_view(view);
+    m_catalogue.on_view(view, joined);
+    m_stops.on_view(view, m_catalogue.decision().is_watcher());
+    for (auto const& record : view)
+    {
+        auto& known = m_states[record.m_name];
+        bool const gone = record.m_state == state::instance_state::gone;
+        if (gone && known != state::instance_state::gone)
+        {
+            m_calls.m_on_instance_gone(record.m_name);
+        }
+        known = record.m_state;
+    }
+}
+
+void fleet_control::follow_stops(state::time_point now)
+{
+    if (!m_homes.catalogue() || m_stops.list().m_stops.empty())
+    {
+        return;
+    }
+    auto const members = m_homes.observations();
+    auto const plan = coordination::plan_stops(
+        {m_stops.list().m_stops, *m_homes.catalogue(), m_homes.table(), m_self,
+         members, m_calls.m_is_idle() && m_homes.idle()});
+    m_homes.apply(plan, now);
+    m_stops.report(plan.m_reports);
+    if (plan.m_drain_self)
+    {
+        m_calls.m_on_asked_to_drain();
+    }
+}
+
+void fleet_control::on_heartbeat(peer::v1::Envelope const& envelope)
+{
+    auto const message = protocol::heartbeat_from(envelope);
+    if (!message)
+    {
+        return;
+    }
+    m_membership.on_heartbeat(*message);
+    coordination::catalogue_offer offer;
+    offer.m_version = message->m_held.m_catalogue;
+    offer.m_confirmed_age =
+        state::duration(envelope.heartbeat().confirmed_age_ms());
+    m_catalogue.on_offer(envelope.sender(), offer);
+    m_stops.on_peer_version(envelope.sender(), message->m_held.m_stops);
+}
+
+void fleet_control::on_message(peer_route const&,
+                               peer::v1::Envelope const& envelope)
+{
+    auto const& sender = envelope.sender();
+    switch (envelope.message_case())
+    {
+    case peer::v1::Envelope::kHeartbeat:
+        on_heartbeat(envelope);
+        return;
+    case peer::v1::Envelope::kCatalogueOffer:
+        m_catalogue.on_offer(sender,
+                             protocol::from_proto(envelope.catalogue_offer()));
+        return;
+    case peer::v1::Envelope::kCatalogueRequest:
+        m_catalogue.on_request(
+            sender, protocol::from_proto(envelope.catalogue_request()));
+        return;
+    case peer::v1::Envelope::kCatalogueChunks:
+        m_catalogue.on_parts(sender,
+                             protocol::from_proto(envelope.catalogue_chunks()));
+        return;
+    case peer::v1::Envelope::kStopsRequest:
+        m_stops.on_request(sender);
+        return;
+    case peer::v1::Envelope::kStopList:
+        m_stops.on_stops(protocol::from_proto(envelope.stop_list()));
+        return;
+    case peer::v1::Envelope::kWritePause:
+        m_homes.pauses().on_pause(sender, envelope.write_pause());
+        return;
+    case peer::v1::Envelope::kWritePaused:
+        m_homes.pauses().on_paused(sender, envelope.write_paused());
+        return;
+    case peer::v1::Envelope::kWriteResume:
+        m_homes.pauses().on_resume(envelope.write_resume());
+        return;
+    default:
+        return;
+    }
+}
+
+} // namespace camphortide::transport
--- a/packages/transport/src/instance/group_control.cpp
+++ b/packages/transport/src/instance/group_control.cpp
@@ -12,8 +12,6 @@
 
 /// How long a member may take to answer an order.
 constexpr state::duration order_timeout{500};
-/// How long writes are held back for another home that went silent.
-constexpr state::duration longest_pause{3000};
 
 } // namespace
 
@@ -42,10 +40,6 @@
 
 void group_control::tick(state::time_point now)
 {
-    if (m_paused_for_other && now >= m_paused_for_other_until)
-    {
-        pause_for_other(false);
-    }
     perform(m_monitor.tick(now));
     if (m_paused_here && m_others_drained && m_gateway->writes_drained())
     {
@@ -70,9 +64,10 @@
 
 void group_control::pause_for_other(bool paused)
 {
-    m_paused_for_other = paused;
-    m_paused_for_other_until = state::clock::now() + longest_pause;
-    apply_pause();
+    if (std::exchange(m_paused_for_other, paused) != paused)
+    {
+        apply_pause();
+    }
 }
 
 void group_control::apply_pause()
--- /dev/null
+++ b/packages/transport/src/instance/home_control.cpp
@@ -0,0 +1,298 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+#include <camphortide/coordination/group/group_monitor_builder.hpp>
+#include <camphortide/transport/instance/home_control.hpp>
+#include <camphortide/transport/instance/limit_conversion.hpp>
+#include <camphortide/transport/logging/log.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// How long a former home still serves what others send it.
+constexpr state::duration retire_after{3000};
+/// Between two requests for the same switchover.
+constexpr state::duration switch_interval{1000};
+
+} // namespace
+
+home_control::home_control(home_settings settings, home_registry& registry,
+                           peer_exchange& exchange, control_loop& loop)
+    : m_settings(std::move(settings)),
+      m_registry(registry),
+      m_loop(loop),
+      m_pauses(m_settings.m_self, registry, exchange)
+{
+}
+
+void home_control::on_catalogue(
+    std::shared_ptr<state::catalogue const> catalogue)
+{
+    m_catalogue = std::move(catalogue);
+    reconcile();
+}
+
+void home_control::on_view(std::vector<state::instance_record> const& view)
+{
+    m_table = coordination::home_table(view, m_settings.m_homes);
+    reconcile();
+}
+
+void home_control::reconcile()
+{
+    if (!m_catalogue)
+    {
+        return;
+    }
+    std::map<std::string, std::vector<std::string>, std::less<>> homes;
+    for (auto const& group : m_catalogue->groups())
+    {
+        auto& names = homes[group.m_name];
+        for (auto const& record : m_table.homes_of(group.m_name))
+        {
+            names.push_back(record.m_name);
+        }
+        update(group, names);
+    }
+    for (auto& [name, one] : m_home)
+    {
+        if (m_catalogue->find_group(name) == nullptr)
+        {
+            retire(one, state::clock::now());
+        }
+    }
+    m_registry.set_homes(std::move(homes));
+}
+
+void home_control::update(state::group_description const& group,
+                          std::vector<std::string> const& homes)
+{
+    auto const found = m_home.find(group.m_name);
+    bool const here =
+        std::ranges::find(homes, m_settings.m_self) != homes.end();
+    if (!here)
+    {
+        if (found != m_home.end())
+        {
+            retire(found->second, state::clock::now());
+        }
+        return;
+    }
+    auto& one = m_home[group.m_name];
+    if (one.m_control &&
+        !same_members(one.m_control->gateway()->group(), group))
+    {
+        one.m_control->gateway()->close();
+        one.m_control.reset();
+    }
+    if (!one.m_control)
+    {
+        one.m_control = make(group);
+        log_info(log_part::homes, "This is a home of a group.",
+                 {{"group", group.m_name}, {"homes", homes.size()}});
+    }
+    one.m_retire_at.reset();
+    one.m_homes = homes.size();
+    set_limits(one, group);
+}
+
+std::shared_ptr<group_control>
+home_control::make(state::group_description const& group)
+{
+    std::vector<std::string> members;
+    for (auto const& member : group.m_members)
+    {
+        members.push_back(member.m_name);
+    }
+    auto const identity =
+        m_settings.m_self + "/" + std::to_string(m_settings.m_incarnation);
+    auto const hash = coordination::hash_name(identity + "/" + group.m_name);
+    auto monitor = coordination::group_monitor_builder()
+                       .proposer(identity)
+                       .tag(hash)
+                       .seed(hash)
+                       .members(std::move(members))
+                       .settings(m_settings.m_group)
+                       .build();
+    if (!monitor.ok())
+    {
+        log_error(
+            log_part::group, "A group cannot be watched.",
+            {{"group", group.m_name}, {"why", monitor.status().ToString()}});
+        return nullptr;
+    }
+    auto const name = group.m_name;
+    auto gateway = std::make_shared<group_gateway>(
+        group,
+        [this, name](state::member_status const& status)
+        {
+            m_loop.post(
+                [this, name, status]
+                {
+                    auto const found = m_home.find(name);
+                    if (found != m_home.end() && found->second.m_control)
+                    {
+                        found->second.m_control->status_received(status);
+                    }
+                });
+        });
+    gateway->start();
+    m_registry.set(gateway);
+    return std::make_shared<group_control>(
+        gateway, *std::move(monitor), m_loop,
+        group_control::handlers{
+            [this](std::string const& paused_group, bool paused)
+            { m_pauses.announce(paused_group, paused); },
+            [](std::string const& switched,
+               coordination::switchover_ended const& end)
+            {
+                log_info(log_part::group, "A switchover ended.",
+                         {{"group", switched},
+                          {"primary", end.m_primary},
+                          {"result", static_cast<int>(end.m_result)}});
+            }});
+}
+
+void home_control::set_limits(home& of, state::group_description const& group)
+{
+    if (!of.m_control)
+    {
+        return;
+    }
+    auto const& gateway = of.m_control->gateway();
+    auto const share = std::max<std::size_t>(1, of.m_homes);
+    gateway->set_budget(
+        std::max<std::size_t>(1, group.m_connection_limit / share));
+    std::vector<coordination::entry_limits> limits;
+    for (auto const& entry : m_catalogue->entries())
+    {
+        if (entry.m_group == group.m_name)
+        {
+            limits.push_back(limits_of(entry, share));
+        }
+    }
+    gateway->set_entries(limits);
+}
+
+void home_control::retire(home& one, state::time_point now)
+{
+    if (!one.m_retire_at)
+    {
+        one.m_retire_at = now + retire_after;
+    }
+}
+
+void home_control::tick(state::time_point now)
+{
+    for (auto it = m_home.begin(); it != m_home.end();)
+    {
+        auto& one = it->second;
+        bool const over = one.m_retire_at && *one.m_retire_at <= now;
+        if (over && one.m_control)
+        {
+            log_info(log_part::homes, "This is a home of a group no more.",
+                     {{"group", it->first}});
+            m_registry.erase(it->first);
+            one.m_control->gateway()->close();
+        }
+        if (over)
+        {
+            it = m_home.erase(it);
+            continue;
+        }
+        if (one.m_control)
+        {
+            one.m_control->gateway()->tick(now);
+            one.m_control->tick(now);
+            if (m_pauses.others_drained(it->first))
+            {
+                one.m_control->others_drained();
+            }
+            one.m_control->pause_for_other(m_pauses.pauses(it->first, now));
+        }
+        ++it;
+    }
+    m_pauses.tick(now);
+}
+
+void home_control::apply(coordination::stop_plan const& plan,
+                         state::time_point now)
+{
+    for (auto& [name, one] : m_home)
+    {
+        if (!one.m_control)
+        {
+            continue;
+        }
+        auto const& gateway = *one.m_control->gateway();
+        std::vector<std::string> leaving;
+        for (auto const& member : gateway.group().m_members)
+        {
+            if (member.m_leaving || plan.excludes({name, member.m_name}))
+            {
+                leaving.push_back(member.m_name);
+            }
+        }
+        one.m_control->gateway()->set_leaving(leaving);
+    }
+    for (auto const& place : plan.m_switch_over)
+    {
+        auto const found = m_home.find(place.m_group);
+        if (found == m_home.end() || !found->second.m_control ||
+            now - found->second.m_switch_asked < switch_interval)
+        {
+            continue;
+        }
+        found->second.m_switch_asked = now;
+        found->second.m_control->request_switchover({});
+    }
+}
+
+std::vector<coordination::member_observation> home_control::observations() const
+{
+    std::vector<coordination::member_observation> result;
+    for (auto const& [name, one] : m_home)
+    {
+        if (!one.m_control)
+        {
+            continue;
+        }
+        auto const& primary = one.m_control->monitor().primary();
+        for (auto const& status : one.m_control->monitor().statuses())
+        {
+            result.push_back({{name, status.m_member},
+                              primary && primary->m_member == status.m_member,
+                              status.m_leaving,
+                              status.m_connections});
+        }
+    }
+    return result;
+}
+
+bool home_control::idle() const
+{
+    return std::ranges::all_of(m_home,
+                               [](auto const& item)
+                               {
+                                   auto const& control = item.second.m_control;
+                                   return !control ||
+                                          control->gateway()->writes_drained();
+                               });
+}
+
+void home_control::close()
+{
+    for (auto const& gateway : m_registry.all())
+    {
+        m_registry.erase(gateway->name());
+        gateway->close();
+    }
+    m_home.clear();
+}
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/instance/limit_conversion.cpp
@@ -0,0 +1,49 @@
+#include <algorithm>
+#include <limits>
+
+#include <camphortide/transport/instance/limit_conversion.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+constexpr double percent = 100.0;
+
+} // namespace
+
+coordination::entry_limits limits_of(state::catalogue_entry const& entry,
+                                     std::size_t homes)
+{
+    auto const& whole = entry.m_limits;
+    auto const share = static_cast<std::uint32_t>(homes);
+    coordination::entry_limits result;
+    result.m_name = entry.m_name;
+    result.m_owner = entry.m_owner;
+    result.m_class = entry.m_class_name;
+    result.m_rate = static_cast<double>(whole.m_rate) / share;
+    result.m_concurrency =
+        std::max<std::uint32_t>(1, whole.m_concurrency / share);
+    result.m_queue_length =
+        std::max<std::uint32_t>(1, whole.m_queue_length / share);
+    result.m_queue_time = whole.m_deadline;
+    result.m_deadline = whole.m_deadline;
+    result.m_priority =
+        std::numeric_limits<std::uint32_t>::max() - whole.m_priority;
+    result.m_weight = whole.m_weight;
+    result.m_retry_share = whole.m_retry_percent / percent;
+    return result;
+}
+
+bool same_members(state::group_description const& left,
+                  state::group_description const& right)
+{
+    return std::ranges::equal(left.m_members, right.m_members,
+                              [](auto const& one, auto const& other) {
+                                  return one.m_name == other.m_name &&
+                                         one.m_address == other.m_address;
+                              });
+}
+
+} // namespace camphortide::transport
--- /dev/null
+++ b/packages/transport/src/instance/server_builder.cpp
@@ -0,0 +1,89 @@
+#include <fstream>
+#include <mutex>
+#include <optional>
+#include <sstream>
+
+#include <grpcpp/ext/proto_server_reflection_plugin.h>
+#include <grpcpp/health_check_service_interface.h>
+
+#include <camphortide/transport/instance/server_builder.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+std::optional<std::string> read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+absl::StatusOr<std::shared_ptr<grpc::ServerCredentials>>
+credentials_of(instance_settings const& settings)
+{
+    if (settings.m_tls_certificate.empty())
+    {
+        return grpc::InsecureServerCredentials();
+    }
+    auto const certificate = read_file(settings.m_tls_certificate);
+    auto const key = read_file(settings.m_tls_key);
+    if (!certificate || !key)
+    {
+        return absl::InvalidArgumentError(
+            "a TLS file cannot be read: " + settings.m_tls_certificate + ", " +
+            settings.m_tls_key);
+    }
+    grpc::SslServerCredentialsOptions options;
+    options.pem_key_cert_pairs.push_back({*key, *certificate});
+    return grpc::SslServerCredentials(options);
+}
+
+void enable_plugins_once()
+{
+    static std::once_flag done;
+    std::call_once(
+        done,
+        []
+        {
+            grpc::EnableDefaultHealthCheckService(true);
+            grpc::reflection::InitProtoReflectionServerBuilderPlugin();
+        });
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<grpc::Server>>
+open_server(instance_settings const& settings, std::string const& listen,
+            grpc::Service& service, std::string& address)
+{
+    enable_plugins_once();
+    auto credentials = credentials_of(settings);
+    if (!credentials.ok())
+    {
+        return credentials.status();
+    }
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(
+        static_cast<int>(2 * settings.m_max_message_bytes));
+    builder.AddListeningPort(listen, *credentials, &port);
+    builder.RegisterService(&service);
+    auto server = builder.BuildAndStart();
+    if (!server || port == 0)
+    {
+        return absl::UnavailableError("the address is taken: " + listen);
+    }
+    address = listen.substr(0, listen.rfind(':') + 1) + std::to_string(port);
+    return server;
+}
+
+} // namespace camphortide::transport
