standin: seeded explorer of the decisions over the member models

Cause: the promises of a group have to hold under every interleaving of messages, losses, pauses and crashes, not only under those thought of.

Tried and dropped: a process restarted under its old proposer name breaks nothing, since the terms that a majority granted raise its next proposal.

--- a/packages/standin/include/camphortide/standin/member_model.hpp
+++ b/packages/standin/include/camphortide/standin/member_model.hpp
@@ -117,6 +117,9 @@
     state::member_status status() const;
 
     std::string const& name() const { return m_name; }
+    state::member_role role() const { return m_role; }
+    /// @return the term of the primary that the member is or follows
+    state::term followed() const { return m_followed; }
     std::deque<record> const& log() const { return m_log; }
     table const& rows() const { return m_table.rows(); }
     /// @return the primary that the member follows; empty if none
--- /dev/null
+++ b/packages/standin/test/explorer/message_bag.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphortide::standin
+{
+
+/// One end of a message.
+struct party
+{
+    enum class kind
+    {
+        home,
+        member
+    };
+    kind m_kind = kind::home;
+    std::size_t m_index = 0;
+
+    friend auto operator<=>(party const&, party const&) = default;
+};
+
+/// A message on its way.
+struct message
+{
+    party m_from;
+    party m_to;
+    char const* m_name = "";
+    bool m_may_repeat = true; ///< false for what a stream delivers once
+    std::function<void()> m_deliver;
+};
+
+/// All messages on their way, in no order.
+class message_bag
+{
+public:
+    void add(message value) { m_messages.push_back(std::move(value)); }
+
+    std::size_t size() const { return m_messages.size(); }
+
+    message const& at(std::size_t index) const { return m_messages[index]; }
+
+    /// Takes a message out.
+    message take(std::size_t index)
+    {
+        std::swap(m_messages[index], m_messages.back());
+        auto result = std::move(m_messages.back());
+        m_messages.pop_back();
+        return result;
+    }
+
+private:
+    std::vector<message> m_messages;
+};
+
+} // namespace camphortide::standin
