limits: budgets and limits divided among the homes of a group

Cause: connections, rates and concurrency are limits of the whole system, but homes count them with views that differ. Change: a ledger object for each group with conditional updates; a keeper at each home that raises and lowers only its own shares, retires those of homes that are gone and releases them once they can't be used; a budget that opens connections by share and by the member's own report; limits of an entry cut to the home's share. Failed try: keeping rates on contact with a majority alone; a home that was retired during a gap and came back exceeded the limit. Contact must be unbroken since the ledger was last confirmed.

--- a/packages/coordination/include/camphortide/coordination/limits/admission.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/admission.hpp
@@ -11,10 +11,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include <camphortide/coordination/limits/admission_entry.hpp>
 #include <camphortide/coordination/limits/admission_types.hpp>
 #include <camphortide/coordination/limits/entry_limits.hpp>
-#include <camphortide/coordination/limits/moving_mean.hpp>
-#include <camphortide/coordination/limits/rate_bucket.hpp>
 #include <camphortide/coordination/limits/slot_queue.hpp>
 
 namespace camphortide::coordination
@@ -72,20 +71,7 @@
 private:
     using flow_id = slot_queue::flow_id;
 
-    struct entry
-    {
-        static constexpr double work_weight = 1.0 / 32;
-
-        entry_limits m_limits;
-        flow_id m_flow = 0;
-        bool m_removed = false;
-        std::uint32_t m_running = 0;
-        std::uint32_t m_queued = 0;
-        double m_retries = 0; ///< that the budget still allows
-        rate_bucket m_rate;
-        moving_mean m_work{work_weight}; ///< of one request, in ms
-        state::time_point m_learnt;      ///< when m_work last changed
-    };
+    using entry = admission_entry;
 
     /// Where a request that runs has its slot.
     struct holder
@@ -95,12 +81,9 @@
     };
 
     entry const* find(std::string_view name) const;
-    entry& upsert(entry_limits const& limits);
+    entry& upsert(entry_limits const& limits, state::time_point now);
     void remove(entry const& gone, admission_changes& changes,
                 state::time_point now);
-    waiting_request candidate(entry const& asked,
-                              admission_request const& request,
-                              state::time_point now) const;
     std::optional<admission_decision> refusal(entry& asked,
                                               admission_request const& request,
                                               waiting_request const& item,
@@ -110,9 +93,6 @@
                                 state::time_point now) const;
     admission_decision over_queue(entry const& asked, lane which,
                                   std::uint64_t id) const;
-    std::optional<admission_decision>
-    over_budget(entry& asked, admission_request const& request,
-                state::time_point now);
     work expected_wait(entry const& asked, lane which) const;
     state::duration retry_after(entry const& asked, lane which,
                                 std::uint64_t id) const;
--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/limits/retry_hint.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include <camphortide/coordination/limits/admission_types.hpp>
+
+namespace camphortide::coordination
+{
+
+/// What a client is told to wait while nothing is served.
+inline constexpr work closed_wait{1000};
+
+/// Works out when a refused client should come back.
+/// @param wait how long it would have waited
+/// @param id the request's; lengthens the wait by up to a half, so that the
+///     refused spread out
+/// @return the time, within bounds
+state::duration retry_hint(work wait, std::uint64_t id);
+
+} // namespace camphortide::coordination
--- a/packages/coordination/src/limits/admission.cpp
+++ b/packages/coordination/src/limits/admission.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
-#include <cmath>
 
 #include <camphortide/coordination/limits/admission.hpp>
+#include <camphortide/coordination/limits/retry_hint.hpp>
 
 namespace camphortide::coordination
 {
@@ -12,42 +12,11 @@
 using state::reason;
 
 constexpr std::array lanes{lane::primary, lane::replica};
-constexpr state::duration shortest_retry{10};
-constexpr state::duration longest_retry{60000};
-constexpr work closed_retry{1000};  ///< while nothing is served
-constexpr double most_retries = 10; ///< saved up by one entry
-
-/// The age at which an entry's work is tried anew, whatever it was. Else an
-/// entry that was slow once might be refused for ever.
-constexpr state::duration stale_work{1000};
-
-state::duration rounded_up(work value)
-{
-    return state::duration(
-        static_cast<state::duration::rep>(std::ceil(value.count())));
-}
-
-/// Lengthens a wait by up to a half, so that the refused spread out.
-state::duration spread(work wait, std::uint64_t id)
-{
-    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // 2^64 / phi
-    constexpr unsigned shift = 54;
-    constexpr double steps = 2048;
-    double const part = static_cast<double>((id * multiplier) >> shift) / steps;
-    return std::clamp(rounded_up(wait * (1 + part)), shortest_retry,
-                      longest_retry);
-}
-
 admission_decision refused(reason why, state::duration retry_after)
 {
     return {verdict::refused, why, retry_after};
 }
 
-bool below(std::optional<std::uint32_t> limit, std::uint32_t count)
-{
-    return !limit || count < *limit;
-}
-
 } // namespace
 
 admission::admission(priority_rule rule) : m_rule(rule) {}
@@ -62,9 +31,8 @@
     }
     for (auto const& limits : entries)
     {
-        auto& changed = upsert(limits);
+        auto& changed = upsert(limits, now);
         changed.m_removed = false;
-        changed.m_rate.set_rate(limits.m_rate, now);
         open_or_close(changed);
     }
     for (auto const& known : m_entries)
@@ -103,7 +71,7 @@
         return refused(reason::unknown_entry, state::duration{0});
     }
     auto& asked = m_entries[known->m_flow];
-    auto const item = candidate(asked, request, now);
+    auto const item = asked.estimate(request, now);
     if (auto const why = refusal(asked, request, item, now))
     {
         return *why;
@@ -136,8 +104,7 @@
     asked.m_running -= 1;
     if (service)
     {
-        asked.m_work.add(service->count());
-        asked.m_learnt = now;
+        asked.learn(*service, now);
     }
     in(which).finish(service);
     open_or_close(asked);
@@ -190,7 +157,7 @@
     {
         return {};
     }
-    return {asked->m_running, asked->m_queued, work(asked->m_work.value_or(0))};
+    return {asked->m_running, asked->m_queued, asked->mean_work()};
 }
 
 admission::entry const* admission::find(std::string_view name) const
@@ -203,16 +170,17 @@
     return &m_entries[found->second];
 }
 
-admission::entry& admission::upsert(entry_limits const& limits)
+admission::entry& admission::upsert(entry_limits const& limits,
+                                    state::time_point now)
 {
     auto const next = static_cast<flow_id>(m_entries.size());
     auto const flow = m_names.try_emplace(limits.m_name, next).first->second;
     if (flow == next)
     {
-        m_entries.emplace_back().m_flow = flow;
+        m_entries.emplace_back(flow);
     }
     auto& changed = m_entries[flow];
-    changed.m_limits = limits;
+    changed.set_limits(limits, now);
     auto const priority =
         m_rule == priority_rule::strict ? limits.m_priority : 0;
     for (auto& queue : m_lanes)
@@ -235,24 +203,6 @@
     }
 }
 
-waiting_request admission::candidate(entry const& asked,
-                                     admission_request const& request,
-                                     state::time_point now) const
-{
-    waiting_request item;
-    item.m_id = request.m_id;
-    item.m_deadline =
-        request.m_deadline.value_or(now + asked.m_limits.m_deadline);
-    item.m_cost = request.m_cost.value_or(work(asked.m_work.value_or(0)));
-    if (asked.m_running == 0 && now - asked.m_learnt >= stale_work)
-    {
-        item.m_cost = std::min(item.m_cost, work(item.m_deadline - now) / 2);
-    }
-    item.m_latest_start = std::min(now + asked.m_limits.m_queue_time,
-                                   item.m_deadline - rounded_up(item.m_cost));
-    return item;
-}
-
 std::optional<admission_decision>
 admission::refusal(entry& asked, admission_request const& request,
                    waiting_request const& item, state::time_point now)
@@ -268,12 +218,12 @@
         return too_late(asked, which, item, wait, now);
     }
     bool const waits = !in(which).starts_at_once(asked.m_flow);
-    bool const closed = asked.m_limits.m_concurrency == 0U;
-    if (closed || (waits && asked.m_queued >= asked.m_limits.m_queue_length))
+    if (asked.closed() ||
+        (waits && asked.m_queued >= asked.limits().m_queue_length))
     {
         return over_queue(asked, which, item.m_id);
     }
-    return over_budget(asked, request, now);
+    return asked.take(request, now);
 }
 
 admission_decision admission::too_late(entry const& asked, lane which,
@@ -289,47 +239,22 @@
 admission_decision admission::over_queue(entry const& asked, lane which,
                                          std::uint64_t id) const
 {
-    bool const by_slots = below(asked.m_limits.m_concurrency, asked.m_running);
-    return refused(by_slots ? reason::queue_full : reason::concurrency_limit,
+    return refused(asked.open() ? reason::queue_full
+                                : reason::concurrency_limit,
                    retry_after(asked, which, id));
 }
 
-std::optional<admission_decision>
-admission::over_budget(entry& asked, admission_request const& request,
-                       state::time_point now)
-{
-    if (request.m_retry && asked.m_retries < 1)
-    {
-        return refused(reason::rate_limit, spread(closed_retry, request.m_id));
-    }
-    if (!asked.m_rate.take(now))
-    {
-        return refused(reason::rate_limit,
-                       spread(asked.m_rate.wait(now), request.m_id));
-    }
-    double const change = request.m_retry ? -1 : asked.m_limits.m_retry_share;
-    asked.m_retries = std::min(asked.m_retries + change, most_retries);
-    return std::nullopt;
-}
-
 work admission::expected_wait(entry const& asked, lane which) const
 {
-    auto const by_slots = in(which).expected_wait(asked.m_flow);
-    auto const limit = asked.m_limits.m_concurrency;
-    if (below(limit, asked.m_running) || *limit == 0)
-    {
-        return by_slots;
-    }
-    double const rounds = static_cast<double>(asked.m_queued + 1) / *limit;
-    return std::max(by_slots, work(asked.m_work.value_or(0)) * rounds);
+    return std::max(in(which).expected_wait(asked.m_flow),
+                    asked.concurrency_wait());
 }
 
 state::duration admission::retry_after(entry const& asked, lane which,
                                        std::uint64_t id) const
 {
-    bool const closed =
-        in(which).slots() == 0 || asked.m_limits.m_concurrency == 0U;
-    return spread(closed ? closed_retry : expected_wait(asked, which), id);
+    bool const closed = in(which).slots() == 0 || asked.closed();
+    return retry_hint(closed ? closed_wait : expected_wait(asked, which), id);
 }
 
 void admission::refuse(lane which, slot_queue::taken const& item, reason why,
@@ -350,10 +275,9 @@
 
 void admission::open_or_close(entry const& asked)
 {
-    bool const open = below(asked.m_limits.m_concurrency, asked.m_running);
     for (auto& queue : m_lanes)
     {
-        queue.set_open(asked.m_flow, open);
+        queue.set_open(asked.m_flow, asked.open());
     }
 }
 
--- /dev/null
+++ b/packages/coordination/src/limits/admission_entry.cpp
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <cmath>
+
+#include <camphortide/coordination/limits/admission_entry.hpp>
+#include <camphortide/coordination/limits/retry_hint.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+constexpr double most_retries = 10; ///< saved up by one entry
+
+/// The age at which an entry's work is tried anew, whatever it was. Else an
+/// entry that was slow once might be refused for ever.
+constexpr state::duration stale_work{1000};
+
+admission_decision over_rate(state::duration retry_after)
+{
+    return {verdict::refused, state::reason::rate_limit, retry_after};
+}
+
+} // namespace
+
+void admission_entry::set_limits(entry_limits const& limits,
+                                 state::time_point now)
+{
+    m_limits = limits;
+    m_rate.set_rate(limits.m_rate, now);
+}
+
+waiting_request admission_entry::estimate(admission_request const& request,
+                                          state::time_point now) const
+{
+    waiting_request item;
+    item.m_id = request.m_id;
+    item.m_deadline = request.m_deadline.value_or(now + m_limits.m_deadline);
+    item.m_cost = request.m_cost.value_or(mean_work());
+    if (m_running == 0 && now - m_learnt >= stale_work)
+    {
+        item.m_cost = std::min(item.m_cost, work(item.m_deadline - now) / 2);
+    }
+    state::duration const cost(
+        static_cast<state::duration::rep>(std::ceil(item.m_cost.count())));
+    item.m_latest_start =
+        std::min(now + m_limits.m_queue_time, item.m_deadline - cost);
+    return item;
+}
+
+std::optional<admission_decision>
+admission_entry::take(admission_request const& request, state::time_point now)
+{
+    if (request.m_retry && m_retries < 1)
+    {
+        return over_rate(retry_hint(closed_wait, request.m_id));
+    }
+    if (!m_rate.take(now))
+    {
+        return over_rate(retry_hint(m_rate.wait(now), request.m_id));
+    }
+    double const change = request.m_retry ? -1 : m_limits.m_retry_share;
+    m_retries = std::min(m_retries + change, most_retries);
+    return std::nullopt;
+}
+
+void admission_entry::learn(work service, state::time_point now)
+{
+    m_work.add(service.count());
+    m_learnt = now;
+}
+
+bool admission_entry::open() const
+{
+    return !m_limits.m_concurrency || m_running < *m_limits.m_concurrency;
+}
+
+work admission_entry::concurrency_wait() const
+{
+    if (open() || closed())
+    {
+        return work::zero();
+    }
+    double const rounds =
+        static_cast<double>(m_queued + 1) / *m_limits.m_concurrency;
+    return mean_work() * rounds;
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/src/limits/limit_share.cpp
@@ -0,0 +1,88 @@
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include <camphortide/coordination/limits/limit_share.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+constexpr double rate_units = 1000; ///< in a request per second
+constexpr double demand_margin = 1.5;
+
+std::int64_t scaled(double value)
+{
+    return static_cast<std::int64_t>(std::ceil(value));
+}
+
+} // namespace
+
+limit_share::limit_share(entry_limits limits) : m_limits(std::move(limits)) {}
+
+std::vector<share_limit> limit_share::divided() const
+{
+    std::vector<share_limit> made;
+    if (m_limits.m_concurrency)
+    {
+        made.push_back({concurrency_key(), *m_limits.m_concurrency});
+    }
+    if (m_limits.m_rate)
+    {
+        auto const units = std::floor(*m_limits.m_rate * rate_units);
+        made.push_back({rate_key(), static_cast<std::int64_t>(units)});
+    }
+    return made;
+}
+
+void limit_share::observe(admission_load const& load, state::time_point now)
+{
+    m_running = load.m_running;
+    m_present.add(load.m_running + load.m_queued);
+    if (m_observed && now > *m_observed)
+    {
+        std::chrono::duration<double> const elapsed = now - *m_observed;
+        m_rate.add(static_cast<double>(m_arrivals) / elapsed.count());
+    }
+    m_observed = now;
+    m_arrivals = 0;
+}
+
+share_demand limit_share::rate_demand() const
+{
+    return {scaled(m_rate.value_or(0) * demand_margin * rate_units), 0};
+}
+
+share_demand limit_share::concurrency_demand() const
+{
+    return {scaled(m_present.value_or(0) * demand_margin), m_running};
+}
+
+entry_limits limit_share::local(share_allowance const& rate,
+                                share_allowance const& concurrency) const
+{
+    auto limits = m_limits;
+    if (limits.m_rate)
+    {
+        limits.m_rate = static_cast<double>(rate.m_amount) / rate_units;
+    }
+    if (limits.m_concurrency)
+    {
+        limits.m_concurrency = static_cast<std::uint32_t>(concurrency.m_amount);
+    }
+    return limits;
+}
+
+share_key limit_share::rate_key() const
+{
+    return {share_kind::rate, m_limits.m_name};
+}
+
+share_key limit_share::concurrency_key() const
+{
+    return {share_kind::concurrency, m_limits.m_name};
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/src/limits/retry_hint.cpp
@@ -0,0 +1,29 @@
+#include <algorithm>
+#include <cmath>
+
+#include <camphortide/coordination/limits/retry_hint.hpp>
+
+namespace camphortide::coordination
+{
+
+namespace
+{
+
+constexpr work shortest_wait{10};
+constexpr work longest_wait{60000};
+
+} // namespace
+
+state::duration retry_hint(work wait, std::uint64_t id)
+{
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // 2^64 / phi
+    constexpr unsigned shift = 54;
+    constexpr double steps = 2048;
+    double const part = static_cast<double>((id * multiplier) >> shift) / steps;
+    auto const spread =
+        std::clamp(wait * (1 + part), shortest_wait, longest_wait);
+    return state::duration(
+        static_cast<state::duration::rep>(std::ceil(spread.count())));
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/test/share_ledger/connection_budget_test.cpp
@@ -0,0 +1,98 @@
+#include <array>
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/limits/connection_budget.hpp>
+
+using namespace camphortide::coordination;
+namespace state = camphortide::state;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+struct open_case
+{
+    share_certainty m_certainty;
+    int m_open;
+    int m_opening;
+    std::optional<int> m_reported; ///< of 16
+    int m_asked_at;                ///< the last change was at 100
+    bool m_may_open;               ///< at 500
+};
+
+} // namespace
+
+TEST_CASE("a connection is opened within the share and the member's room")
+{
+    constexpr auto firm = share_certainty::firm;
+    constexpr auto guarded = share_certainty::guarded;
+    std::array const cases{
+        open_case{firm, 0, 0, std::nullopt, 0, true},
+        open_case{firm, 3, 0, std::nullopt, 0, true},
+        open_case{firm, 4, 0, std::nullopt, 0, false},
+        open_case{firm, 2, 2, std::nullopt, 0, false},
+        open_case{firm, 2, 1, 8, 200, true},
+        open_case{firm, 2, 0, 16, 200, false},
+        open_case{firm, 2, 0, 16, 50, true},
+        open_case{guarded, 2, 0, std::nullopt, 0, false},
+        open_case{guarded, 2, 0, 15, 200, true},
+        open_case{guarded, 2, 0, 16, 200, false},
+        open_case{guarded, 2, 0, 15, 50, false},
+        open_case{guarded, 2, 1, 15, 200, false},
+        open_case{guarded, 4, 0, 8, 200, false},
+    };
+    int number = 0;
+    for (auto const& each : cases)
+    {
+        CAPTURE(++number);
+        connection_budget budget;
+        budget.set_allowance({4, each.m_certainty});
+        for (int i = 0; i < each.m_open + each.m_opening; ++i)
+        {
+            budget.opening();
+        }
+        for (int i = 0; i < each.m_open; ++i)
+        {
+            budget.opened(at(100));
+        }
+        if (each.m_reported)
+        {
+            budget.report(*each.m_reported, 16, at(each.m_asked_at));
+        }
+        CHECK(budget.may_open(at(500)) == each.m_may_open);
+    }
+}
+
+TEST_CASE("an old report says nothing")
+{
+    connection_budget budget;
+    budget.set_allowance({4, share_certainty::guarded});
+    budget.report(3, 16, at(100));
+    CHECK(budget.may_open(at(1100)));
+    CHECK_FALSE(budget.may_open(at(1101)));
+    budget.report(16, 16, at(50));
+    CHECK(budget.may_open(at(1100)));
+}
+
+TEST_CASE("a refusal is followed by a pause, a smaller share by an excess")
+{
+    connection_budget budget;
+    budget.set_allowance({2, share_certainty::firm});
+    budget.opening();
+    budget.refused(at(100));
+    CHECK(budget.in_use() == 0);
+    CHECK_FALSE(budget.may_open(at(349)));
+    CHECK(budget.may_open(at(350)));
+    budget.opening();
+    budget.opened(at(360));
+    budget.set_allowance({0, share_certainty::firm});
+    CHECK(budget.excess() == 1);
+    budget.closed(at(370));
+    CHECK(budget.excess() == 0);
+}
--- a/packages/transport/src/metrics/metrics_text.cpp
+++ b/packages/transport/src/metrics/metrics_text.cpp
@@ -125,6 +125,7 @@
         found->second.metric.push_back(std::move(metric));
     }
     std::vector<MetricFamily> made;
+    made.reserve(by_name.size());
     for (auto& [name, one] : by_name)
     {
         made.push_back(std::move(one));
--- a/packages/transport/test/metrics/metrics_test.cpp
+++ b/packages/transport/test/metrics/metrics_test.cpp
@@ -99,6 +99,7 @@
     constexpr int samples = 2000;
     transport::metrics_registry registry;
     std::vector<std::thread> running;
+    running.reserve(threads);
     for (int i = 0; i < threads; ++i)
     {
         running.emplace_back(
