command line: check and status; deployment and catalogue files

A catalogue file holds groups and entries, and what is written reads back the same. Both are read by tables of fields like the settings, with every fault found in one go. The command table holds name, summary and function of each command; check tells the kind of a file from its keys, status shows an instance's answer as tables or JSON. Tests: transport.settings, command_line.check, command_line.status.

--- /dev/null
+++ b/apps/camphortide/src/check_command.cpp
@@ -0,0 +1,62 @@
+#include "commands.hpp"
+#include "option_parser.hpp"
+
+#include <camphortide/transport/settings/file_kind.hpp>
+#include <camphortide/transport/settings/settings_file.hpp>
+
+namespace camphortide::command_line
+{
+
+namespace
+{
+
+constexpr char const* explanation =
+    "Checks settings, deployment and catalogue files. Their kind is seen from\n"
+    "their keys. Every fault of every file is printed, one a line.";
+
+/// @return whether the file has no fault
+bool check_file(std::string const& path, console const& to)
+{
+    auto const result = transport::check_file(path);
+    for (auto const& error : result.m_errors)
+    {
+        to.m_error << to_string(error) << '\n';
+    }
+    if (result.ok())
+    {
+        to.m_out << path << ": valid " << to_string(result.m_value)
+                 << " file\n";
+    }
+    return result.ok();
+}
+
+} // namespace
+
+exit_code run_check(arguments const& words, console const& to)
+{
+    option_parser parser("check FILE...", explanation);
+    parser.add()("reference", "print the page of an instance's settings");
+    parser.positional("file", -1);
+    if (auto const ended = parser.parse(words, to))
+    {
+        return *ended;
+    }
+    if (parser.has("reference"))
+    {
+        to.m_out << transport::instance_settings_page();
+        return exit_code::done;
+    }
+    if (!parser.has("file"))
+    {
+        to.m_error << "camphortide: check needs a file\n";
+        return exit_code::usage;
+    }
+    bool valid = true;
+    for (auto const& path : parser.get<std::vector<std::string>>("file"))
+    {
+        valid = check_file(path, to) && valid;
+    }
+    return valid ? exit_code::done : exit_code::refused;
+}
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/commands.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "command.hpp"
+
+namespace camphortide::command_line
+{
+
+/// `check FILE...`: finds every fault of settings, deployment and catalogue
+/// files.
+exit_code run_check(arguments const& words, console const& to);
+
+/// `status`: shows what an instance knows of the system.
+exit_code run_status(arguments const& words, console const& to);
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/status_text.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include <camphortide/admin/v1/admin.pb.h>
+
+namespace camphortide::command_line
+{
+
+/// @return a status as tables for people
+std::string status_text(admin::v1::StatusReply const& status);
+
+/// @return the histograms and counters of each owner and class, for people
+std::string metrics_text(admin::v1::MetricsReply const& metrics);
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/test/status/status_test.cpp
@@ -0,0 +1,126 @@
+#include "command_table.hpp"
+
+#include <memory>
+#include <sstream>
+
+#include <doctest/doctest.h>
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/admin/v1/admin.grpc.pb.h>
+
+using namespace camphortide::command_line;
+namespace admin = camphortide::admin::v1;
+
+namespace
+{
+
+/// Serves one status and one page of metrics.
+class fixed_admin : public admin::Admin::Service
+{
+public:
+    fixed_admin()
+    {
+        int port = 0;
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0",
+                                 grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+        m_address = "127.0.0.1:" + std::to_string(port);
+    }
+
+    grpc::Status Status(grpc::ServerContext*, admin::StatusRequest const*,
+                        admin::StatusReply* reply) override
+    {
+        reply->set_name("entry-1");
+        reply->set_catalogue_version(7);
+        auto& instance = *reply->add_instances();
+        instance.set_name("entry-2");
+        instance.set_state(admin::INSTANCE_STATE_SUSPECTED);
+        auto& group = *reply->add_groups();
+        group.set_name("loans-1");
+        group.add_homes("entry-1");
+        auto& member = *group.add_members();
+        member.set_name("loans-1-a");
+        member.set_role(admin::MEMBER_ROLE_FENCED);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Metrics(grpc::ServerContext*, admin::MetricsRequest const*,
+                         admin::MetricsReply* reply) override
+    {
+        reply->set_text("# the page\n");
+        auto& each = *reply->add_classes();
+        each.set_owner("desks");
+        each.set_traffic_class("checkouts");
+        each.mutable_latency()->add_bounds(1);
+        each.mutable_latency()->add_bounds(5);
+        each.mutable_latency()->add_counts(3);
+        each.mutable_latency()->add_counts(1);
+        each.mutable_latency()->add_counts(0);
+        each.mutable_latency()->set_count(4);
+        auto& outcome = *each.add_outcomes();
+        outcome.set_name("executed");
+        outcome.set_value(4);
+        return grpc::Status::OK;
+    }
+
+    std::string m_address;
+
+private:
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+struct fixture
+{
+    exit_code run(arguments words)
+    {
+        words.insert(words.begin(), "status");
+        words.insert(words.end(), {"--address", m_admin.m_address});
+        std::ostringstream error;
+        m_out.str("");
+        return run_command(words, {m_out, error});
+    }
+
+    bool shows(std::string const& text) const
+    {
+        return m_out.str().find(text) != std::string::npos;
+    }
+
+    fixed_admin m_admin;
+    std::ostringstream m_out;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "status shows the instances and the groups")
+{
+    CHECK(run({}) == exit_code::done);
+    CHECK(shows("catalogue version 7"));
+    CHECK(shows("suspected"));
+    CHECK(shows("primary unknown"));
+    CHECK(shows("homes: entry-1"));
+    CHECK(shows("fenced"));
+    CHECK(shows("unreachable"));
+}
+
+TEST_CASE_FIXTURE(fixture, "status prints JSON, metrics and the text page")
+{
+    CHECK(run({"--json"}) == exit_code::done);
+    CHECK(shows("\"catalogue_version\": \"7\""));
+    CHECK(run({"--metrics"}) == exit_code::done);
+    CHECK(shows("<= 1 ms"));
+    CHECK(shows("<= 5 ms"));
+    CHECK(shows("executed=4"));
+    CHECK(run({"--text"}) == exit_code::done);
+    CHECK(m_out.str() == "# the page\n");
+}
+
+TEST_CASE("an instance that does not answer is refused with its address")
+{
+    std::ostringstream out;
+    std::ostringstream error;
+    CHECK(run_command({"status", "--address", "127.0.0.1:1"}, {out, error}) ==
+          exit_code::refused);
+    CHECK(error.str().find("no answer from 127.0.0.1:1") != std::string::npos);
+}
--- a/packages/transport/src/settings/json_document.cpp
+++ b/packages/transport/src/settings/json_document.cpp
@@ -92,4 +92,22 @@
     return document;
 }
 
+void put_at(json& document, std::string const& key, json value)
+{
+    json* level = &document;
+    std::size_t start = 0;
+    for (auto dot = key.find('.'); dot != std::string::npos;
+         dot = key.find('.', start))
+    {
+        json& inner = (*level)[key.substr(start, dot - start)];
+        if (!inner.is_object())
+        {
+            inner = json::object();
+        }
+        level = &inner;
+        start = dot + 1;
+    }
+    (*level)[key.substr(start)] = std::move(value);
+}
+
 } // namespace camphortide::transport
--- a/packages/transport/src/settings/json_document.hpp
+++ b/packages/transport/src/settings/json_document.hpp
@@ -28,4 +28,8 @@
 json parse_json(std::string const& file, std::string const& text,
                 std::vector<setting_error>& errors);
 
+/// Puts a value at a key path; inner objects are made where they lack.
+/// @param key keys with dots between them
+void put_at(json& document, std::string const& key, json value);
+
 } // namespace camphortide::transport
--- a/packages/transport/src/settings/schema.hpp
+++ b/packages/transport/src/settings/schema.hpp
@@ -64,6 +64,17 @@
         return value;
     }
 
+    /// Writes a value as an object that `read` reads back.
+    json write(Value const& value) const
+    {
+        json document = json::object();
+        for (auto const& each : m_fields)
+        {
+            put_at(document, each.m_row.m_key, json::parse(each.m_show(value)));
+        }
+        return document;
+    }
+
     /// @return whether a key is in the table
     bool contains(std::string_view key) const { return find(key) != nullptr; }
 
@@ -100,7 +111,9 @@
             return table.read(found, reader);
         };
         return {"object", read_object,
-                [](Value const&) { return std::string("{}"); }, false};
+                [table = *this](Value const& value)
+                { return table.write(value).dump(); },
+                false};
     }
 
 private:
@@ -110,6 +123,7 @@
         bool m_required;
         bool m_written_as_text;
         std::function<void(Value&, json const&, value_reader const&)> m_read;
+        std::function<std::string(Value const&)> m_show;
     };
 
     template <typename Field>
@@ -132,7 +146,11 @@
             {{std::move(key), kind.m_description, fallback, std::move(help)},
              required,
              kind.m_written_as_text,
-             read});
+             read,
+             [member, show = kind.m_show](Value const& value)
+             {
+                 return show(value.*member);
+             }});
         return *this;
     }
 
--- a/packages/transport/src/settings/settings_file.cpp
+++ b/packages/transport/src/settings/settings_file.cpp
@@ -19,25 +19,6 @@
     return given.m_value;
 }
 
-/// Puts a value at a key path; inner objects are made where they lack.
-void put(json& document, std::string const& key, json value)
-{
-    json* level = &document;
-    std::size_t start = 0;
-    for (auto dot = key.find('.'); dot != std::string::npos;
-         dot = key.find('.', start))
-    {
-        json& inner = (*level)[key.substr(start, dot - start)];
-        if (!inner.is_object())
-        {
-            inner = json::object();
-        }
-        level = &inner;
-        start = dot + 1;
-    }
-    (*level)[key.substr(start)] = std::move(value);
-}
-
 void apply_overrides(json& document, reading_context& context,
                      std::vector<setting_override> const& overrides)
 {
@@ -52,7 +33,7 @@
                       "a key of the settings' reference");
             continue;
         }
-        put(document, each.m_key, override_value(each));
+        put_at(document, each.m_key, override_value(each));
     }
 }
 
--- a/packages/transport/src/settings/value_kind.cpp
+++ b/packages/transport/src/settings/value_kind.cpp
@@ -28,8 +28,8 @@
     double m_factor;
 };
 
-constexpr std::array<unit, 4> time_units{
-    {{"us", 1.0}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}}};
+constexpr std::array<unit, 5> time_units{
+    {{"us", 1.0}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}, {"h", 3.6e9}}};
 constexpr std::array<unit, 3> size_units{
     {{"B", 1.0}, {"KiB", 1024.0}, {"MiB", 1048576.0}}};
 
@@ -126,7 +126,7 @@
     return {description, read,
             [](std::string const& value)
             {
-                return in_quotes(value);
+                return json(value).dump();
             }};
 }
 
@@ -225,7 +225,7 @@
 {
     using rep = typename Duration::rep;
     return measured_kind<Duration>(
-        "text of a number and us, ms, s or min", time_units,
+        "text of a number and us, ms, s, min or h", time_units,
         {static_cast<double>(range.m_low.count()) * step,
          static_cast<double>(range.m_high.count()) * step},
         step, [](double steps) { return Duration(static_cast<rep>(steps)); },
@@ -360,6 +360,29 @@
     return duration_kind(range, 1e3);
 }
 
+value_kind<std::optional<milliseconds>>
+time_or_none_kind(value_range<milliseconds> range)
+{
+    using value_type = std::optional<milliseconds>;
+    auto const time = time_kind(range);
+    auto const read =
+        [time](json const& found,
+               value_reader const& reader) -> std::optional<value_type>
+    {
+        if (found == "none")
+        {
+            return std::make_optional<value_type>(std::nullopt);
+        }
+        auto const value = time.m_read(found, reader);
+        return value ? std::make_optional<value_type>(value) : std::nullopt;
+    };
+    auto const show = [time](value_type const& value)
+    {
+        return value ? time.m_show(*value) : std::string("\"none\"");
+    };
+    return {time.m_description + ", or \"none\"", read, show};
+}
+
 value_kind<std::chrono::microseconds>
 fine_time_kind(value_range<std::chrono::microseconds> range)
 {
--- a/packages/transport/src/settings/value_kind.hpp
+++ b/packages/transport/src/settings/value_kind.hpp
@@ -24,7 +24,7 @@
 
     std::string m_description; ///< type, unit and range
     read_function m_read;
-    std::function<std::string(Value const&)> m_show;
+    std::function<std::string(Value const&)> m_show; ///< as JSON
     bool m_written_as_text = true; ///< its JSON type is a string
 };
 
@@ -65,10 +65,15 @@
 /// A size with its unit: B, KiB or MiB.
 value_kind<std::uint64_t> size_kind(value_range<std::uint64_t> range);
 
-/// A time with its unit (us, ms, s or min), in whole milliseconds.
+/// A time with its unit (us, ms, s, min or h), in whole milliseconds.
 value_kind<std::chrono::duration<std::int64_t, std::milli>>
 time_kind(value_range<std::chrono::duration<std::int64_t, std::milli>> range);
 
+/// A time in whole milliseconds, or "none", which reads as nothing.
+value_kind<std::optional<std::chrono::duration<std::int64_t, std::milli>>>
+time_or_none_kind(
+    value_range<std::chrono::duration<std::int64_t, std::milli>> range);
+
 /// A time with its unit, in whole microseconds.
 value_kind<std::chrono::microseconds>
 fine_time_kind(value_range<std::chrono::microseconds> range);
--- /dev/null
+++ b/packages/transport/test/settings/deployment_test.cpp
@@ -0,0 +1,156 @@
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/state/catalogue_validation.hpp>
+#include <camphortide/transport/settings/catalogue_file.hpp>
+#include <camphortide/transport/settings/deployment_file.hpp>
+
+namespace state = camphortide::state;
+namespace transport = camphortide::transport;
+using transport::setting_fault;
+
+namespace
+{
+
+bool has(std::vector<transport::setting_error> const& errors,
+         std::string const& path, setting_fault fault)
+{
+    return std::any_of(errors.begin(), errors.end(),
+                       [&](transport::setting_error const& each) {
+                           return each.m_key_path == path &&
+                                  each.m_fault == fault;
+                       });
+}
+
+std::vector<transport::deployed_member>
+addresses(transport::deployment const& value)
+{
+    std::vector<transport::deployed_member> all;
+    for (auto const& group : value.m_groups)
+    {
+        for (auto const& member : group.m_members)
+        {
+            all.push_back({member.m_name, "127.0.0.1:7500"});
+        }
+    }
+    return all;
+}
+
+std::string const hash(64, '0');
+std::string const group = R"("groups": [{"name": "g", "connections": 8,
+    "slots": 2, "members": [
+      {"name": "a", "address": "127.0.0.1:1", "data_centre": "x"},
+      {"name": "b", "address": "127.0.0.1:2", "data_centre": "x"},
+      {"name": "c", "address": "127.0.0.1:3", "data_centre": "x"}]}])";
+
+std::string entry(std::string const& name, std::string const& rest)
+{
+    return R"({"name": ")" + name + R"(", "owner": "o", "class": "c",
+      "group": "g", "credential_hash": ")" +
+           hash + "\"" + rest + "}";
+}
+
+transport::checked<state::catalogue> parse(std::string const& entries)
+{
+    return transport::parse_catalogue(
+        "c.jsonc", "{" + group + ", \"entries\": [" + entries + "]}");
+}
+
+} // namespace
+
+TEST_CASE("the examples carry the sizes that they are for")
+{
+    auto const toys =
+        transport::read_deployment_file("examples/caxias-serrana.jsonc");
+    for (auto const& error : toys.m_errors)
+    {
+        FAIL_CHECK(to_string(error));
+    }
+    REQUIRE(toys.ok());
+    CHECK(toys.m_value.m_instances.size() == 8);
+    CHECK(toys.m_value.m_groups.size() == 3);
+    CHECK(toys.m_value.m_groups[2].m_slots == 2);
+    CHECK(toys.m_value.m_groups[2].m_connections == 16);
+    CHECK(toys.m_value.m_latency_to_clients.count() == 1000);
+
+    auto const dealers =
+        transport::read_deployment_file("examples/bajio.jsonc");
+    for (auto const& error : dealers.m_errors)
+    {
+        FAIL_CHECK(to_string(error));
+    }
+    REQUIRE(dealers.ok());
+    CHECK(dealers.m_value.m_data_centres.size() == 3);
+    CHECK(dealers.m_value.m_groups[0].m_members.size() == 3);
+    CHECK(dealers.m_value.m_groups[0].m_slots == 5);
+    CHECK(dealers.m_value.m_groups[0].m_connections == 55);
+    CHECK(dealers.m_value.m_latency_to_clients.count() == 3000);
+}
+
+TEST_CASE("a deployment makes a valid catalogue that reads back the same")
+{
+    auto const toys =
+        transport::read_deployment_file("examples/caxias-serrana.jsonc");
+    auto const catalogue =
+        transport::make_catalogue(toys.m_value, addresses(toys.m_value));
+    CHECK(state::validate(catalogue).empty());
+    REQUIRE(catalogue.entries().size() == 15);
+    auto const* const pages = catalogue.find_entry("catalogue-pages.loans-2");
+    REQUIRE(pages != nullptr);
+    CHECK(pages->m_limits.m_age == state::duration(5000));
+
+    auto const again =
+        transport::parse_catalogue("x", transport::write_catalogue(catalogue));
+    REQUIRE(again.ok());
+    CHECK(again.m_value.entries() == catalogue.entries());
+    CHECK(again.m_value.groups() == catalogue.groups());
+}
+
+TEST_CASE("a name that a deployment does not have is a fault")
+{
+    auto const result = transport::parse_deployment("d.jsonc", R"({
+      "name": "n", "region": "r", "data_centres": ["x"],
+      "instances": [{"name": "i", "data_centre": "y"},
+                    {"name": "i", "data_centre": "x"}],
+      "groups": [{"name": "g", "slots": 1, "connections": 1,
+                  "members": [{"name": "a", "data_centre": "z"},
+                              {"name": "a", "data_centre": "x"}]}],
+      "owners": [{"name": "o", "credential": "s"}],
+      "entries": [{"name": "e", "owner": "p", "class": "c",
+                   "groups": ["g", "h"]}],
+      "traffic": [{"name": "t", "entry": "f", "kind": "read", "rate": 1,
+                   "statements": ["get a", "get b"]}]})");
+    auto const& errors = result.m_errors;
+    CHECK(has(errors, "instances[0].data_centre", setting_fault::conflict));
+    CHECK(has(errors, "instances[1].name", setting_fault::conflict));
+    CHECK(has(errors, "groups[0].members[0].data_centre",
+              setting_fault::conflict));
+    CHECK(has(errors, "groups[0].members[1].name", setting_fault::conflict));
+    CHECK(has(errors, "entries[0].owner", setting_fault::conflict));
+    CHECK(has(errors, "entries[0].groups[1]", setting_fault::conflict));
+    CHECK(has(errors, "traffic[0].entry", setting_fault::conflict));
+    CHECK(has(errors, "traffic[0].statements", setting_fault::conflict));
+    CHECK(errors.size() == 8);
+}
+
+TEST_CASE("faults of a catalogue file name their record")
+{
+    CHECK(parse(entry("e", "")).ok());
+    auto const limits = parse(entry(
+        "e", R"(, "limits": {"rate": 0, "deadline": 5, "age": "x", "z": 1})"));
+    CHECK(has(limits.m_errors, "entries[0].limits.rate",
+              setting_fault::out_of_range));
+    CHECK(has(limits.m_errors, "entries[0].limits.deadline",
+              setting_fault::wrong_unit));
+    CHECK(has(limits.m_errors, "entries[0].limits.age",
+              setting_fault::wrong_unit));
+    CHECK(has(limits.m_errors, "entries[0].limits.z",
+              setting_fault::unknown_key));
+    CHECK(has(parse(entry("e", "") + "," + entry("e", "")).m_errors,
+              "entries[0]", setting_fault::conflict));
+    CHECK(has(parse(entry("e", R"(, "limits": {"connections": 9})")).m_errors,
+              "entries[0]", setting_fault::conflict));
+    CHECK(has(transport::read_catalogue_file("no/such").m_errors, "",
+              setting_fault::unreadable_file));
+}
