--- a/packages/transport/include/camphortide/transport/gateway/group_core.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_core.hpp
@@ -69,7 +69,7 @@
     std::vector<std::unique_ptr<member_link>> m_members;
     coordination::freshness m_freshness;
     coordination::log_tracker m_log;
-    coordination::admission m_admission;
+    coordination::admission m_admission{coordination::priority_rule::strict};
     std::optional<coordination::group_primary> m_primary;
     bool m_paused = false;
     std::size_t m_writes_sent = 0; ///< without an answer
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -46,6 +46,9 @@
     /// @return true once a catalogue is in force
     bool ready() const { return catalogue() != nullptr; }
 
+    /// @return true if this is a home of the group and knows its primary
+    bool leads_to(std::string const& group) const;
+
     /// Tells what operators see.
     /// @param done is called on the control thread
     void status(admin_service::status_handler done);
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -230,6 +230,12 @@
     return clean;
 }
 
+bool instance::leads_to(std::string const& group) const
+{
+    auto const gateway = m_homes.find(group);
+    return gateway && gateway->report().m_primary.has_value();
+}
+
 void instance::status(admin_service::status_handler done)
 {
     m_loop->post([this, done = std::move(done)] { done(make_status()); });
--- a/packages/transport/src/instance/limit_conversion.cpp
+++ b/packages/transport/src/instance/limit_conversion.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 
 #include <camphortide/transport/instance/limit_conversion.hpp>
 
@@ -29,8 +28,7 @@
         std::max<std::uint32_t>(1, whole.m_queue_length / share);
     result.m_queue_time = whole.m_deadline;
     result.m_deadline = whole.m_deadline;
-    result.m_priority =
-        std::numeric_limits<std::uint32_t>::max() - whole.m_priority;
+    result.m_priority = whole.m_priority;
     result.m_weight = whole.m_weight;
     result.m_retry_share = whole.m_retry_percent / percent;
     return result;
