fleet: measure the control cost of a node; bound the watchers' reads

Cause: a first run with 8 nodes and 910 databases showed 42.5 KB/s at a watcher: each read the whole head every two seconds, and the head named every record of the first change.

Change: all watchers together read the head about once a second, a change names at most eight records in the history, and up to 16 KB of new chunks stay in the head. Homes are chosen in one pass over the instances. benchmarks/fleet_control runs many control planes on a manual clock with the real messages.

Failed tries: a fleet of 500 in the benchmark did not end in 200 s while each node chose all homes anew at each single change of its view.

--- /dev/null
+++ b/benchmarks/fleet_control/control_node.cpp
@@ -0,0 +1,303 @@
+#include "control_node.hpp"
+
+#include <ctime>
+#include <utility>
+#include <variant>
+
+#include <camphortide/coordination/fleet/home_table.hpp>
+#include <camphortide/protocol/catalogue_conversion.hpp>
+#include <camphortide/protocol/peer_conversion.hpp>
+#include <camphortide/protocol/stop_conversion.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace peer = camphortide::peer;
+namespace protocol = camphortide::protocol;
+namespace state = camphortide::state;
+
+namespace
+{
+
+constexpr std::size_t homes_of_a_group = 2;
+constexpr state::duration refresh_interval{500};
+
+double thread_seconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    constexpr double nanosecond = 1e-9;
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_nsec) * nanosecond;
+}
+
+} // namespace
+
+class control_node::cpu_timer
+{
+public:
+    explicit cpu_timer(node_counts& counts)
+        : m_counts(counts),
+          m_start(thread_seconds())
+    {
+    }
+    ~cpu_timer() { m_counts.m_cpu_seconds += thread_seconds() - m_start; }
+    cpu_timer(cpu_timer const&) = delete;
+    cpu_timer& operator=(cpu_timer const&) = delete;
+
+private:
+    node_counts& m_counts;
+    double m_start;
+};
+
+control_node::control_node(state::instance_record const& self,
+                           std::vector<std::string> seeds, std::uint64_t seed,
+                           time_point now, sender send, caller call)
+    : m_self(self),
+      m_membership(coordination::membership_settings(), self, std::move(seeds),
+                   seed, now),
+      m_follower(coordination::catalogue_follower_settings(), self.m_name,
+                 m_codec, seed + 1, now),
+      m_stops(coordination::stop_list_settings(), self.m_name, seed + 2, now),
+      m_send(std::move(send)),
+      m_call(std::move(call))
+{
+    refresh_view(now);
+}
+
+void control_node::tick(time_point now)
+{
+    cpu_timer const timer(m_counts);
+    m_membership.set_held({m_follower.version(), m_stops.list().m_version,
+                           m_follower.confirmed_age(now)});
+    carry_out(m_membership.tick(now));
+    refresh_view(now);
+    carry_out(m_follower.tick(now));
+    carry_out(m_stops.tick(now));
+}
+
+void control_node::refresh_view(time_point now)
+{
+    bool const is_watcher = m_follower.is_watcher();
+    bool const is_same =
+        m_membership.revision() == m_revision && is_watcher == m_was_watcher;
+    if (!m_addresses.empty() && (is_same || now < m_next_refresh))
+    {
+        return;
+    }
+    m_next_refresh = now + refresh_interval;
+    m_revision = m_membership.revision();
+    m_was_watcher = is_watcher;
+    auto const view = m_membership.view();
+    for (auto const& record : view)
+    {
+        m_addresses[record.m_name] = record.m_address;
+    }
+    m_follower.on_view(view, m_membership.joined() || view.size() > 1);
+    m_stops.on_view(view, is_watcher, m_follower.watchers());
+    m_homes = coordination::home_table(view, homes_of_a_group);
+    m_groups_at_home = 0;
+    if (m_catalogue)
+    {
+        for (auto const& group : m_catalogue->groups())
+        {
+            m_groups_at_home +=
+                m_homes.is_home(group.m_name, m_self.m_name) ? 1U : 0U;
+        }
+    }
+}
+
+void control_node::receive(std::string const& bytes, time_point now)
+{
+    cpu_timer const timer(m_counts);
+    m_counts.m_bytes_received += bytes.size() + message_overhead;
+    peer::v1::Envelope message;
+    if (message.ParseFromString(bytes))
+    {
+        dispatch(message, now);
+    }
+}
+
+void control_node::dispatch(peer::v1::Envelope const& message, time_point now)
+{
+    auto const& from = message.sender();
+    switch (message.message_case())
+    {
+    case peer::v1::Envelope::kHeartbeat:
+    {
+        auto const value = protocol::heartbeat_from(message);
+        carry_out(m_membership.on_heartbeat(*value, now));
+        auto const& held = value->m_held;
+        carry_out(m_follower.on_offer(
+            from, {held.m_catalogue, false, held.m_confirmed_age}, now));
+        carry_out(m_stops.on_peer_version(from, held.m_stops, now));
+        break;
+    }
+    case peer::v1::Envelope::kCatalogueOffer:
+        carry_out(m_follower.on_offer(
+            from, protocol::from_proto(message.catalogue_offer()), now));
+        break;
+    case peer::v1::Envelope::kCatalogueRequest:
+        carry_out(m_follower.on_request(
+            from, protocol::from_proto(message.catalogue_request())));
+        break;
+    case peer::v1::Envelope::kCatalogueChunks:
+        carry_out(m_follower.on_parts(
+            from, protocol::from_proto(message.catalogue_chunks()), now));
+        break;
+    case peer::v1::Envelope::kStopsRequest:
+        carry_out(m_stops.on_request(from));
+        break;
+    case peer::v1::Envelope::kStopList:
+        carry_out(m_stops.on_stops(protocol::from_proto(message.stop_list())));
+        break;
+    default:
+        break;
+    }
+}
+
+void control_node::take_head(std::string const& bytes, time_point now)
+{
+    cpu_timer const timer(m_counts);
+    m_counts.m_store_bytes += bytes.size();
+    carry_out(
+        m_follower.on_store_head(protocol::decode_head_object(bytes), now));
+}
+
+void control_node::take_chunk(std::string const& name, std::string const* bytes,
+                              time_point now)
+{
+    cpu_timer const timer(m_counts);
+    coordination::chunk_bytes chunk;
+    if (bytes != nullptr)
+    {
+        m_counts.m_store_bytes += bytes->size();
+        chunk = std::make_shared<std::string const>(*bytes);
+    }
+    carry_out(m_follower.on_store_chunk(name, std::move(chunk), now));
+}
+
+void control_node::take_stops(std::uint64_t version, time_point now)
+{
+    carry_out(m_stops.on_store_list({version, {}}, now));
+}
+
+void control_node::take_failure(time_point now)
+{
+    carry_out(m_follower.on_store_failed(now));
+    m_stops.on_store_failed(now);
+}
+
+void control_node::leave(time_point now)
+{
+    carry_out(m_membership.leave(now));
+}
+
+peer::v1::Envelope control_node::envelope() const
+{
+    return protocol::make_envelope(m_membership.self());
+}
+
+void control_node::send(std::string const& address,
+                        peer::v1::Envelope const& message)
+{
+    auto bytes = message.SerializeAsString();
+    m_counts.m_bytes_sent += bytes.size() + message_overhead;
+    ++m_counts.m_messages_sent;
+    m_send(address, std::move(bytes));
+}
+
+void control_node::send_to_peer(std::string const& name,
+                                peer::v1::Envelope const& message)
+{
+    auto const place = m_addresses.find(name);
+    if (place != m_addresses.end())
+    {
+        send(place->second, message);
+    }
+}
+
+void control_node::carry_out(std::vector<coordination::heartbeat_to> out)
+{
+    for (auto const& action : out)
+    {
+        send(action.m_address, protocol::to_envelope(action.m_heartbeat));
+    }
+}
+
+void control_node::carry_out(coordination::catalogue_follower::actions out)
+{
+    for (auto const& action : out)
+    {
+        auto message = envelope();
+        if (auto const* offer = std::get_if<coordination::send_offer>(&action))
+        {
+            *message.mutable_catalogue_offer() =
+                protocol::to_proto(offer->m_offer);
+            send_to_peer(offer->m_peer, message);
+        }
+        else if (auto const* request =
+                     std::get_if<coordination::send_request>(&action))
+        {
+            *message.mutable_catalogue_request() =
+                protocol::to_proto(request->m_request);
+            send_to_peer(request->m_peer, message);
+        }
+        else if (auto const* parts =
+                     std::get_if<coordination::send_parts>(&action))
+        {
+            *message.mutable_catalogue_chunks() =
+                protocol::to_proto(parts->m_parts);
+            send_to_peer(parts->m_peer, message);
+        }
+        else if (auto const* applied =
+                     std::get_if<coordination::apply_catalogue>(&action))
+        {
+            apply(*applied);
+        }
+        else if (std::holds_alternative<coordination::stop_watch>(action))
+        {
+            m_call({store_call::kind::end_watch, {}});
+        }
+        else
+        {
+            ++m_counts.m_store_calls;
+            auto const* chunk = std::get_if<coordination::get_chunk>(&action);
+            bool const is_watch =
+                std::holds_alternative<coordination::start_watch>(action);
+            using kind = store_call::kind;
+            m_call(chunk != nullptr
+                       ? store_call{kind::chunk, chunk->m_chunk}
+                       : store_call{is_watch ? kind::watch : kind::head, {}});
+        }
+    }
+}
+
+void control_node::carry_out(coordination::stop_list_follower::actions out)
+{
+    for (auto const& action : out)
+    {
+        auto message = envelope();
+        if (auto const* list = std::get_if<coordination::send_stops>(&action))
+        {
+            *message.mutable_stop_list() = protocol::to_proto(list->m_list);
+            send_to_peer(list->m_peer, message);
+        }
+        else if (auto const* request =
+                     std::get_if<coordination::request_stops>(&action))
+        {
+            message.mutable_stops_request();
+            send_to_peer(request->m_peer, message);
+        }
+        else
+        {
+            ++m_counts.m_store_calls;
+            m_call({store_call::kind::stops, {}});
+        }
+    }
+}
+
+void control_node::apply(coordination::apply_catalogue const& action)
+{
+    m_catalogue =
+        coordination::assemble(action.m_head, action.m_chunks, m_codec);
+    m_revision = 0; // the groups may have changed
+}
--- a/packages/coordination/include/camphortide/coordination/fleet/catalogue_edit.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_edit.hpp
@@ -65,7 +65,8 @@
     state::duration m_retry{200};        ///< pause after a failed call
     state::duration m_deadline{60'000};  ///< then the edit ends
     std::size_t m_history = 128;         ///< changes that the head names
-    std::size_t m_inline_bytes = 65'536; ///< new chunks kept in the head
+    std::size_t m_named_records = 8;     ///< that the head names for a change
+    std::size_t m_inline_bytes = 16'384; ///< new chunks kept in the head
 };
 
 /// Carries one change into the store by a conditional write of the head, or
@@ -136,6 +137,7 @@
     void drop(actions& out, std::vector<std::string> const& chunks);
     std::set<std::uint32_t> touched_buckets() const;
     std::vector<std::string> touched_records() const;
+    std::vector<std::string> named_records() const;
 
     catalogue_edit_settings m_settings;
     catalogue_change m_change;
--- a/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower.hpp
@@ -92,6 +92,9 @@
     /// @return true if this instance watches the store
     bool is_watcher() const { return m_is_watcher; }
 
+    /// @return how many instances watch the store, in this one's view
+    std::size_t watchers() const { return m_watchers; }
+
     /// @return how long ago the store confirmed the version in force
     state::duration confirmed_age(state::time_point now) const;
 
@@ -135,6 +138,7 @@
     std::vector<std::string> m_peers; ///< live ones but this
     bool m_joined = false;
     bool m_is_watcher = false;
+    std::size_t m_watchers = 1;
 
     state::catalogue_head m_head;                  ///< in force
     chunk_map m_chunks;                            ///< of the head in force
--- a/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower_settings.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower_settings.hpp
@@ -10,9 +10,10 @@
 /// Times and bounds of a catalogue follower.
 struct catalogue_follower_settings
 {
-    state::duration m_poll{2000}; ///< between a watcher's reads of the head
-    state::duration m_first_read{500};  ///< newcomers' first reads spread over
-    state::duration m_retry_least{250}; ///< after a failed call of the store
+    state::duration m_poll{1000}; ///< between reads by any of the watchers
+    state::duration m_poll_most{10'000}; ///< between reads by one of them
+    state::duration m_first_read{500};   ///< newcomers' first reads spread over
+    state::duration m_retry_least{250};  ///< after a failed call of the store
     state::duration m_retry_most{2000};
     state::duration m_call_timeout{10'000}; ///< a call of the store is given up
     state::duration m_peer_timeout{1000};   ///< a request to a peer is given up
--- a/packages/coordination/include/camphortide/coordination/fleet/stop_list_follower.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/stop_list_follower.hpp
@@ -38,7 +38,8 @@
 /// Times and bounds of a follower of the planned stops.
 struct stop_list_settings
 {
-    state::duration m_poll{2000};           ///< between a watcher's reads
+    state::duration m_poll{1000};           ///< between reads by any watcher
+    state::duration m_poll_most{10'000};    ///< between reads by one of them
     state::duration m_peer_timeout{1000};   ///< a request is given up
     state::duration m_call_timeout{10'000}; ///< a read is given up
     std::size_t m_send_peers = 4;           ///< receivers of a new list
@@ -60,7 +61,9 @@
 
     /// @param view all instances that are known
     /// @param is_watcher true if this instance reads the store
-    void on_view(std::span<state::instance_record const> view, bool is_watcher);
+    /// @param watchers how many instances do
+    void on_view(std::span<state::instance_record const> view, bool is_watcher,
+                 std::size_t watchers);
 
     /// Lets time pass.
     /// @return what to do
@@ -101,6 +104,7 @@
     seeded_sequence m_random;
     std::vector<std::string> m_peers;
     bool m_is_watcher = false;
+    state::duration m_own_poll;
     bool m_is_reading = false;
     state::time_point m_read_sent;
     state::time_point m_next_read;
--- a/packages/coordination/src/fleet/catalogue_edit.cpp
+++ b/packages/coordination/src/fleet/catalogue_edit.cpp
@@ -212,7 +212,7 @@
     std::ranges::sort(head.m_chunks, {}, &state::chunk_reference::m_bucket);
     head.m_history.push_back(
         {{m_change.m_id, m_change.m_operator, head.m_version},
-         touched_records()});
+         named_records()});
     if (head.m_history.size() > m_settings.m_history)
     {
         head.m_history.erase(head.m_history.begin());
@@ -246,8 +246,9 @@
     }
     auto bytes = std::make_shared<std::string const>(m_codec.encode(*content));
     auto digest = m_codec.digest(*bytes);
-    // The store's version of the head never returns, nor does the name.
-    auto const name = std::to_string(bucket) + "-" + m_change.m_id + "-" +
+    // The store's version of the head never returns, and the records' stamps
+    // make the digest that of this change: so the name never returns either.
+    auto const name = std::to_string(bucket) + "-" +
                       std::to_string(m_object_version) + "-" +
                       std::to_string(hash_name(digest));
     chunks.push_back(
@@ -341,6 +342,24 @@
     return result;
 }
 
+std::vector<std::string> catalogue_edit::named_records() const
+{
+    // Records that still exist carry the change's stamp themselves.
+    std::vector<std::string> result;
+    std::vector<std::string> kept;
+    for (auto const& item : m_change.m_groups)
+    {
+        (item.m_after ? kept : result).push_back(item.m_name);
+    }
+    for (auto const& item : m_change.m_entries)
+    {
+        (item.m_after ? kept : result).push_back(item.m_name);
+    }
+    result.insert(result.end(), kept.begin(), kept.end());
+    result.resize(std::min(result.size(), m_settings.m_named_records));
+    return result;
+}
+
 std::vector<std::string> catalogue_edit::touched_records() const
 {
     std::vector<std::string> result;
--- a/packages/coordination/src/fleet/catalogue_follower.cpp
+++ b/packages/coordination/src/fleet/catalogue_follower.cpp
@@ -40,6 +40,7 @@
     }
     auto const watchers = choose_watchers(view, m_settings.m_watchers);
     m_is_chosen = std::ranges::binary_search(watchers, m_self);
+    m_watchers = std::max<std::size_t>(watchers.size(), 1);
 }
 
 catalogue_follower::actions catalogue_follower::tick(time_point now)
--- a/packages/coordination/src/fleet/catalogue_follower_sources.cpp
+++ b/packages/coordination/src/fleet/catalogue_follower_sources.cpp
@@ -119,7 +119,10 @@
     }
     if (m_is_watcher)
     {
-        delay = m_failures > 0 ? delay : m_settings.m_poll;
+        auto const watchers = static_cast<state::clock::rep>(m_watchers);
+        auto const poll =
+            std::min(m_settings.m_poll_most, watchers * m_settings.m_poll);
+        delay = m_failures > 0 ? delay : poll;
     }
     else if (m_gate_open)
     {
--- a/packages/coordination/src/fleet/home_table.cpp
+++ b/packages/coordination/src/fleet/home_table.cpp
@@ -50,36 +50,59 @@
 std::vector<std::size_t> home_table::choose(std::string_view group) const
 {
     std::uint64_t const key = hash_name(group);
-    bool const everyone = m_homes == all || m_homes >= m_instances.size();
-    std::size_t const wanted = everyone ? m_instances.size() : m_homes;
-    std::vector<std::uint64_t> scores;
-    scores.reserve(m_instances.size());
-    for (std::uint64_t const hash : m_hashes)
+    if (m_homes == all || m_homes >= m_instances.size())
     {
-        scores.push_back(rendezvous_score(key, hash));
+        return choose_all(key);
     }
+    return m_homes <= m_data_centres ? choose_apart(key) : choose_spread(key);
+}
+
+std::vector<std::size_t> home_table::choose_all(std::uint64_t key) const
+{
+    std::vector<std::size_t> chosen(m_instances.size());
+    std::ranges::generate(chosen,
+                          [next = std::size_t{0}]() mutable { return next++; });
+    std::ranges::sort(chosen, std::greater<>(),
+                      [this, key](std::size_t index)
+                      { return rendezvous_score(key, m_hashes[index]); });
+    return chosen;
+}
+
+std::vector<std::size_t> home_table::choose_apart(std::uint64_t key) const
+{
+    // The best of each data centre, and of these the best ones.
+    using scored = std::pair<std::uint64_t, std::size_t>;
+    std::vector<scored> best(m_data_centres);
+    for (std::size_t index = 0; index < m_hashes.size(); ++index)
+    {
+        auto& place = best[m_data_centre_of[index]];
+        place = std::max(place,
+                         scored(rendezvous_score(key, m_hashes[index]), index));
+    }
+    std::ranges::sort(best, std::greater<>());
     std::vector<std::size_t> chosen;
-    if (everyone)
+    for (std::size_t count = 0; count < m_homes; ++count)
     {
-        for (std::size_t index = 0; index < wanted; ++index)
-        {
-            chosen.push_back(index);
-        }
-        std::ranges::sort(chosen, [&scores](std::size_t left, std::size_t right)
-                          { return scores[left] > scores[right]; });
-        return chosen;
+        chosen.push_back(best[count].second);
     }
+    return chosen;
+}
+
+std::vector<std::size_t> home_table::choose_spread(std::uint64_t key) const
+{
     std::vector<std::size_t> used(m_data_centres, 0);
     std::vector<bool> taken(m_instances.size(), false);
-    while (chosen.size() < wanted)
+    auto const rank = [&](std::size_t place)
+    {
+        return std::pair(used[m_data_centre_of[place]],
+                         ~rendezvous_score(key, m_hashes[place]));
+    };
+    std::vector<std::size_t> chosen;
+    while (chosen.size() < m_homes)
     {
         std::size_t best = m_instances.size();
         for (std::size_t index = 0; index < m_instances.size(); ++index)
         {
-            auto const rank = [&](std::size_t place)
-            {
-                return std::pair(used[m_data_centre_of[place]], ~scores[place]);
-            };
             if (!taken[index] &&
                 (best == m_instances.size() || rank(index) < rank(best)))
             {
--- a/packages/coordination/src/fleet/stop_list_follower.cpp
+++ b/packages/coordination/src/fleet/stop_list_follower.cpp
@@ -15,6 +15,7 @@
     : m_settings(settings),
       m_self(std::move(self)),
       m_random(seed),
+      m_own_poll(settings.m_poll),
       m_read_sent(now),
       m_next_read(now),
       m_next_request(now)
@@ -22,9 +23,11 @@
 }
 
 void stop_list_follower::on_view(std::span<state::instance_record const> view,
-                                 bool is_watcher)
+                                 bool is_watcher, std::size_t watchers)
 {
     m_is_watcher = is_watcher;
+    auto const count = static_cast<state::clock::rep>(watchers);
+    m_own_poll = std::min(m_settings.m_poll_most, count * m_settings.m_poll);
     m_peers.clear();
     for (auto const& instance : view)
     {
@@ -54,14 +57,14 @@
     }
     m_is_reading = true;
     m_read_sent = now;
-    m_next_read = now + around(m_settings.m_poll);
+    m_next_read = now + around(m_own_poll);
     return {list_stops{}};
 }
 
 void stop_list_follower::on_store_failed(time_point now)
 {
     m_is_reading = false;
-    m_next_read = now + around(m_settings.m_poll);
+    m_next_read = now + around(m_own_poll);
 }
 
 stop_list_follower::actions stop_list_follower::take(state::stop_list list)
--- a/packages/coordination/test/homes/home_table_test.cpp
+++ b/packages/coordination/test/homes/home_table_test.cpp
@@ -54,6 +54,32 @@
     }
 }
 
+TEST_CASE("more homes than data centres are spread over all of them")
+{
+    home_table const table(instances(30, 3), 7);
+    home_table const few(instances(30, 3), 3);
+    for (auto const& group : groups(50))
+    {
+        auto const homes = table.homes_of(group);
+        REQUIRE(homes.size() == 7);
+        std::map<std::string, std::size_t> held;
+        std::set<std::string> names;
+        for (auto const& home : homes)
+        {
+            ++held[home.m_data_centre];
+            names.insert(home.m_name);
+        }
+        CHECK(names.size() == 7);
+        for (auto const& [data_centre, count] : held)
+        {
+            CHECK(count >= 2);
+        }
+        // The first of many homes are those that few homes would be.
+        auto const first = few.homes_of(group);
+        CHECK(std::equal(first.begin(), first.end(), homes.begin()));
+    }
+}
+
 TEST_CASE("all makes every live instance a home")
 {
     auto view = instances(8, 3);
