--- a/packages/coordination/include/camphortide/coordination/limits/admission.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/admission.hpp
@@ -89,7 +89,7 @@
                                               waiting_request const& item,
                                               state::time_point now);
     admission_decision too_late(entry const& asked, lane which,
-                                waiting_request const& item, work wait,
+                                waiting_request const& item,
                                 state::time_point now) const;
     admission_decision over_queue(entry const& asked, lane which,
                                   std::uint64_t id) const;
--- a/packages/coordination/include/camphortide/coordination/limits/fair_schedule.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/fair_schedule.hpp
@@ -14,6 +14,8 @@
 
 /// Says which flow is served next: the highest priority first, then the owner
 /// and the owner's flow with the lowest start tag. Owners have equal weights.
+/// One that used less than its share may fall behind the tags in service by a
+/// bounded credit, so that its bursts go ahead of those that use more.
 /// Each call takes a time that is logarithmic in the number of flows.
 /// @see P. Goyal, H. Vin and H. Cheng, "Start-time Fair Queueing", 1996, for
 ///     the tags; here once among owners and once among an owner's flows
@@ -22,6 +24,9 @@
 public:
     using flow_id = std::uint32_t;
 
+    /// @param credit the most work that an owner or a flow can catch up on
+    explicit fair_schedule(double credit = 0) : m_credit(credit) {}
+
     /// Adds a flow or changes an inactive one.
     /// @param id small; flows are kept in a vector
     /// @param owner flows of one owner share what the owner gets
@@ -78,6 +83,7 @@
 
     owner_id intern(std::string const& owner);
 
+    double m_credit;
     std::vector<flow> m_flows;
     std::map<std::string, owner_id, std::less<>> m_owners;
     std::map<std::uint32_t, level, std::greater<>> m_levels;
--- a/packages/coordination/include/camphortide/coordination/limits/slot_queue.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/slot_queue.hpp
@@ -84,6 +84,11 @@
     /// @return when the next queued request expires
     std::optional<state::time_point> next_expiry() const;
 
+    /// @return true if a request that waits that long finishes in time, with
+    ///     a margin for what the estimate can't know
+    static bool in_time(work wait, waiting_request const& item,
+                        state::time_point now);
+
     std::uint32_t slots() const { return m_slots; }
     std::uint32_t running() const { return m_running; }
 
@@ -92,6 +97,7 @@
 
 private:
     static constexpr double work_weight = 1.0 / 32;
+    static constexpr double credit_ms = 100; ///< of work, to catch up on
 
     struct flow_state
     {
@@ -114,7 +120,7 @@
     std::uint32_t m_running = 0;
     moving_mean m_work{work_weight}; ///< of one request, in ms
     work m_last_cost{};              ///< of the last request that started
-    fair_schedule m_schedule;
+    fair_schedule m_schedule{credit_ms};
     std::vector<flow_state> m_flows;
     std::map<std::uint32_t, work, std::greater<>> m_queued; ///< by priority
     std::set<std::pair<state::time_point, std::uint64_t>> m_expiries;
--- a/packages/coordination/src/limits/admission.cpp
+++ b/packages/coordination/src/limits/admission.cpp
@@ -213,9 +213,9 @@
     }
     auto const which = request.m_lane;
     auto const wait = expected_wait(asked, which);
-    if (wait > work(item.m_latest_start - now))
+    if (!slot_queue::in_time(wait, item, now))
     {
-        return too_late(asked, which, item, wait, now);
+        return too_late(asked, which, item, now);
     }
     bool const waits = !in(which).starts_at_once(asked.m_flow);
     if (asked.closed() ||
@@ -227,10 +227,11 @@
 }
 
 admission_decision admission::too_late(entry const& asked, lane which,
-                                       waiting_request const& item, work wait,
+                                       waiting_request const& item,
                                        state::time_point now) const
 {
-    bool const by_deadline = wait + item.m_cost > work(item.m_deadline - now);
+    bool const by_deadline =
+        item.m_latest_start < now + asked.limits().m_queue_time;
     return refused(by_deadline ? reason::deadline_too_short
                                : reason::queue_full,
                    retry_after(asked, which, item.m_id));
--- a/packages/coordination/src/limits/fair_schedule.cpp
+++ b/packages/coordination/src/limits/fair_schedule.cpp
@@ -34,10 +34,12 @@
     auto& owner = ranked.m_owners[added.m_owner];
     if (owner.m_active.empty())
     {
-        owner.m_start = std::max(owner.m_start, ranked.m_virtual_time);
+        owner.m_start =
+            std::max(owner.m_start, ranked.m_virtual_time - m_credit);
         ranked.m_active.emplace(owner.m_start, added.m_owner);
     }
-    added.m_start = std::max(added.m_start, owner.m_virtual_time);
+    added.m_start = std::max(added.m_start,
+                             owner.m_virtual_time - m_credit / added.m_weight);
     added.m_active = true;
     owner.m_weight += added.m_weight;
     owner.m_active.emplace(added.m_start, id);
--- a/packages/coordination/src/limits/slot_queue.cpp
+++ b/packages/coordination/src/limits/slot_queue.cpp
@@ -9,8 +9,10 @@
 namespace
 {
 
-/// How far an estimate may be off before a queued request is given up on.
-constexpr double estimate_margin = 1.25;
+/// How much longer than estimated a request must be able to wait to be queued,
+/// and how much shorter it may wait before it is given up on.
+constexpr double arrival_margin = 1.5;
+constexpr double giving_up_margin = 1.25;
 
 } // namespace
 
@@ -161,7 +163,7 @@
     }
     auto const item = queue.last();
     auto const wait =
-        expected_wait(flow, queue.total() - item->m_cost) / estimate_margin;
+        expected_wait(flow, queue.total() - item->m_cost) / giving_up_margin;
     if (wait <= work(item->m_latest_start - now))
     {
         return std::nullopt;
@@ -178,6 +180,12 @@
     return m_expiries.begin()->first;
 }
 
+bool slot_queue::in_time(work wait, waiting_request const& item,
+                         state::time_point now)
+{
+    return wait * arrival_margin <= work(item.m_latest_start - now);
+}
+
 std::optional<std::uint64_t> slot_queue::oldest(flow_id flow) const
 {
     auto const& queue = m_flows[flow].m_queue;
