--- /dev/null
+++ b/benchmarks/share_calls.cpp
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <camphortide/coordination/limits/share_keeper.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+
+namespace
+{
+
+constexpr std::int64_t length_ms = 3600000;
+constexpr std::int64_t step_ms = 250;
+constexpr std::int64_t demand_period_ms = 30000;
+constexpr std::int64_t members = 3;
+constexpr std::int64_t entries = 4;
+
+/// The store's object and the calls that it took.
+struct counted_store
+{
+    coordination::share_ledger m_ledger;
+    std::uint64_t m_version = 0;
+    std::int64_t m_reads = 0;
+    std::int64_t m_writes = 0;
+    std::int64_t m_conflicts = 0;
+};
+
+state::time_point at(std::int64_t ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+std::string numbered(std::string name, std::int64_t number)
+{
+    name.append(std::to_string(number));
+    return name;
+}
+
+std::vector<coordination::share_limit> limits()
+{
+    using coordination::share_kind;
+    std::vector<coordination::share_limit> made;
+    for (std::int64_t i = 0; i < members; ++i)
+    {
+        made.push_back({{share_kind::connections, numbered("m", i)}, 55});
+    }
+    for (std::int64_t i = 0; i < entries; ++i)
+    {
+        auto const name = numbered("entry", i);
+        made.push_back({{share_kind::concurrency, name}, 20});
+        made.push_back({{share_kind::rate, name}, 200000});
+    }
+    return made;
+}
+
+void answer(coordination::share_keeper& keeper,
+            coordination::ledger_call const& call, counted_store& store,
+            state::time_point now)
+{
+    if (!call.m_write)
+    {
+        store.m_reads += 1;
+        keeper.read_done(call.m_number, store.m_ledger, store.m_version, now);
+        return;
+    }
+    store.m_writes += 1;
+    if (call.m_if_version != store.m_version)
+    {
+        store.m_conflicts += 1;
+        keeper.write_conflict(call.m_number, now);
+        return;
+    }
+    store.m_ledger = call.m_ledger;
+    store.m_version += 1;
+    keeper.write_done(call.m_number, store.m_version, now);
+}
+
+void change_demand(coordination::share_keeper& keeper, std::mt19937_64& random)
+{
+    for (auto const& each : limits())
+    {
+        auto const part = static_cast<std::int64_t>(random() % 100);
+        keeper.set_demand(each.m_key, {each.m_limit * part / 100, 0});
+    }
+}
+
+void run(int homes, bool changing)
+{
+    counted_store store;
+    std::mt19937_64 random(1);
+    std::vector<std::unique_ptr<coordination::share_keeper>> keepers;
+    for (int i = 0; i < homes; ++i)
+    {
+        keepers.push_back(std::make_unique<coordination::share_keeper>(
+            coordination::holder_id{numbered("home", i), 1},
+            coordination::share_timing{}, static_cast<double>(i) / homes));
+        keepers.back()->set_limits(1, limits());
+        change_demand(*keepers.back(), random);
+    }
+    for (std::int64_t now = 0; now < length_ms; now += step_ms)
+    {
+        for (auto const& keeper : keepers)
+        {
+            keeper->set_contact(at(now));
+            if (changing && now % demand_period_ms == 0)
+            {
+                change_demand(*keeper, random);
+            }
+            if (auto const call = keeper->step(at(now)))
+            {
+                answer(*keeper, *call, store, at(now));
+            }
+        }
+    }
+    constexpr double seconds = length_ms / 1000.0;
+    std::printf("%d homes, demand %s: %.3f reads/s, %.4f writes/s, "
+                "%.4f conflicts/s for a group\n",
+                homes, changing ? "new every 30 s" : "steady       ",
+                static_cast<double>(store.m_reads) / seconds,
+                static_cast<double>(store.m_writes) / seconds,
+                static_cast<double>(store.m_conflicts) / seconds);
+}
+
+} // namespace
+
+int main()
+{
+    for (int const homes : {2, 3, 8})
+    {
+        run(homes, false);
+        run(homes, true);
+    }
+    return 0;
+}
