--- a/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
@@ -58,6 +58,7 @@
     void follow_stops(state::time_point now);
 
     std::string const m_self;
+    std::size_t const m_watchers; ///< of the store, in each data centre
     handlers const m_calls;
     home_control m_homes;
     catalogue_control m_catalogue;
--- a/packages/transport/include/camphortide/transport/instance/stop_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/stop_control.hpp
@@ -29,8 +29,9 @@
 
     /// Takes a new view of the instances.
     /// @param is_watcher true if this instance reads the store
+    /// @param watchers how many instances do
     void on_view(std::vector<state::instance_record> const& view,
-                 bool is_watcher);
+                 bool is_watcher, std::size_t watchers);
 
     /// Takes the version that a peer's heartbeat carries.
     void on_peer_version(std::string const& peer, std::uint64_t version);
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -57,7 +57,7 @@
                              std::uint64_t incarnation, home_registry& registry,
                              peer_exchange& exchange, platform_client* platform,
                              control_loop& loop, handlers calls)
-    : m_self(settings.m_name),
+    : m_self(settings.m_name), m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
       m_homes(homes_of(settings, incarnation), registry, exchange, loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
@@ -91,7 +91,9 @@
     bool const joined = m_membership.decision().joined() || view.size() <= 1;
     m_homes.on_view(view);
     m_catalogue.on_view(view, joined);
-    m_stops.on_view(view, m_catalogue.decision().is_watcher());
+    auto const watchers = coordination::choose_watchers(view, m_watchers);
+    m_stops.on_view(view, m_catalogue.decision().is_watcher(),
+                    watchers.size());
     for (auto const& record : view)
     {
         auto& known = m_states[record.m_name];
--- a/packages/transport/src/instance/stop_control.cpp
+++ b/packages/transport/src/instance/stop_control.cpp
@@ -24,9 +24,9 @@
 }
 
 void stop_control::on_view(std::vector<state::instance_record> const& view,
-                           bool is_watcher)
+                           bool is_watcher, std::size_t watchers)
 {
-    m_follower.on_view(view, is_watcher);
+    m_follower.on_view(view, is_watcher, watchers);
     if (!is_watcher)
     {
         m_watch.reset();
