homes: a former home changes no primary, and a pause is its home's own

Two causes were found. An instance told itself to resume, which ended another home's pause. And an instance that had been a home before the others joined went on for 3 s as a home that nobody paused, with a monitor that started a switchover of its own. Change: pauses are kept by the home that asked for them; an instance sends itself none. A home that retires takes no new requests at once, ends what is under way, and its monitor stands still. Transactions run on a caller's stream, through a forwarding instance as well. Conclusion: views that differ may no longer have two instances act as homes and one of them unpaused.

--- a/packages/transport/include/camphortide/transport/access/access_service.hpp
+++ b/packages/transport/include/camphortide/transport/access/access_service.hpp
@@ -30,9 +30,11 @@
     /// @param codec of the session tokens; outlives this
     /// @param catalogue gives the catalogue in force, or null
     /// @param ended is called on any thread
+    /// @param prefix of the names of transactions, unique in the system
     access_service(request_check& check, request_router& router,
                    protocol::token_codec const& codec,
-                   catalogue_source catalogue, observer ended);
+                   catalogue_source catalogue, observer ended,
+                   std::string prefix);
 
     /// Refuses new requests from now on.
     void drain() { m_draining = true; }
@@ -48,6 +50,9 @@
                                     v1::Request const* request,
                                     v1::Reply* reply) override;
 
+    grpc::ServerBidiReactor<v1::TransactionStep, v1::TransactionReply>*
+    Transact(grpc::CallbackServerContext* context) override;
+
     grpc::ServerUnaryReactor* GetOutcome(grpc::CallbackServerContext* context,
                                          v1::OutcomeRequest const* request,
                                          v1::OutcomeReply* reply) override;
@@ -70,6 +75,8 @@
     protocol::token_codec const& m_codec;
     catalogue_source const m_catalogue;
     observer const m_ended;
+    std::string const m_transaction_prefix;
+    std::atomic<std::uint64_t> m_transactions{0};
     std::atomic<bool> m_draining{false};
     std::atomic<std::uint64_t> m_in_flight{0};
 };
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/access/transaction_stream.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <camphortide/transport/access/request_check.hpp>
+#include <camphortide/transport/gateway/request_router.hpp>
+#include <camphortide/transport/server_stream.hpp>
+#include <camphortide/v1/access.pb.h>
+
+namespace camphortide::transport
+{
+
+/// A caller's transaction: one stream, whose end without a commit rolls it
+/// back. Its steps run in order, one at a time.
+class transaction_stream final
+    : public server_stream<v1::TransactionStep, v1::TransactionReply>
+{
+public:
+    /// What a stream needs of its service.
+    struct service
+    {
+        /// checks the first step
+        std::function<std::variant<checked_request, v1::Failure>(
+            v1::Request const&)>
+            m_check;
+        /// builds the token after a commit
+        std::function<std::string(checked_request const&, group_reply const&)>
+            m_token;
+        /// told once, when the transaction has its final answer
+        std::function<void(checked_request const&, group_reply const&)> m_ended;
+        /// told once, when the stream holds nothing any more
+        std::function<void()> m_closed;
+    };
+
+    /// @param name of the transaction, unique in the system
+    /// @param router outlives this
+    transaction_stream(std::string name, request_router& router, service calls);
+    ~transaction_stream() override;
+
+private:
+    enum class phase
+    {
+        idle,    ///< no begin yet
+        open,    ///< waits for the caller
+        running, ///< a step has no answer yet
+        ended
+    };
+
+    void handle(v1::TransactionStep const& step) override;
+    void on_end() override;
+    void begin(v1::Request const& request);
+    void run(request_kind kind, std::string statement);
+    void answered(request_kind kind, group_reply const& reply);
+    void refuse(state::reason reason);
+    void leave();
+    static bool ends(request_kind kind, group_reply const& reply);
+
+    std::string const m_name;
+    request_router& m_router;
+    service const m_service;
+    std::mutex m_mutex;
+    phase m_phase = phase::idle;
+    checked_request m_begin;
+    std::string m_home;
+    bool m_left = false; ///< the caller has ended the stream
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -79,7 +79,9 @@
                 std::vector<std::string> const& homes);
     std::shared_ptr<group_control> make(state::group_description const& group);
     void set_limits(home& of, state::group_description const& group);
-    void retire(home& one, state::time_point now);
+    void retire(std::string const& group, home& one, state::time_point now);
+    bool is_over(home const& one, state::time_point now) const;
+    void tick(std::string const& group, home& one, state::time_point now);
 
     home_settings const m_settings;
     home_registry& m_registry;
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -49,6 +49,12 @@
     /// @return true if this is a home of the group and knows its primary
     bool leads_to(std::string const& group) const;
 
+    /// @return the homes of a group as this instance sees them
+    std::vector<std::string> homes_of(std::string const& group) const
+    {
+        return m_homes.homes_of(group);
+    }
+
     /// Tells what operators see.
     /// @param done is called on the control thread
     void status(admin_service::status_handler done);
--- a/packages/transport/include/camphortide/transport/instance/write_pause_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/write_pause_control.hpp
@@ -31,7 +31,8 @@
                    peer::v1::WritePaused const& word);
 
     /// Takes the end of another home's wish.
-    void on_resume(peer::v1::WriteResume const& wish);
+    void on_resume(std::string const& sender,
+                   peer::v1::WriteResume const& wish);
 
     /// Tells homes that wait whether the writes here have ended.
     void tick(state::time_point now);
@@ -43,6 +44,9 @@
     bool pauses(std::string const& group, state::time_point now) const;
 
 private:
+    void tell(std::string const& group, std::string const& home,
+              std::uint64_t number);
+
     struct own_pause
     {
         std::uint64_t m_number = 0;
@@ -51,7 +55,6 @@
 
     struct other_pause
     {
-        std::string m_home;
         std::uint64_t m_number = 0;
         state::time_point m_until;
     };
@@ -60,7 +63,9 @@
     home_registry const& m_homes;
     peer_exchange& m_exchange;
     std::map<std::string, own_pause, std::less<>> m_own;
-    std::map<std::string, other_pause, std::less<>> m_others;
+    /// by group, then by the home that asked
+    std::map<std::string, std::map<std::string, other_pause>, std::less<>>
+        m_others;
     std::uint64_t m_last_number = 0;
 };
 
--- a/packages/transport/src/access/access_service.cpp
+++ b/packages/transport/src/access/access_service.cpp
@@ -2,6 +2,8 @@
 #include <utility>
 
 #include <camphortide/transport/access/access_service.hpp>
+#include <camphortide/transport/access/outcome_conversion.hpp>
+#include <camphortide/transport/access/transaction_stream.hpp>
 #include <camphortide/transport/grpc_failure.hpp>
 
 namespace camphortide::transport
@@ -10,20 +12,6 @@
 namespace
 {
 
-v1::Outcome to_proto(state::outcome value)
-{
-    switch (value)
-    {
-    case state::outcome::executed:
-        return v1::OUTCOME_EXECUTED;
-    case state::outcome::not_executed:
-        return v1::OUTCOME_NOT_EXECUTED;
-    case state::outcome::unknown:
-        return v1::OUTCOME_UNKNOWN;
-    }
-    return v1::OUTCOME_UNSPECIFIED;
-}
-
 v1::Failure failure_of(checked_request const& checked, group_reply const& reply)
 {
     v1::Failure failure;
@@ -45,12 +33,14 @@
 
 access_service::access_service(request_check& check, request_router& router,
                                protocol::token_codec const& codec,
-                               catalogue_source catalogue, observer ended)
+                               catalogue_source catalogue, observer ended,
+                               std::string prefix)
     : m_check(check),
       m_router(router),
       m_codec(codec),
       m_catalogue(std::move(catalogue)),
-      m_ended(std::move(ended))
+      m_ended(std::move(ended)),
+      m_transaction_prefix(std::move(prefix))
 {
 }
 
@@ -144,6 +134,46 @@
     return reactor;
 }
 
+grpc::ServerBidiReactor<v1::TransactionStep, v1::TransactionReply>*
+access_service::Transact(grpc::CallbackServerContext* context)
+{
+    transaction_stream::service calls;
+    calls.m_check = [this, context](v1::Request const& request)
+        -> std::variant<checked_request, v1::Failure>
+    {
+        if (m_draining)
+        {
+            return not_executed(state::reason::draining);
+        }
+        return m_check.check(*context, m_catalogue(), request,
+                             request_kind::write, state::clock::now());
+    };
+    calls.m_token = [this](auto const& asked, auto const& reply)
+    {
+        return token_after(asked, reply);
+    };
+    calls.m_ended = [this, start = std::chrono::steady_clock::now()](
+                        auto const& asked, auto const& reply)
+    {
+        if (m_ended)
+        {
+            m_ended(asked, reply,
+                    std::chrono::duration_cast<std::chrono::microseconds>(
+                        std::chrono::steady_clock::now() - start));
+        }
+    };
+    calls.m_closed = [this]
+    {
+        --m_in_flight;
+    };
+    ++m_in_flight;
+    auto const stream = std::make_shared<transaction_stream>(
+        m_transaction_prefix + std::to_string(++m_transactions), m_router,
+        std::move(calls));
+    stream->start();
+    return stream.get();
+}
+
 void access_service::run(
     checked_request checked,
     std::function<void(checked_request const&, group_reply const&)> done)
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -57,7 +57,8 @@
                              std::uint64_t incarnation, home_registry& registry,
                              peer_exchange& exchange, platform_client* platform,
                              control_loop& loop, handlers calls)
-    : m_self(settings.m_name), m_watchers(settings.m_catalogue_watchers),
+    : m_self(settings.m_name),
+      m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
       m_homes(homes_of(settings, incarnation), registry, exchange, loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
@@ -92,8 +93,7 @@
     m_homes.on_view(view);
     m_catalogue.on_view(view, joined);
     auto const watchers = coordination::choose_watchers(view, m_watchers);
-    m_stops.on_view(view, m_catalogue.decision().is_watcher(),
-                    watchers.size());
+    m_stops.on_view(view, m_catalogue.decision().is_watcher(), watchers.size());
     for (auto const& record : view)
     {
         auto& known = m_states[record.m_name];
@@ -174,7 +174,7 @@
         m_homes.pauses().on_paused(sender, envelope.write_paused());
         return;
     case peer::v1::Envelope::kWriteResume:
-        m_homes.pauses().on_resume(envelope.write_resume());
+        m_homes.pauses().on_resume(sender, envelope.write_resume());
         return;
     default:
         return;
--- a/packages/transport/src/instance/forward_conversion.cpp
+++ b/packages/transport/src/instance/forward_conversion.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include <camphortide/protocol/member_conversion.hpp>
+#include <camphortide/transport/access/outcome_conversion.hpp>
 #include <camphortide/transport/instance/forward_conversion.hpp>
 
 namespace camphortide::transport
@@ -9,33 +10,6 @@
 namespace
 {
 
-v1::Outcome to_proto(state::outcome value)
-{
-    switch (value)
-    {
-    case state::outcome::executed:
-        return v1::OUTCOME_EXECUTED;
-    case state::outcome::not_executed:
-        return v1::OUTCOME_NOT_EXECUTED;
-    case state::outcome::unknown:
-        break;
-    }
-    return v1::OUTCOME_UNKNOWN;
-}
-
-state::outcome from_proto(v1::Outcome value)
-{
-    switch (value)
-    {
-    case v1::OUTCOME_EXECUTED:
-        return state::outcome::executed;
-    case v1::OUTCOME_NOT_EXECUTED:
-        return state::outcome::not_executed;
-    default:
-        return state::outcome::unknown;
-    }
-}
-
 std::uint32_t milliseconds(state::duration value)
 {
     return static_cast<std::uint32_t>(
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-/// How long a former home still serves what others send it.
-constexpr state::duration retire_after{3000};
+/// How long a former home may take to end what is under way.
+constexpr state::duration retire_within{10000};
 /// Between two requests for the same switchover.
 constexpr state::duration switch_interval{1000};
 
@@ -63,7 +63,7 @@
     {
         if (m_catalogue->find_group(name) == nullptr)
         {
-            retire(one, state::clock::now());
+            retire(name, one, state::clock::now());
         }
     }
     m_registry.set_homes(std::move(homes));
@@ -79,7 +79,7 @@
     {
         if (found != m_home.end())
         {
-            retire(found->second, state::clock::now());
+            retire(group.m_name, found->second, state::clock::now());
         }
         return;
     }
@@ -96,7 +96,10 @@
         log_info(log_part::homes, "This is a home of a group.",
                  {{"group", group.m_name}, {"homes", homes.size()}});
     }
-    one.m_retire_at.reset();
+    if (std::exchange(one.m_retire_at, std::nullopt) && one.m_control)
+    {
+        m_registry.set(one.m_control->gateway());
+    }
     one.m_homes = homes.size();
     set_limits(one, group);
 }
@@ -135,7 +138,8 @@
                 [this, name, status]
                 {
                     auto const found = m_home.find(name);
-                    if (found != m_home.end() && found->second.m_control)
+                    if (found != m_home.end() && found->second.m_control &&
+                        !found->second.m_retire_at)
                     {
                         found->second.m_control->status_received(status);
                     }
@@ -179,12 +183,17 @@
     gateway->set_entries(limits);
 }
 
-void home_control::retire(home& one, state::time_point now)
+void home_control::retire(std::string const& group, home& one,
+                          state::time_point now)
 {
-    if (!one.m_retire_at)
+    if (one.m_retire_at)
     {
-        one.m_retire_at = now + retire_after;
+        return;
     }
+    one.m_retire_at = now + retire_within;
+    m_registry.erase(group);
+    log_info(log_part::homes, "This is a home of a group no more.",
+             {{"group", group}});
 }
 
 void home_control::tick(state::time_point now)
@@ -192,34 +201,51 @@
     for (auto it = m_home.begin(); it != m_home.end();)
     {
         auto& one = it->second;
-        bool const over = one.m_retire_at && *one.m_retire_at <= now;
-        if (over && one.m_control)
-        {
-            log_info(log_part::homes, "This is a home of a group no more.",
-                     {{"group", it->first}});
-            m_registry.erase(it->first);
-            one.m_control->gateway()->close();
-        }
-        if (over)
+        if (one.m_retire_at && is_over(one, now))
         {
             it = m_home.erase(it);
             continue;
         }
         if (one.m_control)
         {
-            one.m_control->gateway()->tick(now);
-            one.m_control->tick(now);
-            if (m_pauses.others_drained(it->first))
-            {
-                one.m_control->others_drained();
-            }
-            one.m_control->pause_for_other(m_pauses.pauses(it->first, now));
+            tick(it->first, one, now);
         }
         ++it;
     }
     m_pauses.tick(now);
 }
 
+bool home_control::is_over(home const& one, state::time_point now) const
+{
+    if (!one.m_control)
+    {
+        return true;
+    }
+    auto const& gateway = one.m_control->gateway();
+    if (!gateway->idle() && now < *one.m_retire_at)
+    {
+        return false;
+    }
+    gateway->close();
+    return true;
+}
+
+void home_control::tick(std::string const& group, home& one,
+                        state::time_point now)
+{
+    one.m_control->gateway()->tick(now);
+    if (one.m_retire_at)
+    {
+        return;
+    }
+    one.m_control->tick(now);
+    if (m_pauses.others_drained(group))
+    {
+        one.m_control->others_drained();
+    }
+    one.m_control->pause_for_other(m_pauses.pauses(group, now));
+}
+
 void home_control::apply(coordination::stop_plan const& plan,
                          state::time_point now)
 {
@@ -287,10 +313,13 @@
 
 void home_control::close()
 {
-    for (auto const& gateway : m_registry.all())
+    for (auto const& [group, one] : m_home)
     {
-        m_registry.erase(gateway->name());
-        gateway->close();
+        m_registry.erase(group);
+        if (one.m_control)
+        {
+            one.m_control->gateway()->close();
+        }
     }
     m_home.clear();
 }
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -93,9 +93,9 @@
     }
     m_exchange.reset();
     m_platform.reset();
-    for (auto const& gateway : m_homes.all())
+    if (m_fleet)
     {
-        gateway->close();
+        m_fleet->close();
     }
     if (m_forwards)
     {
@@ -177,7 +177,8 @@
     m_access = std::make_unique<access_service>(
         m_check, *m_router, m_codec, [this] { return catalogue(); },
         [this](auto const& asked, auto const& reply, auto latency)
-        { record(asked, reply, latency); });
+        { record(asked, reply, latency); },
+        m_settings.m_name + "/" + std::to_string(m_incarnation) + "/");
     m_admin = std::make_unique<admin_service>(
         [this](auto done) { status(std::move(done)); }, m_metrics);
     auto callers = open_server(m_settings, m_settings.m_listen_callers,
--- /dev/null
+++ b/tests/test/faults/primary_change_test.cpp
@@ -0,0 +1,226 @@
+#include "small_deployment.hpp"
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+namespace standin = camphortide::standin;
+namespace tests = camphortide::tests;
+namespace v1 = camphortide::v1;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::seconds bound{17};
+constexpr std::chrono::milliseconds retry_pause{20};
+
+/// The request keys in the log of the group's primary.
+std::multiset<std::string> keys_of(standin::group_server& group)
+{
+    std::multiset<std::string> keys;
+    for (auto const& record : group.log(group.primary()))
+    {
+        if (!record.m_key.empty() && !record.m_barrier)
+        {
+            keys.insert(record.m_key);
+        }
+    }
+    return keys;
+}
+
+/// Writes until it is told to stop, and notes which keys were acknowledged.
+class writer
+{
+public:
+    writer(std::string const& address, std::string name)
+        : m_caller(address),
+          m_name(std::move(name)),
+          m_thread([this] { run(); })
+    {
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_thread.join();
+    }
+
+    std::vector<std::string> m_acknowledged;
+    std::vector<std::string> m_not_executed;
+    int m_unknown = 0;
+    std::string m_last_failure;
+
+private:
+    void run()
+    {
+        for (int i = 0; !m_stopped; ++i)
+        {
+            auto const key = m_name + "-" + std::to_string(i);
+            auto const status = m_caller.write("add count 1", key);
+            if (status.ok())
+            {
+                m_acknowledged.push_back("desks/" + key);
+            }
+            else if (tests::failure_of(status).outcome() ==
+                     v1::OUTCOME_NOT_EXECUTED)
+            {
+                m_last_failure = status.error_message();
+                m_not_executed.push_back("desks/" + key);
+            }
+            else
+            {
+                ++m_unknown;
+            }
+        }
+    }
+
+    tests::session m_caller;
+    std::string m_name;
+    std::atomic<bool> m_stopped{false};
+    std::thread m_thread;
+};
+
+/// Writes as a caller does: a write that was not executed is repeated under
+/// a new key.
+/// @return true if it was executed in the users' bound
+bool write_in_time(tests::session& caller, std::string const& name)
+{
+    auto const end = std::chrono::steady_clock::now() + bound;
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i)
+    {
+        auto const status =
+            caller.write("add count 1", name + "-" + std::to_string(i));
+        if (status.ok())
+        {
+            return true;
+        }
+        if (tests::failure_of(status).outcome() != v1::OUTCOME_NOT_EXECUTED)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(retry_pause);
+    }
+    return false;
+}
+
+/// Breaks something while two callers write, and checks every promise.
+template <typename Break>
+void check_writes_across(Break const& break_something)
+{
+    standin::running_deployment running(tests::small_deployment(3, 2),
+                                        tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    writer first(running.caller_address("entry-1"), "one");
+    writer second(running.caller_address("entry-2"), "two");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    break_something(running);
+    tests::session caller(running.caller_address("entry-3"));
+    bool const executed = write_in_time(caller, "after");
+    first.stop();
+    second.stop();
+    CHECK(executed);
+
+    auto const ran = keys_of(running.group("loans"));
+    for (auto const* const each : {&first, &second})
+    {
+        CHECK(each->m_acknowledged.size() > 10);
+        for (auto const& key : each->m_acknowledged)
+        {
+            CHECK(ran.count(key) == 1);
+        }
+        for (auto const& key : each->m_not_executed)
+        {
+            CHECK(ran.count(key) == 0);
+        }
+    }
+    REQUIRE(caller.read("get count").ok());
+    CHECK(caller.reply().result() == std::to_string(ran.size()));
+}
+
+} // namespace
+
+TEST_CASE("no acknowledged write is lost or doubled when the primary dies")
+{
+    check_writes_across([](standin::running_deployment& running)
+                        { running.group("loans").kill("a"); });
+}
+
+TEST_CASE("a primary that only the members cannot reach is replaced")
+{
+    check_writes_across(
+        [](standin::running_deployment& running)
+        { running.group("loans").cut_from_members("a", true); });
+}
+
+TEST_CASE("a primary that freezes is replaced, and comes back as a replica")
+{
+    check_writes_across(
+        [](standin::running_deployment& running)
+        {
+            auto& group = running.group("loans");
+            group.pause("a", true);
+            tests::session caller(running.caller_address("entry-3"));
+            CHECK(write_in_time(caller, "meanwhile"));
+            group.pause("a", false);
+        });
+}
+
+TEST_CASE("the primary is replaced while the store is down")
+{
+    check_writes_across(
+        [](standin::running_deployment& running)
+        {
+            running.platform().set_outage(true);
+            running.group("loans").kill("a");
+        });
+}
+
+TEST_CASE("a home that dies loses and doubles nothing")
+{
+    check_writes_across(
+        [](standin::running_deployment& running)
+        {
+            auto const homes = running.instance("entry-3")->homes_of("loans");
+            REQUIRE_FALSE(homes.empty());
+            for (auto const& home : homes)
+            {
+                if (home != "entry-1" && home != "entry-2")
+                {
+                    running.kill_instance(home);
+                    running.start_instance(home);
+                }
+            }
+            CHECK(running.wait_ready(patience));
+        });
+}
+
+TEST_CASE("a planned change of primary interrupts no write")
+{
+    standin::running_deployment running(tests::small_deployment(3, 2),
+                                        tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    writer first(running.caller_address("entry-1"), "one");
+    writer second(running.caller_address("entry-2"), "two");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    auto& group = running.group("loans");
+    group.set_leaving("a", true);
+    auto const end = std::chrono::steady_clock::now() + patience;
+    while (group.primary() == "a" && std::chrono::steady_clock::now() < end)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(group.primary() != "a");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    first.stop();
+    second.stop();
+    for (auto const* const each : {&first, &second})
+    {
+        CHECK(each->m_acknowledged.size() > 10);
+        CAPTURE(each->m_last_failure);
+        CHECK(each->m_not_executed.empty());
+        CHECK(each->m_unknown == 0);
+    }
+}
--- a/tests/test/path/two_instances_test.cpp
+++ b/tests/test/path/two_instances_test.cpp
@@ -1,105 +1,56 @@
-#include <memory>
-#include <string>
+#include "small_deployment.hpp"
 
 #include <doctest/doctest.h>
-#include <grpcpp/grpcpp.h>
-
-#include <camphortide/standin/deployment/running_deployment.hpp>
-#include <camphortide/v1/access.grpc.pb.h>
 
 namespace standin = camphortide::standin;
-namespace transport = camphortide::transport;
+namespace tests = camphortide::tests;
 namespace v1 = camphortide::v1;
 
 namespace
 {
 
-std::string const token_key(64, 'a');
+constexpr std::chrono::seconds patience{20};
 
-transport::deployment two_instances(std::optional<std::uint32_t> homes)
+void check_session_moves(std::optional<std::uint32_t> homes)
 {
-    transport::deployment result;
-    result.m_name = "test";
-    result.m_region = "serra-gaucha";
-    result.m_data_centres = {"sede-centro", "ginasio-norte"};
-    result.m_latency_between = std::chrono::microseconds(0);
-    result.m_homes_per_group = homes;
-    result.m_instances = {{"entry-1", "sede-centro"},
-                          {"entry-2", "ginasio-norte"}};
-    transport::deployment_group group;
-    group.m_name = "loans";
-    group.m_members = {
-        {"a", "sede-centro"}, {"b", "ginasio-norte"}, {"c", "sede-centro"}};
-    group.m_statement_time = std::chrono::microseconds(0);
-    group.m_apply_lag = std::chrono::microseconds(0);
-    result.m_groups = {group};
-    result.m_owners = {{"desks", "secret"}, {"parents", "other"}};
-    transport::deployment_entry entry;
-    entry.m_name = "checkouts";
-    entry.m_owner = "desks";
-    entry.m_class_name = "checkouts";
-    entry.m_groups = {"loans"};
-    entry.m_limits.m_deadline = std::chrono::milliseconds(10000);
-    result.m_entries = {entry};
-    return result;
+    standin::running_deployment running(tests::small_deployment(2, homes),
+                                        tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    tests::session caller(running.caller_address("entry-1"));
+    REQUIRE(caller.write("set puzzle out", "desk-7-1").ok());
+    CHECK(caller.reply().outcome() == v1::OUTCOME_EXECUTED);
+    CHECK_FALSE(caller.reply().session_token().empty());
+
+    caller.move_to(running.caller_address("entry-2"));
+    REQUIRE(caller.read("get puzzle").ok());
+    CHECK(caller.reply().result() == "out");
+    CHECK(caller.reply().from_replica());
 }
 
-class caller
+/// Runs one transaction and returns its replies.
+std::vector<v1::TransactionReply> transact(tests::session& caller, bool commits)
 {
-public:
-    explicit caller(std::string const& address)
-        : m_stub(v1::Access::NewStub(
-              grpc::CreateChannel(address, grpc::InsecureChannelCredentials())))
-    {
-    }
-
-    grpc::Status write(v1::Request const& request, v1::Reply& reply)
-    {
-        grpc::ClientContext context;
-        context.AddMetadata("authorization", "Bearer secret");
-        return m_stub->Write(&context, request, &reply);
-    }
-
-    grpc::Status read(v1::Request const& request, v1::Reply& reply,
-                      std::string const& secret = "secret")
+    grpc::ClientContext context;
+    tests::session::authorize(context);
+    auto const stream = caller.stub().Transact(&context);
+    v1::TransactionStep step;
+    step.mutable_begin()->set_entry("checkouts");
+    stream->Write(step);
+    std::vector<v1::TransactionReply> replies(2);
+    stream->Read(&replies[0]);
+    step.set_execute("set trike held");
+    stream->Write(step);
+    stream->Read(&replies[1]);
+    if (commits)
     {
-        grpc::ClientContext context;
-        context.AddMetadata("authorization", "Bearer " + secret);
-        return m_stub->Read(&context, request, &reply);
+        step.mutable_commit();
+        stream->Write(step);
+        replies.emplace_back();
+        stream->Read(&replies.back());
     }
-
-private:
-    std::unique_ptr<v1::Access::Stub> m_stub;
-};
-
-v1::Request make_request(std::string const& statement)
-{
-    v1::Request request;
-    request.set_entry("checkouts");
-    request.set_statement(statement);
-    return request;
-}
-
-void check_session_moves(std::optional<std::uint32_t> homes)
-{
-    standin::running_deployment running(two_instances(homes), token_key);
-    REQUIRE(running.wait_ready(std::chrono::seconds(20)));
-    caller first(running.caller_address("entry-1"));
-    caller second(running.caller_address("entry-2"));
-
-    v1::Reply written;
-    auto write = make_request("set puzzle out");
-    write.set_request_key("desk-7-1");
-    REQUIRE(first.write(write, written).ok());
-    CHECK(written.outcome() == v1::OUTCOME_EXECUTED);
-    CHECK_FALSE(written.session_token().empty());
-
-    v1::Reply answer;
-    auto read = make_request("get puzzle");
-    read.set_session_token(written.session_token());
-    REQUIRE(second.read(read, answer).ok());
-    CHECK(answer.result() == "out");
-    CHECK(answer.from_replica());
+    stream->WritesDone();
+    stream->Finish();
+    return replies;
 }
 
 } // namespace
@@ -114,22 +65,69 @@
     check_session_moves(1);
 }
 
-TEST_CASE("callers without the right credential are refused by type")
+TEST_CASE("a transaction on a stream runs at every instance")
+{
+    standin::running_deployment running(tests::small_deployment(2, 1),
+                                        tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    for (auto const* const name : {"entry-1", "entry-2"})
+    {
+        tests::session caller(running.caller_address(name));
+        auto const left = transact(caller, false);
+        CHECK(left.back().outcome() == v1::OUTCOME_EXECUTED);
+        auto const replies = transact(caller, true);
+        REQUIRE(replies.size() == 3);
+        CHECK(replies[1].result() == "held");
+        CHECK(replies[2].outcome() == v1::OUTCOME_EXECUTED);
+        CHECK_FALSE(replies[2].session_token().empty());
+    }
+    CHECK(running.group("loans").rows("a").at("trike") == "held");
+}
+
+TEST_CASE("callers that may not call are refused by type")
 {
-    standin::running_deployment running(two_instances(std::nullopt), token_key);
-    REQUIRE(running.wait_ready(std::chrono::seconds(20)));
-    caller someone(running.caller_address("entry-1"));
-    v1::Reply reply;
-    auto const read = make_request("get puzzle");
-    CHECK(someone.read(read, reply, "wrong").error_code() ==
-          grpc::StatusCode::UNAUTHENTICATED);
-    auto unknown = read;
-    unknown.set_entry("nothing");
-    CHECK(someone.read(unknown, reply).error_code() ==
-          grpc::StatusCode::NOT_FOUND);
-    auto forged = read;
-    forged.set_session_token("forged");
-    CHECK(someone.read(forged, reply).error_code() ==
-          grpc::StatusCode::INVALID_ARGUMENT);
-    CHECK(someone.read(read, reply).ok());
+    standin::running_deployment running(
+        tests::small_deployment(1, std::nullopt), tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    tests::session caller(running.caller_address("entry-1"));
+    struct
+    {
+        char const* m_entry;
+        char const* m_secret;
+        std::string m_token;
+        std::uint32_t m_deadline_ms;
+        std::size_t m_bytes;
+        grpc::StatusCode m_code;
+    } const rows[] = {
+        {"checkouts", "wrong", "", 0, 10, grpc::StatusCode::UNAUTHENTICATED},
+        {"nothing", "secret", "", 0, 10, grpc::StatusCode::NOT_FOUND},
+        {"checkouts", "secret", "forged", 0, 10,
+         grpc::StatusCode::INVALID_ARGUMENT},
+        {"checkouts", "secret", std::string(9000, 'x'), 0, 10,
+         grpc::StatusCode::INVALID_ARGUMENT},
+        {"checkouts", "secret", "", 0, std::size_t{1} << 20U,
+         grpc::StatusCode::OK},
+        {"checkouts", "secret", "", 0, (std::size_t{1} << 20U) + 1,
+         grpc::StatusCode::INVALID_ARGUMENT},
+        {"checkouts", "secret", "", 0, std::size_t{3} << 20U,
+         grpc::StatusCode::RESOURCE_EXHAUSTED},
+    };
+    for (auto const& row : rows)
+    {
+        v1::Request request;
+        request.set_entry(row.m_entry);
+        std::string statement = "get x";
+        statement.resize(row.m_bytes, ' ');
+        request.set_statement(statement);
+        request.set_session_token(row.m_token);
+        grpc::ClientContext context;
+        context.AddMetadata("authorization",
+                            std::string("Bearer ") + row.m_secret);
+        v1::Reply reply;
+        CAPTURE(row.m_entry);
+        CAPTURE(row.m_bytes);
+        CHECK(caller.stub().Read(&context, request, &reply).error_code() ==
+              row.m_code);
+    }
+    CHECK(caller.read("get x").ok());
 }
