coordination, standin: failure tests of the change of primary

Cause: a primary that answers its homes but not its replicas was fenced and, being the most advanced, promoted again for ever.

A promotion passes over the deposed member, and over leaving ones, where the others that granted are a majority by themselves: the most advanced member of any majority holds every safe record.

--- a/packages/coordination/include/camphortide/coordination/group/group_monitor.hpp
+++ b/packages/coordination/include/camphortide/coordination/group/group_monitor.hpp
@@ -99,7 +99,7 @@
     void announce(group_actions& out);
     void probe(state::time_point now, group_actions& out);
     void detect(state::time_point now, group_actions& out);
-    void start_promotion(std::string preferred, state::time_point now,
+    void start_promotion(promotion_wish wish, state::time_point now,
                          group_actions& out);
     void advance_promotion(state::time_point now, group_actions& out);
     void start_switchover(std::string target, state::time_point now,
--- a/packages/coordination/include/camphortide/coordination/group/promotion.hpp
+++ b/packages/coordination/include/camphortide/coordination/group/promotion.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,19 +22,28 @@
     lost ///< refused or timed out; a later try needs a higher term
 };
 
+/// Which member a promotion should choose, as far as safety leaves a choice.
+struct promotion_wish
+{
+    std::string m_preferred;              ///< empty for any
+    std::optional<std::size_t> m_avoided; ///< the member that was deposed
+};
+
 /// One try to give a group a primary in one term: a majority grants the term,
 /// and the most advanced of the members that granted it is promoted. The
 /// member is chosen once, so that a term has at most one primary; messages
-/// without a reply are sent again, which changes nothing at the members.
+/// without a reply are sent again, which changes nothing at the members. A
+/// member that leaves or was just deposed is passed over where the others
+/// that granted are a majority by themselves.
 class promotion
 {
 public:
     /// @param term never proposed before by this proposer
     /// @param proposer names this process; a restarted one has another name
-    /// @param preferred the member to take among equally advanced ones; empty
-    ///     for any
+    /// @param wish the member to take among equally advanced ones, and the
+    ///     one to pass over
     /// @param view the group's members
-    promotion(state::term term, std::string proposer, std::string preferred,
+    promotion(state::term term, std::string proposer, promotion_wish wish,
               group_view const& view, group_settings const& settings,
               state::time_point now);
 
@@ -62,7 +72,8 @@
         state::log_position m_received;
     };
 
-    bool has_majority(group_view const& view) const;
+    bool is_reluctant(std::size_t member) const;
+    bool has_majority(group_view const& view, bool with_reluctant) const;
     std::size_t best(group_view const& view) const;
     bool may_choose(group_view const& view, state::time_point now) const;
     void choose(group_view const& view, state::time_point now);
@@ -71,7 +82,7 @@
 
     state::term m_term;
     std::string m_proposer;
-    std::string m_preferred;
+    promotion_wish m_wish;
     group_settings m_settings;
     promotion_stage m_stage = promotion_stage::fencing;
     std::vector<grant> m_grants;
--- a/packages/coordination/src/group/group_monitor.cpp
+++ b/packages/coordination/src/group/group_monitor.cpp
@@ -209,19 +209,19 @@
 {
     if (!m_promotion && m_detector.should_promote(m_view, now))
     {
-        start_promotion({}, now, out);
+        start_promotion({{}, m_view.primary_index()}, now, out);
         announce(out);
     }
 }
 
-void group_monitor::start_promotion(std::string preferred,
-                                    state::time_point now, group_actions& out)
+void group_monitor::start_promotion(promotion_wish wish, state::time_point now,
+                                    group_actions& out)
 {
     m_last_proposed =
         std::max(m_last_proposed, m_view.highest_granted()).next(m_tag);
     ++m_promotions;
-    m_promotion.emplace(m_last_proposed, m_proposer, std::move(preferred),
-                        m_view, m_settings, now);
+    m_promotion.emplace(m_last_proposed, m_proposer, std::move(wish), m_view,
+                        m_settings, now);
     m_promotion->advance(m_view, now, out);
 }
 
--- a/packages/coordination/src/group/group_monitor_planned.cpp
+++ b/packages/coordination/src/group/group_monitor_planned.cpp
@@ -43,7 +43,7 @@
     }
     if (auto target = m_switchover->ready(m_view))
     {
-        start_promotion(std::move(*target), now, out);
+        start_promotion({std::move(*target), std::nullopt}, now, out);
     }
 }
 
--- a/packages/coordination/src/group/promotion.cpp
+++ b/packages/coordination/src/group/promotion.cpp
@@ -8,11 +8,11 @@
 {
 
 promotion::promotion(state::term term, std::string proposer,
-                     std::string preferred, group_view const& view,
+                     promotion_wish wish, group_view const& view,
                      group_settings const& settings, state::time_point now)
     : m_term(term),
       m_proposer(std::move(proposer)),
-      m_preferred(std::move(preferred)),
+      m_wish(std::move(wish)),
       m_settings(settings),
       m_grants(view.statuses().size()),
       m_deadline(now + settings.m_promotion_timeout),
@@ -49,7 +49,7 @@
 void promotion::advance(group_view const& view, state::time_point now,
                         group_actions& out)
 {
-    if (!m_majority_at && has_majority(view))
+    if (!m_majority_at && has_majority(view, true))
     {
         m_majority_at = now;
     }
@@ -76,20 +76,33 @@
     }
 }
 
-bool promotion::has_majority(group_view const& view) const
+bool promotion::is_reluctant(std::size_t member) const
 {
-    auto const granted = std::ranges::count(m_grants, true, &grant::m_given);
-    return static_cast<std::size_t>(granted) >= view.majority();
+    return m_grants[member].m_leaving || member == m_wish.m_avoided;
+}
+
+bool promotion::has_majority(group_view const& view, bool with_reluctant) const
+{
+    std::size_t count = 0;
+    for (std::size_t member = 0; member < m_grants.size(); ++member)
+    {
+        bool const counts = m_grants[member].m_given &&
+                            (with_reluctant || !is_reluctant(member));
+        count += counts ? 1U : 0U;
+    }
+    return count >= view.majority();
 }
 
 std::size_t promotion::best(group_view const& view) const
 {
+    bool const choosy = has_majority(view, false);
     auto const rank = [&](std::size_t member)
     {
         auto const& held = m_grants[member];
-        return std::tuple(held.m_given, held.m_received,
-                          view.statuses()[member].m_member == m_preferred,
-                          !held.m_leaving);
+        return std::tuple(
+            held.m_given && !(choosy && is_reluctant(member)), held.m_received,
+            view.statuses()[member].m_member == m_wish.m_preferred,
+            !is_reluctant(member));
     };
     std::size_t result = 0;
     for (std::size_t member = 1; member < m_grants.size(); ++member)
@@ -105,16 +118,14 @@
     {
         return false;
     }
-    if (now >= *m_majority_at + m_settings.m_gather)
+    if (now >= *m_majority_at + m_settings.m_gather ||
+        std::ranges::all_of(m_grants, &grant::m_given))
     {
         return true;
     }
-    auto const all = std::ranges::all_of(m_grants, &grant::m_given);
-    auto const member = best(view);
-    bool const wanted = m_preferred.empty()
-                            ? !m_grants[member].m_leaving
-                            : view.statuses()[member].m_member == m_preferred;
-    return all || wanted;
+    return m_wish.m_preferred.empty()
+               ? has_majority(view, false)
+               : view.statuses()[best(view)].m_member == m_wish.m_preferred;
 }
 
 void promotion::choose(group_view const& view, state::time_point now)
--- /dev/null
+++ b/packages/coordination/test/group/group_monitor_builder_test.cpp
@@ -0,0 +1,39 @@
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/group/group_monitor_builder.hpp>
+
+namespace state = camphortide::state;
+using camphortide::coordination::group_monitor_builder;
+using camphortide::coordination::group_settings;
+
+namespace
+{
+
+group_monitor_builder usable()
+{
+    return group_monitor_builder().proposer("p").tag(1).members(
+        {"a", "b", "c"});
+}
+
+} // namespace
+
+TEST_CASE("a monitor is built from usable values only")
+{
+    CHECK(usable().build().ok());
+    group_settings no_interval;
+    no_interval.m_probe_interval = state::duration(0);
+    group_settings short_isolation;
+    short_isolation.m_isolation =
+        short_isolation.m_suspicion - state::duration(1);
+    group_monitor_builder const rows[] = {
+        usable().proposer(""),          usable().members({}),
+        usable().members({"a", "a"}),   usable().members({"a", ""}),
+        usable().settings(no_interval), usable().settings(short_isolation)};
+    for (auto const& row : rows)
+    {
+        CHECK(absl::IsInvalidArgument(row.build().status()));
+    }
+}
--- a/packages/standin/test/explorer/explorer_home.cpp
+++ b/packages/standin/test/explorer/explorer_home.cpp
@@ -96,7 +96,7 @@
             },
             false);
     };
-    m_world.send({self(), {party::kind::member, member}, name, false, work});
+    request(member, name, work, false);
 }
 
 bool explorer_home::is_safe(state::term term, std::uint64_t index) const
@@ -247,10 +247,16 @@
 }
 
 void explorer_home::request(std::size_t member, char const* name,
-                            std::function<void()> work)
+                            std::function<void()> work, bool may_repeat)
 {
+    auto const deliver =
+        [this, generation = m_generation, work = std::move(work)]
+    {
+        m_asking_generation = generation;
+        work();
+    };
     m_world.send(
-        {self(), {party::kind::member, member}, name, true, std::move(work)});
+        {self(), {party::kind::member, member}, name, may_repeat, deliver});
 }
 
 void explorer_home::reply(std::size_t member, char const* name,
@@ -258,7 +264,7 @@
                           bool may_repeat)
 {
     auto const deliver =
-        [this, generation = m_generation, work = std::move(work)]
+        [this, generation = m_asking_generation, work = std::move(work)]
     {
         if (generation == m_generation)
         {
--- a/packages/standin/test/explorer/explorer_home.hpp
+++ b/packages/standin/test/explorer/explorer_home.hpp
@@ -66,7 +66,7 @@
     void act(coordination::primary_changed const&) {}
     void act(coordination::switchover_ended const&) {}
     void request(std::size_t member, char const* name,
-                 std::function<void()> work);
+                 std::function<void()> work, bool may_repeat = true);
     void reply(std::size_t member, char const* name,
                std::function<coordination::group_actions()> work,
                bool may_repeat = true);
@@ -79,6 +79,7 @@
     group_world& m_world;
     std::size_t m_index;
     std::uint64_t m_generation = 0;
+    std::uint64_t m_asking_generation = 0; ///< of the request being answered
     std::optional<coordination::group_monitor> m_monitor;
     bool m_writes_paused = false;
     std::array<age_sample, samples> m_samples;
--- a/packages/standin/test/promotion/group_fixture.cpp
+++ b/packages/standin/test/promotion/group_fixture.cpp
@@ -65,9 +65,13 @@
     return condition();
 }
 
-void group_fixture::kill(std::size_t member)
+void group_fixture::kill(std::size_t member, bool silent)
 {
     m_down[member] = true;
+    if (silent)
+    {
+        return;
+    }
     for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
     {
         deliver(monitor,
@@ -190,6 +194,7 @@
         event.mapped()();
     }
     replicate();
+    note_primaries();
     constexpr state::clock::rep tick_interval = 5;
     for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
     {
@@ -203,6 +208,19 @@
     }
 }
 
+void group_fixture::note_primaries()
+{
+    for (std::size_t member = 0; member < m_members.size(); ++member)
+    {
+        if (m_members[member].role() == state::member_role::primary)
+        {
+            auto const [found, is_new] =
+                m_primaries.try_emplace(m_members[member].followed(), member);
+            m_one_primary &= is_new || found->second == member;
+        }
+    }
+}
+
 void group_fixture::replicate()
 {
     for (std::size_t from = 0; from < m_members.size(); ++from)
--- a/packages/standin/test/promotion/group_fixture.hpp
+++ b/packages/standin/test/promotion/group_fixture.hpp
@@ -34,7 +34,8 @@
                    state::duration limit);
 
     /// Stops a member; it keeps its log and its granted term.
-    void kill(std::size_t member);
+    /// @param silent its connections are not seen to break
+    void kill(std::size_t member, bool silent = false);
     /// Starts a stopped member again, fenced.
     void start(std::size_t member);
     /// Cuts or heals all links between a monitor and a member.
@@ -52,6 +53,8 @@
 
     /// @return the member that is primary in the highest term, or nothing
     std::optional<std::size_t> leader() const;
+    /// @return true if a term never had two primaries
+    bool one_primary_a_term() const { return m_one_primary; }
     /// @return true if every running monitor announces the leader
     bool agreed() const;
     std::uint64_t promotions() const;
@@ -68,7 +71,7 @@
     std::vector<bool> m_leaving;
     state::duration m_latency{1};
     bool m_replicating = true;
-    /// Drops a message to or from a member; called with the action's index.
+    /// Drop a message to or from a member if they return true.
     std::function<bool(std::size_t monitor,
                        coordination::group_action const& action)>
         m_lose_request;
@@ -80,14 +83,10 @@
     bool m_drain_at_once = true;
 
 private:
-    struct handler;
-
     void step();
     void replicate();
     void replicate_to(std::size_t from, std::size_t to);
     void deliver(std::size_t monitor, std::function<void()> work);
-    void reply(std::size_t monitor, std::size_t member,
-               coordination::group_action const& action);
     state::member_status status(std::size_t member, std::uint64_t probe) const;
     std::size_t index_of(std::string const& member) const;
     bool reachable(std::size_t monitor, std::size_t member) const;
@@ -102,7 +101,11 @@
     void answer(std::size_t monitor, std::size_t member,
                 coordination::send_follow const& action);
 
+    void note_primaries();
+
     state::time_point m_now{};
+    bool m_one_primary = true;
+    std::map<state::term, std::size_t> m_primaries;
     std::vector<member_model> m_members;
     std::vector<coordination::group_monitor> m_monitors;
     std::vector<bool> m_down;
--- /dev/null
+++ b/packages/standin/test/promotion/no_promotion_test.cpp
@@ -0,0 +1,119 @@
+#include "group_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace state = camphortide::state;
+using camphortide::standin::group_fixture;
+
+namespace
+{
+
+constexpr std::size_t members = 3;
+constexpr std::size_t monitors = 3;
+constexpr state::duration span{10'000};
+
+void cut_from_all(group_fixture& group, std::size_t)
+{
+    for (std::size_t member = 0; member < members; ++member)
+    {
+        group.cut_monitor(0, member, true);
+    }
+    group.run(span);
+}
+
+void cut_from_primary(group_fixture& group, std::size_t leader)
+{
+    for (std::size_t monitor = 0; monitor < monitors; ++monitor)
+    {
+        group.cut_monitor(monitor, leader, true);
+    }
+    group.run(span);
+}
+
+void cut_with_one_replica(group_fixture& group, std::size_t leader)
+{
+    auto const replica = (leader + 1) % members;
+    group.cut_monitor(0, leader, true);
+    group.cut_monitor(0, (leader + 2) % members, true);
+    group.cut_members(leader, replica, true);
+    group.run(span);
+}
+
+void pause_again_and_again(group_fixture& group, std::size_t)
+{
+    for (int round = 0; round < 10; ++round)
+    {
+        for (std::size_t monitor = 0; monitor < monitors; ++monitor)
+        {
+            group.pause(monitor, true);
+        }
+        group.run(state::duration(200 + round * 150));
+        for (std::size_t monitor = 0; monitor < monitors; ++monitor)
+        {
+            group.pause(monitor, false);
+        }
+        group.run(state::duration(100));
+    }
+}
+
+void slow_messages(group_fixture& group, std::size_t)
+{
+    group.m_latency = state::duration(300);
+    group.run(span);
+}
+
+void slow_by_turns(group_fixture& group, std::size_t)
+{
+    for (state::clock::rep round = 0; round < 20; ++round)
+    {
+        group.m_latency = state::duration(1 + round * 97 % 450);
+        group.run(state::duration(250));
+    }
+}
+
+void replica_restarts(group_fixture& group, std::size_t leader)
+{
+    for (int round = 0; round < 10; ++round)
+    {
+        auto const replica =
+            (leader + 1 + static_cast<std::size_t>(round) % 2) % members;
+        group.kill(replica);
+        group.run(state::duration(100 * round));
+        group.start(replica);
+        group.run(state::duration(100));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a primary that leads is not deposed")
+{
+    struct row
+    {
+        char const* m_name;
+        void (*m_disturb)(group_fixture&, std::size_t leader);
+    };
+    constexpr row rows[] = {
+        {"instance cut from all members", cut_from_all},
+        {"all instances cut from the primary", cut_from_primary},
+        {"instance with one replica, both cut off", cut_with_one_replica},
+        {"instances paused again and again", pause_again_and_again},
+        {"slow messages", slow_messages},
+        {"messages slow by turns", slow_by_turns},
+        {"replicas restart", replica_restarts}};
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_name);
+        group_fixture group(members, monitors);
+        REQUIRE(group.run_until([&] { return group.agreed(); },
+                                state::duration(3000)));
+        group.run(state::duration(500));
+        auto const leader = *group.leader();
+        auto const term = group.member(leader).followed();
+        auto const promotions = group.promotions();
+        row.m_disturb(group, leader);
+        CHECK(group.promotions() == promotions);
+        CHECK(group.leader() == leader);
+        CHECK(group.member(leader).followed() == term);
+    }
+}
--- /dev/null
+++ b/packages/standin/test/promotion/switchover_test.cpp
@@ -0,0 +1,178 @@
+#include "group_fixture.hpp"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using camphortide::standin::group_fixture;
+using coordination::switchover_result;
+
+namespace
+{
+
+constexpr state::duration bound{3000};
+
+std::string name_of(std::size_t member)
+{
+    return std::string(1, static_cast<char>('a' + member));
+}
+
+std::size_t settle(group_fixture& group)
+{
+    REQUIRE(group.run_until([&] { return group.agreed(); }, bound));
+    group.run(state::duration(500));
+    return *group.leader();
+}
+
+void request(group_fixture& group, std::string const& target)
+{
+    group.apply(0, group.monitor(0).request_switchover(target, group.now()));
+}
+
+switchover_result only_result(group_fixture const& group)
+{
+    REQUIRE(group.m_ended_switchovers.size() == 1);
+    return group.m_ended_switchovers.front().m_result;
+}
+
+} // namespace
+
+TEST_CASE("a switchover moves the primary within 100 ms and loses nothing")
+{
+    for (bool const named : {false, true})
+    {
+        CAPTURE(named);
+        group_fixture group(3, 2);
+        auto const old = settle(group);
+        auto const target = (old + 2) % 3;
+        REQUIRE(group.write(0, "x"));
+        request(group, named ? name_of(target) : std::string());
+        CHECK(group.m_writes_paused[0]);
+        REQUIRE(group.run_until([&] { return !group.m_writes_paused[0]; },
+                                state::duration(100)));
+        CHECK(only_result(group) == switchover_result::done);
+        group.run(state::duration(100));
+        REQUIRE(group.agreed());
+        CHECK((named ? *group.leader() == target : *group.leader() != old));
+        CHECK(group.member(*group.leader()).rows().contains("x"));
+        CHECK(group.write(0, "y"));
+    }
+}
+
+TEST_CASE("a switchover waits for the replica and for the writes in flight")
+{
+    group_fixture group(3, 2);
+    auto const old = settle(group);
+    group.m_replicating = false;
+    REQUIRE(group.write(0, "x"));
+    request(group, {});
+    group.run(state::duration(300));
+    CHECK(group.leader() == old);
+    group.m_replicating = true;
+    group.run(state::duration(100));
+    CHECK(only_result(group) == switchover_result::done);
+    CHECK(group.member(*group.leader()).rows().contains("x"));
+}
+
+TEST_CASE("a switchover that cannot finish lets writes in again")
+{
+    struct row
+    {
+        bool m_drains;
+        bool m_replicates;
+    };
+    constexpr row rows[] = {{false, true}, {true, false}};
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_drains);
+        group_fixture group(3, 1);
+        auto const old = settle(group);
+        group.m_drain_at_once = row.m_drains;
+        group.m_replicating = row.m_replicates;
+        REQUIRE(group.write(0, "x"));
+        request(group, {});
+        group.run(bound);
+        CHECK(only_result(group) == switchover_result::timed_out);
+        CHECK(group.leader() == old);
+        CHECK_FALSE(group.m_writes_paused[0]);
+        CHECK(group.write(0, "y"));
+    }
+}
+
+TEST_CASE("a switchover can be cancelled before its promotion")
+{
+    group_fixture group(3, 1);
+    auto const old = settle(group);
+    group.m_drain_at_once = false;
+    request(group, {});
+    group.run(state::duration(50));
+    group.apply(0, group.monitor(0).cancel_switchover(group.now()));
+    CHECK(only_result(group) == switchover_result::cancelled);
+    CHECK_FALSE(group.m_writes_paused[0]);
+    CHECK(group.leader() == old);
+}
+
+TEST_CASE("a switchover that cannot start is refused")
+{
+    group_fixture none(3, 1);
+    request(none, {});
+    CHECK(only_result(none) == switchover_result::no_primary);
+
+    group_fixture group(3, 1);
+    settle(group);
+    request(group, "z");
+    CHECK(only_result(group) == switchover_result::unknown_member);
+    group.m_ended_switchovers.clear();
+    group.m_drain_at_once = false;
+    request(group, {});
+    request(group, {});
+    CHECK(only_result(group) == switchover_result::busy);
+}
+
+TEST_CASE("a primary that is lost during a switchover is replaced")
+{
+    group_fixture group(3, 2);
+    auto const old = settle(group);
+    group.m_drain_at_once = false;
+    request(group, {});
+    group.kill(old);
+    REQUIRE(group.run_until(
+        [&] { return group.agreed() && *group.leader() != old; }, bound));
+    group.run(state::duration(50));
+    CHECK_FALSE(group.m_writes_paused[0]);
+    CHECK(group.write(0, "x"));
+}
+
+TEST_CASE("a leaving primary hands over by itself, to a member that stays")
+{
+    group_fixture group(3, 2);
+    auto const old = settle(group);
+    auto const leaves_too = (old + 1) % 3;
+    group.m_leaving[leaves_too] = true;
+    group.m_leaving[old] = true;
+    group.run(state::duration(1000));
+    REQUIRE(group.agreed());
+    CHECK(*group.leader() == (old + 2) % 3);
+}
+
+TEST_CASE("a leaving member is promoted only if no other can be")
+{
+    group_fixture group(3, 2);
+    auto const old = settle(group);
+    group.m_leaving[(old + 1) % 3] = true;
+    group.run(state::duration(200));
+    group.kill(old);
+    REQUIRE(group.run_until(
+        [&] { return group.agreed() && *group.leader() != old; }, bound));
+    CHECK(*group.leader() == (old + 2) % 3);
+
+    group_fixture all(3, 2);
+    auto const first = settle(all);
+    all.m_leaving = {true, true, true};
+    all.run(state::duration(200));
+    all.kill(first);
+    CHECK(all.run_until([&] { return all.agreed() && *all.leader() != first; },
+                        bound));
+}
