request: an explorer of the pool and the transactions

Cause: nothing showed that statements and answers never cross under losses. Change: callers with transactions over one pool, and an endpoint that delays and repeats answers, with three rules that can be broken on purpose; an attempt at a read now has a time after which it counts as failed.

--- a/packages/coordination/include/camphortide/coordination/request/read_attempts.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/read_attempts.hpp
@@ -40,6 +40,14 @@
     attempt_result rejected(state::reason why, retry_budget& budget,
                             state::time_point now);
 
+    /// Works out when to take an attempt for failed that is sent now.
+    /// @param expected time of a read at the member
+    /// @return several times the expected time from now, so that a member
+    ///     that does not answer leaves time for another one; at the latest
+    ///     halfway to the deadline
+    state::time_point give_up_at(state::duration expected,
+                                 state::time_point now) const;
+
     /// Notes that the read waited, after which all members are tried again.
     void note_wait() { m_tried = 0; }
 
--- a/packages/coordination/src/request/read_attempts.cpp
+++ b/packages/coordination/src/request/read_attempts.cpp
@@ -1,9 +1,20 @@
+#include <algorithm>
+
 #include <camphortide/coordination/request/read_attempts.hpp>
 #include <camphortide/coordination/request/read_router.hpp>
 
 namespace camphortide::coordination
 {
 
+namespace
+{
+
+/// How many times the expected time an attempt may take.
+constexpr int patience = 8;
+constexpr state::duration shortest_attempt{20};
+
+} // namespace
+
 read_attempts::read_attempts(deadline end) : m_end(end) {}
 
 attempt_result read_attempts::failed(std::size_t member, state::reason why,
@@ -25,6 +36,14 @@
     return again(charged, why, budget, now);
 }
 
+state::time_point read_attempts::give_up_at(state::duration expected,
+                                            state::time_point now) const
+{
+    auto const longest = m_end.remaining(now) / 2;
+    return now +
+           std::min(longest, std::max(shortest_attempt, expected * patience));
+}
+
 attempt_result read_attempts::again(bool charged, state::reason why,
                                     retry_budget& budget, state::time_point now)
 {
--- /dev/null
+++ b/packages/coordination/test/crossing/crossing_test.cpp
@@ -0,0 +1,65 @@
+#include "connection_world.hpp"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+using namespace camphortide::coordination;
+using rule = broken_connection_rule;
+
+namespace
+{
+
+constexpr std::uint64_t schedules = 3000;
+
+/// The first seed whose schedule catches a broken rule; 0 if none does.
+std::uint64_t first_caught(rule broken, crossing expected)
+{
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+    {
+        if (connection_world(seed, broken).run() == expected)
+        {
+            return seed;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("no schedule mixes statements, crosses answers or leaves effects")
+{
+    std::size_t committed = 0;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+    {
+        connection_world world(seed, rule::none);
+        auto const found = world.run();
+        REQUIRE_MESSAGE(found == crossing::none,
+                        "seed " << seed << " breaks "
+                                << static_cast<int>(found));
+        committed += world.committed();
+    }
+    MESSAGE(schedules << " schedules: " << committed << " commits");
+    CHECK(committed > schedules);
+}
+
+TEST_CASE("each broken rule is caught")
+{
+    struct
+    {
+        std::string m_name;
+        rule m_rule;
+        crossing m_expected;
+    } const rows[]{
+        {"pool_with_answer_outstanding", rule::pool_with_answer_outstanding,
+         crossing::statements_mixed},
+        {"pool_without_confirmation", rule::pool_without_confirmation,
+         crossing::statements_mixed},
+        {"take_any_answer", rule::take_any_answer, crossing::answer_crossed}};
+    for (auto const& row : rows)
+    {
+        auto const seed = first_caught(row.m_rule, row.m_expected);
+        CHECK_MESSAGE(seed > 0, row.m_name);
+        MESSAGE(row.m_name << " is caught by seed " << seed);
+    }
+}
--- a/packages/coordination/test/retries/retry_test.cpp
+++ b/packages/coordination/test/retries/retry_test.cpp
@@ -79,6 +79,15 @@
     CHECK(spent.m_reason == why);
 }
 
+TEST_CASE("a member that does not answer leaves time for another one")
+{
+    read_attempts const attempts(deadline(at(1000)));
+    CHECK(attempts.give_up_at(duration(5), at(0)) == at(40));
+    CHECK(attempts.give_up_at(duration(0), at(0)) == at(20));
+    CHECK(attempts.give_up_at(duration(200), at(0)) == at(500));
+    CHECK(attempts.give_up_at(duration(5), at(980)) == at(990));
+}
+
 TEST_CASE("no read is tried again after its deadline")
 {
     retry_budget budget({});
