--- a/packages/coordination/test/read_routing/accept_read_test.cpp
+++ b/packages/coordination/test/read_routing/accept_read_test.cpp
@@ -15,6 +15,15 @@
     return state::time_point(state::duration(ms));
 }
 
+state::log_position in_3(std::uint64_t index)
+{
+    return {state::term(3), index};
+}
+state::log_position in_7(std::uint64_t index)
+{
+    return {state::term(7), index};
+}
+
 /// Terms 3 and 7 from index 1 and 40; the log ends at 60, safe up to 55.
 log_view log()
 {
@@ -83,6 +92,8 @@
 
 TEST_CASE("an answer is released only if it keeps the promises")
 {
+    using enum read_verdict;
+    using enum reason;
     struct
     {
         char const* m_what;
@@ -93,104 +104,20 @@
         read_verdict m_verdict;
         reason m_reason;
     } const rows[]{
-        {"safe",
-         {state::term(7), 55},
-         {},
-         {},
-         300,
-         read_verdict::release,
-         reason::none},
-        {"not safe yet",
-         {state::term(7), 56},
-         {},
-         {},
-         300,
-         read_verdict::hold,
-         reason::none},
-        {"tail of a superseded primary",
-         {state::term(3), 45},
-         {},
-         {},
-         300,
-         read_verdict::retry,
-         reason::term_superseded},
-        {"covers the token",
-         {state::term(7), 50},
-         state::log_position{state::term(7), 50},
-         {},
-         300,
-         read_verdict::release,
-         reason::none},
-        {"covers a token of an older term",
-         {state::term(7), 50},
-         state::log_position{state::term(3), 39},
-         {},
-         300,
-         read_verdict::release,
-         reason::none},
-        {"behind the token",
-         {state::term(7), 49},
-         state::log_position{state::term(7), 50},
-         {},
-         300,
-         read_verdict::retry,
-         reason::no_replica},
-        {"a token that no log holds",
-         {state::term(7), 55},
-         state::log_position{state::term(3), 45},
-         {},
-         300,
-         read_verdict::drop,
-         reason::bad_token},
-        {"just young enough",
-         {state::term(7), 50},
-         {},
-         101,
-         300,
-         read_verdict::release,
-         reason::none},
-        {"too old by one, and newer data exist",
-         {state::term(7), 49},
-         {},
-         200,
-         300,
-         read_verdict::retry,
-         reason::too_old},
-        {"too old until the next probe",
-         {state::term(7), 50},
-         {},
-         100,
-         300,
-         read_verdict::hold,
-         reason::too_old},
-        {"older than every sample",
-         {state::term(7), 39},
-         {},
-         500,
-         300,
-         read_verdict::retry,
-         reason::too_old},
-        {"age zero: current on arrival",
-         {state::term(7), 50},
-         {},
-         0,
-         300,
-         read_verdict::release,
-         reason::none},
-        {"age zero: older than the arrival",
-         {state::term(7), 49},
-         {},
-         0,
-         300,
-         read_verdict::retry,
-         reason::too_old},
-        {"past the deadline",
-         {state::term(7), 55},
-         {},
-         {},
-         1000,
-         read_verdict::drop,
-         reason::deadline_exceeded},
+        {"safe", in_7(55), {}, {}, 300, release, none},
+        {"not safe yet", in_7(56), {}, {}, 300, hold, none},
+        {"superseded tail", in_3(45), {}, {}, 300, retry, term_superseded},
+        {"covers the token", in_7(50), in_7(50), {}, 300, release, none},
+        {"covers an older term", in_7(50), in_3(39), {}, 300, release, none},
+        {"behind the token", in_7(49), in_7(50), {}, 300, retry, no_replica},
+        {"token in no log", in_7(55), in_3(45), {}, 300, drop, bad_token},
+        {"just young enough", in_7(50), {}, 101, 300, release, none},
+        {"too old for good", in_7(49), {}, 200, 300, retry, too_old},
+        {"too old for now", in_7(50), {}, 100, 300, hold, too_old},
+        {"before every sample", in_7(39), {}, 500, 300, retry, too_old},
+        {"age zero, current", in_7(50), {}, 0, 300, release, none},
+        {"age zero, too old", in_7(49), {}, 0, 300, retry, too_old},
+        {"past the deadline", in_7(55), {}, {}, 1000, drop, deadline_exceeded},
     };
     for (auto const& row : rows)
     {
