--- /dev/null
+++ b/packages/coordination/test/fleet/two_faults_test.cpp
@@ -0,0 +1,190 @@
+#include "instance_fleet.hpp"
+
+#include <string_view>
+
+#include <doctest/doctest.h>
+
+using camphortide::state::duration;
+
+namespace
+{
+
+/// A fault, and what ends it.
+struct fault
+{
+    std::string_view m_name;
+    void (*m_begin)(instance_fleet&);
+    void (*m_end)(instance_fleet&);
+};
+
+void nothing(instance_fleet&) {}
+
+void replace(instance_fleet& fleet, std::size_t index)
+{
+    if (fleet.is_running(index))
+    {
+        fleet.kill(index);
+    }
+    fleet.start(index);
+}
+
+constexpr fault faults[]{
+    {"store down", [](instance_fleet& fleet) { fleet.lose_store(); },
+     [](instance_fleet& fleet)
+     {
+         fleet.mend_store();
+     }},
+    {"data centre lost",
+     [](instance_fleet& fleet)
+     {
+         for (std::size_t const index : {1U, 4U, 7U})
+         {
+             fleet.kill(index);
+         }
+     },
+     [](instance_fleet& fleet)
+     {
+         for (std::size_t const index : {1U, 4U, 7U})
+         {
+             replace(fleet, index);
+         }
+     }},
+    {"regions apart", [](instance_fleet& fleet) { fleet.part_regions(); },
+     [](instance_fleet& fleet)
+     {
+         fleet.join_regions();
+     }},
+    {"instance paused", [](instance_fleet& fleet) { fleet.pause(3); },
+     [](instance_fleet& fleet)
+     {
+         fleet.resume(3);
+     }},
+    {"instance replaced", [](instance_fleet& fleet) { replace(fleet, 6); },
+     nothing},
+    {"instance leaves", [](instance_fleet& fleet) { fleet.leave(0); },
+     [](instance_fleet& fleet)
+     {
+         replace(fleet, 0);
+     }},
+    {"catalogue changed", [](instance_fleet& fleet) { fleet.change(); },
+     nothing},
+};
+
+constexpr duration between{2'000};
+constexpr duration lasting{180'000};
+constexpr duration mending{40'000};
+
+} // namespace
+
+TEST_CASE("after any two faults at once all agree, and nothing went back")
+{
+    for (auto const& first : faults)
+    {
+        for (auto const& second : faults)
+        {
+            CAPTURE(first.m_name);
+            CAPTURE(second.m_name);
+            instance_fleet fleet;
+            REQUIRE(fleet.agrees());
+            first.m_begin(fleet);
+            fleet.run(between);
+            second.m_begin(fleet);
+            fleet.run(lasting);
+            first.m_end(fleet);
+            second.m_end(fleet);
+            fleet.change();
+            fleet.run(mending);
+            CHECK(fleet.agrees());
+            CHECK(fleet.all_ready());
+            CHECK(fleet.all_have_homes());
+            CHECK_FALSE(fleet.reverted());
+        }
+    }
+}
+
+TEST_CASE("a data centre lost while the store is down leaves every group two "
+          "homes and lets a newcomer start")
+{
+    instance_fleet fleet;
+    fleet.lose_store();
+    fleet.run(between);
+    for (std::size_t const index : {1U, 4U, 7U})
+    {
+        fleet.kill(index);
+    }
+    fleet.run(duration(12'000));
+    CHECK(fleet.agrees());
+    CHECK(fleet.all_have_homes());
+    fleet.start(10);
+    fleet.run(duration(5'000));
+    CHECK(fleet.is_ready(10));
+    CHECK(fleet.version_at(10) == fleet.version());
+    CHECK(fleet.agrees());
+}
+
+TEST_CASE("regions apart for minutes: the side with the store goes on, a "
+          "newcomer of the other side starts, and both join in time")
+{
+    instance_fleet fleet;
+    auto const before = fleet.version();
+    fleet.part_regions();
+    fleet.run(duration(20'000));
+    fleet.change();
+    fleet.run(duration(7'000));
+    CHECK(fleet.version_at(0) == before + 1);
+    CHECK(fleet.version_at(2) == before);
+    CHECK_FALSE(fleet.sees_live(0, 2));
+    CHECK(fleet.sees_live(2, 5));
+    fleet.start(11); // in the far region
+    fleet.run(duration(200'000));
+    CHECK(fleet.sees_live(2, 11));
+    fleet.join_regions();
+    fleet.run(duration(7'000));
+    CHECK(fleet.version_at(2) == before + 1);
+    CHECK(fleet.is_ready(11));
+    fleet.run(mending);
+    CHECK(fleet.agrees());
+    CHECK_FALSE(fleet.reverted());
+}
+
+TEST_CASE("a rolling replacement of all instances never leaves a group "
+          "without homes, also while the store is down")
+{
+    instance_fleet fleet;
+    for (std::size_t index = 0; index < instance_fleet::size; ++index)
+    {
+        if (index == 4)
+        {
+            fleet.lose_store();
+        }
+        fleet.start(index + instance_fleet::size);
+        fleet.run(duration(5'000));
+        CHECK(fleet.is_ready(index + instance_fleet::size));
+        fleet.leave(index);
+        fleet.run(duration(5'000));
+        CHECK_FALSE(fleet.sees_live(instance_fleet::size, index));
+        fleet.kill(index);
+        CHECK(fleet.all_have_homes());
+        CHECK(fleet.all_ready());
+    }
+    CHECK(fleet.agrees());
+    CHECK_FALSE(fleet.reverted());
+}
+
+TEST_CASE("an instance that leaves while it is cut off is not live again "
+          "after it")
+{
+    instance_fleet fleet;
+    fleet.part_regions();
+    fleet.run(duration(20'000));
+    fleet.leave(2);
+    fleet.run(between);
+    CHECK_FALSE(fleet.sees_live(5, 2));
+    fleet.join_regions();
+    for (int second = 0; second < 40; ++second)
+    {
+        fleet.run(duration(1'000));
+        CHECK_FALSE(fleet.sees_live(0, 2));
+    }
+    CHECK(fleet.sees_live(0, 5));
+}
