--- a/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
@@ -18,7 +18,7 @@
 {
     state::duration m_lease{10000};      ///< from before the request was sent
     state::duration m_takeover{15000};   ///< from sight of a retirement
-    state::duration m_contact_gap{5000}; ///< less than what makes one gone
+    state::duration m_contact_gap{4000}; ///< less than what makes one gone
     state::duration m_refresh{4000};     ///< between reads of the ledger
     state::duration m_rebalance{5000};   ///< between changes of what is wanted
     state::duration m_first_backoff{250};
