limits: shares of a whole group, and the ledger's stored form

Change: group_shares joins the keeper with the entries' demand and gives the local limits and connections of a home; camphortide.limits.v1.Ledger is the value of the store's object, decoded with checks.

--- a/packages/coordination/include/camphortide/coordination/limits/limit_share.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/limit_share.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <camphortide/coordination/limits/admission_types.hpp>
@@ -21,6 +22,9 @@
     /// @param limits the entry's limits for the whole system
     explicit limit_share(entry_limits limits);
 
+    /// Changes the limits and keeps the demand seen.
+    void set_limits(entry_limits limits) { m_limits = std::move(limits); }
+
     /// @return the limits to be divided among the homes; none if unlimited
     std::vector<share_limit> divided() const;
 
--- /dev/null
+++ b/packages/coordination/src/limits/group_shares.cpp
@@ -0,0 +1,88 @@
+#include <utility>
+
+#include <camphortide/coordination/limits/group_shares.hpp>
+
+namespace camphortide::coordination
+{
+
+group_shares::group_shares(holder_id self, share_timing timing, double jitter)
+    : m_keeper(std::move(self), timing, jitter)
+{
+}
+
+void group_shares::set_group(std::uint64_t version,
+                             std::span<member_connections const> members,
+                             std::span<entry_limits const> entries)
+{
+    std::vector<share_limit> limits;
+    for (auto const& member : members)
+    {
+        limits.push_back(
+            {{share_kind::connections, member.m_member}, member.m_limit});
+    }
+    std::map<std::string, limit_share, std::less<>> kept;
+    for (auto const& entry : entries)
+    {
+        auto known = m_entries.extract(entry.m_name);
+        auto share = known ? std::move(known.mapped()) : limit_share(entry);
+        share.set_limits(entry);
+        auto const divided = share.divided();
+        limits.insert(limits.end(), divided.begin(), divided.end());
+        kept.emplace(entry.m_name, std::move(share));
+    }
+    m_entries = std::move(kept);
+    m_keeper.set_limits(version, std::move(limits));
+}
+
+void group_shares::arrived(std::string_view entry)
+{
+    auto const found = m_entries.find(entry);
+    if (found != m_entries.end())
+    {
+        found->second.arrived();
+    }
+}
+
+void group_shares::observe(std::string_view entry, admission_load const& load,
+                           state::time_point now)
+{
+    auto const found = m_entries.find(entry);
+    if (found == m_entries.end())
+    {
+        return;
+    }
+    auto& share = found->second;
+    share.observe(load, now);
+    m_keeper.set_demand(share.rate_key(), share.rate_demand());
+    m_keeper.set_demand(share.concurrency_key(), share.concurrency_demand());
+}
+
+void group_shares::observe_member(std::string_view member, std::int64_t wanted,
+                                  std::int64_t in_use)
+{
+    m_keeper.set_demand({share_kind::connections, std::string(member)},
+                        {wanted, in_use});
+}
+
+std::vector<entry_limits>
+group_shares::local_entries(state::time_point now) const
+{
+    std::vector<entry_limits> entries;
+    entries.reserve(m_entries.size());
+    for (auto const& [name, share] : m_entries)
+    {
+        entries.push_back(
+            share.local(m_keeper.allowance(share.rate_key(), now),
+                        m_keeper.allowance(share.concurrency_key(), now)));
+    }
+    return entries;
+}
+
+share_allowance group_shares::connections(std::string_view member,
+                                          state::time_point now) const
+{
+    return m_keeper.allowance({share_kind::connections, std::string(member)},
+                              now);
+}
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/protocol/include/camphortide/protocol/share_conversion.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <camphortide/coordination/limits/share_ledger.hpp>
+
+namespace camphortide::protocol
+{
+
+/// @param ledger how a group's limits are divided
+/// @return the bytes to store, as camphortide.limits.v1.Ledger
+std::string encode(coordination::share_ledger const& ledger);
+
+/// @param bytes what is stored
+/// @return the ledger; nothing if the bytes are damaged, or hold a negative
+///     amount, an unknown kind or limits that are out of order
+std::optional<coordination::share_ledger>
+decode_share_ledger(std::string_view bytes);
+
+} // namespace camphortide::protocol
