load: callers under seeded load, a checker of every promise, and the demo

Cause: the promises are proved by what callers were told, held against the groups' own logs. Change: package load with the driver (open-loop arrivals, roaming sessions, repeats, questions about unknown outcomes), the checker, faults by name, and reports as text, JSON and HTML; the command demo and tools/demo. Transactions are left out of the load until callers have their stream.

--- a/apps/camphortide/src/command_table.cpp
+++ b/apps/camphortide/src/command_table.cpp
@@ -20,6 +20,8 @@
             run_check},
     command{"status", "show instances, groups, members and the catalogue",
             run_status},
+    command{"demo", "run a deployment in this process and check the promises",
+            run_demo},
 };
 
 bool asks_for_help(std::string const& word)
--- a/apps/camphortide/src/commands.hpp
+++ b/apps/camphortide/src/commands.hpp
@@ -12,4 +12,7 @@
 /// `status`: shows what an instance knows of the system.
 exit_code run_status(arguments const& words, console const& to);
 
+/// `demo`: runs a deployment in this process under load and faults.
+exit_code run_demo(arguments const& words, console const& to);
+
 } // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/demo_command.cpp
@@ -0,0 +1,147 @@
+#include "commands.hpp"
+#include "option_parser.hpp"
+#include "run_output.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include <camphortide/load/demo/demo_run.hpp>
+#include <camphortide/transport/logging/log.hpp>
+#include <camphortide/transport/settings/deployment_file.hpp>
+
+namespace camphortide::command_line
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+constexpr char const* explanation =
+    "Runs a whole deployment in this process: the stand-ins of the platform\n"
+    "and of the database groups, and real instances that talk over loopback.\n"
+    "Callers send the deployment's traffic; faults come when asked for. Ends\n"
+    "with a report and a check of every promise.";
+constexpr double us_per_s = 1e6;
+
+load::run_time seconds(double value)
+{
+    return load::run_time(std::llround(value * us_per_s));
+}
+
+void add_options(option_parser& parser)
+{
+    parser.add()("deployment",
+                 options::value<std::string>()->default_value("caxias-serrana"),
+                 "caxias-serrana, bajio or the path of a deployment file")(
+        "seconds", options::value<double>()->default_value(20),
+        "how long requests arrive")(
+        "seed", options::value<std::uint64_t>()->default_value(1),
+        "of every choice")("fault", options::value<std::string>(),
+                           "faults to switch on together: NAME[,NAME]")(
+        "at", options::value<double>()->default_value(7),
+        "seconds until the fault")("hold",
+                                   options::value<double>()->default_value(6),
+                                   "seconds until the fault is lifted")(
+        "every", options::value<double>()->default_value(0),
+        "seconds between repeats of the fault; 0: once")(
+        "list-faults",
+        "print the names of the faults")("json", "print the figures as JSON")(
+        "report", options::value<std::string>(),
+        "write a page of HTML to this file")("verbose",
+                                             "keep the logs of the instances");
+}
+
+std::vector<std::string> split(std::string const& names)
+{
+    std::vector<std::string> result;
+    std::istringstream in(names);
+    for (std::string name; std::getline(in, name, ',');)
+    {
+        result.push_back(name);
+    }
+    return result;
+}
+
+exit_code list_faults(console const& to)
+{
+    for (auto const& each : load::fault_injector::faults())
+    {
+        to.m_out << each.m_name << ": " << each.m_summary << '\n';
+    }
+    return exit_code::done;
+}
+
+/// @return the options; nothing after a message about what is wrong
+std::optional<load::demo_options> read_options(option_parser const& parser,
+                                               console const& to)
+{
+    load::demo_options result;
+    result.m_duration = seconds(parser.get<double>("seconds"));
+    result.m_seed = parser.get<std::uint64_t>("seed");
+    result.m_fault_at = seconds(parser.get<double>("at"));
+    result.m_fault_hold = seconds(parser.get<double>("hold"));
+    result.m_fault_every = seconds(parser.get<double>("every"));
+    if (parser.has("fault"))
+    {
+        result.m_faults = split(parser.get<std::string>("fault"));
+    }
+    for (auto const& name : result.m_faults)
+    {
+        if (load::fault_injector::find(name) == nullptr)
+        {
+            to.m_error << "camphortide: there is no fault \"" << name
+                       << "\"; see demo --list-faults\n";
+            return std::nullopt;
+        }
+    }
+    bool const sane =
+        result.m_duration.count() > 0 && result.m_fault_at.count() >= 0 &&
+        result.m_fault_hold.count() > 0 && result.m_fault_every.count() >= 0;
+    if (!sane)
+    {
+        to.m_error << "camphortide: times must not be negative, and seconds "
+                      "and hold more than 0\n";
+        return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace
+
+exit_code run_demo(arguments const& words, console const& to)
+{
+    option_parser parser("demo [options]", explanation);
+    add_options(parser);
+    if (auto const ended = parser.parse(words, to))
+    {
+        return *ended;
+    }
+    if (parser.has("list-faults"))
+    {
+        return list_faults(to);
+    }
+    auto const wanted = read_options(parser, to);
+    auto const deployment =
+        read_deployment(parser.get<std::string>("deployment"), to);
+    if (!wanted || !deployment)
+    {
+        return exit_code::usage;
+    }
+    transport::start_logging("camphortide", {},
+                             parser.has("verbose")
+                                 ? transport::log_level::info
+                                 : transport::log_level::error);
+    auto const result = load::run_demo(
+        *deployment, *wanted, progress_on_terminal(wanted->m_duration, to));
+    if (!result.m_started)
+    {
+        to.m_error << "camphortide: the deployment did not start\n";
+        return exit_code::refused;
+    }
+    return print_result({deployment->m_name, command_text("demo", words)},
+                        result, parser, to);
+}
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/run_output.cpp
@@ -0,0 +1,113 @@
+#include "run_output.hpp"
+
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+#include <camphortide/transport/settings/deployment_file.hpp>
+
+namespace camphortide::command_line
+{
+
+namespace
+{
+
+constexpr char const* source_directory = CAMPHORTIDE_SOURCE_DIRECTORY;
+
+/// @return where the file of a deployment lies: beside the build's programs,
+///     or in the sources that the program was built from
+std::string path_of(std::string const& name)
+{
+    namespace files = std::filesystem;
+    if (name.find('/') != std::string::npos || files::exists(name))
+    {
+        return name;
+    }
+    std::error_code ignored;
+    auto const program = files::read_symlink("/proc/self/exe", ignored);
+    auto const file = files::path("examples") / (name + ".jsonc");
+    for (auto folder = program.parent_path(); folder.has_relative_path();
+         folder = folder.parent_path())
+    {
+        if (files::exists(folder / file, ignored))
+        {
+            return (folder / file).string();
+        }
+    }
+    return (files::path(source_directory) / file).string();
+}
+
+} // namespace
+
+std::optional<transport::deployment> read_deployment(std::string const& name,
+                                                     console const& to)
+{
+    auto result = transport::read_deployment_file(path_of(name));
+    for (auto const& error : result.m_errors)
+    {
+        to.m_error << to_string(error) << '\n';
+    }
+    if (!result.ok())
+    {
+        return std::nullopt;
+    }
+    return std::move(result.m_value);
+}
+
+load::progress_handler progress_on_terminal(load::run_time duration,
+                                            console const& to)
+{
+    if (isatty(STDERR_FILENO) == 0)
+    {
+        return [](load::run_time, load::driver_progress const&) {
+        };
+    }
+    return [duration, &out = to.m_error](load::run_time now,
+                                         load::driver_progress const& progress)
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::seconds;
+        out << "\r" << duration_cast<seconds>(now).count() << " of "
+            << duration_cast<seconds>(duration).count()
+            << " s: " << progress.m_arrived << " requests, "
+            << progress.m_executed << " executed, " << progress.m_failed
+            << " attempts failed   " << std::flush;
+    };
+}
+
+std::string command_text(std::string const& name, arguments const& words)
+{
+    std::string text = "camphortide " + name;
+    for (auto const& word : words)
+    {
+        text += ' ' + word;
+    }
+    return text;
+}
+
+exit_code print_result(load::report_title const& title,
+                       load::run_result const& result,
+                       option_parser const& parser, console const& to)
+{
+    if (isatty(STDERR_FILENO) != 0)
+    {
+        to.m_error << '\n';
+    }
+    to.m_out << (parser.has("json") ? load::to_json(title, result)
+                                    : load::to_text(title, result));
+    if (parser.has("report"))
+    {
+        auto const path = parser.get<std::string>("report");
+        std::ofstream page(path);
+        page << load::to_html(title, result);
+        if (!page.flush())
+        {
+            to.m_error << "camphortide: cannot write " << path << '\n';
+            return exit_code::refused;
+        }
+    }
+    return load::kept(result) ? exit_code::done : exit_code::refused;
+}
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/packages/load/include/camphortide/load/checker/run_facts.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <camphortide/load/checker/group_truth.hpp>
+#include <camphortide/load/history/request_record.hpp>
+
+namespace camphortide::load
+{
+
+/// New work that a leaving member was sent.
+struct leaver_work
+{
+    std::string m_member;
+    std::uint64_t m_at_limit = 0; ///< statements when the grace was over
+    std::uint64_t m_at_end = 0;   ///< statements when it was last looked at
+
+    friend auto operator<=>(leaver_work const&, leaver_work const&) = default;
+};
+
+/// A catalogue version that an instance began to use.
+struct catalogue_sighting
+{
+    std::string m_instance; ///< a restarted one has another name
+    std::uint64_t m_version = 0;
+    run_time m_at{0};
+
+    friend auto operator<=>(catalogue_sighting const&,
+                            catalogue_sighting const&) = default;
+};
+
+/// The life of an instance during a run.
+struct instance_life
+{
+    std::string m_instance; ///< as in the sightings
+    run_time m_from{0};
+    std::optional<run_time> m_until; ///< nothing: it lived to the end
+
+    friend auto operator<=>(instance_life const&,
+                            instance_life const&) = default;
+};
+
+/// A change of the catalogue that was accepted.
+struct accepted_change
+{
+    std::uint64_t m_version = 0;
+    run_time m_accepted{0};
+    run_time m_due{0}; ///< it has to be in force everywhere by then
+
+    friend auto operator<=>(accepted_change const&,
+                            accepted_change const&) = default;
+};
+
+/// A planned stop of an instance.
+struct planned_drain
+{
+    std::string m_instance;
+    bool m_clean = true; ///< nothing in flight was interrupted
+
+    friend auto operator<=>(planned_drain const&,
+                            planned_drain const&) = default;
+};
+
+/// Two edits of one entry at the same moment.
+struct edit_race
+{
+    std::string m_entry;
+    std::uint32_t m_accepted = 0; ///< how many of them were accepted
+
+    friend auto operator<=>(edit_race const&, edit_race const&) = default;
+};
+
+/// Everything that is known of a run.
+struct run_facts
+{
+    history m_history;
+    std::vector<group_truth> m_truths;
+    std::vector<leaver_work> m_leavers;
+    std::vector<planned_drain> m_drains;
+    std::vector<instance_life> m_lives;
+    std::vector<catalogue_sighting> m_sightings;
+    std::vector<accepted_change> m_changes;
+    std::vector<edit_race> m_races;
+    run_time m_end{0};
+};
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/include/camphortide/load/demo/fault_injector.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <camphortide/coordination/fleet/catalogue_change.hpp>
+#include <camphortide/load/checker/run_facts.hpp>
+#include <camphortide/load/report/run_summary.hpp>
+#include <camphortide/standin/deployment/running_deployment.hpp>
+#include <camphortide/standin/group/timer_queue.hpp>
+
+namespace camphortide::load
+{
+
+class fault_injector;
+
+/// A fault that can be asked for by name.
+struct fault
+{
+    std::string_view m_name;
+    std::string_view m_summary; ///< one line
+    void (fault_injector::*m_apply)();
+};
+
+/// Switches faults of a deployment on and off, and notes what the checks
+/// need to know of them. Used by one thread at a time.
+class fault_injector
+{
+public:
+    using run_clock = std::function<run_time()>;
+
+    /// @param running outlives this
+    /// @param now the run's clock
+    /// @param seed of the choices that faults make
+    fault_injector(standin::running_deployment& running, run_clock now,
+                   std::uint64_t seed);
+    ~fault_injector();
+    fault_injector(fault_injector const&) = delete;
+    fault_injector& operator=(fault_injector const&) = delete;
+
+    /// @return all faults, in the order of their list
+    static std::span<fault const> faults();
+
+    /// @return the fault of that name; null if there is none
+    static fault const* find(std::string_view name);
+
+    /// Switches a fault on. Repeated, it takes the next group, instance or
+    /// data centre.
+    void apply(fault const& value);
+
+    /// Switches everything off that was switched on.
+    void lift();
+
+    /// Makes a small change of the catalogue and notes it.
+    void edit_catalogue();
+
+    /// Hands over what was noted; the faults are lifted.
+    void finish(run_facts& to);
+
+    /// @return the primaries that were lost, by time
+    std::vector<primary_loss> losses() const;
+
+private:
+    void primary_partition();
+    void primary_kill();
+    void replica_lag();
+    void instance_kill();
+    void instance_pause();
+    void store_down();
+    void store_slow();
+    void store_lost_reply();
+    void data_centre_loss();
+    void planned_stop();
+    void catalogue_edit_race();
+
+    std::string const& next_group() const;
+    std::string const& next_instance() const;
+    std::string lose_primary(std::string const& group);
+    void kill_instance(std::string const& name);
+    void kill_member(std::string const& group, std::string const& member);
+    void plan_leaver(std::string const& group, std::string const& member);
+    void disturb_catalogue();
+    std::shared_ptr<state::catalogue const> newest_catalogue() const;
+    coordination::catalogue_change make_edit();
+    bool publish(coordination::catalogue_change const& change);
+
+    standin::running_deployment& m_running;
+    run_clock const m_now;
+    std::mt19937_64 m_random;
+    std::uint64_t m_round = 0;
+    std::uint64_t m_edits = 0;
+    std::vector<std::function<void()>> m_undo;
+    mutable std::mutex m_mutex; ///< guards m_noted and m_losses
+    run_facts m_noted;
+    std::vector<primary_loss> m_losses;
+    /// Times in which the catalogue could not reach every instance.
+    std::vector<std::pair<run_time, run_time>> m_disturbed;
+    standin::timer_queue m_timers;
+};
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/include/camphortide/load/driver/caller_client.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <camphortide/load/history/request_record.hpp>
+#include <camphortide/v1/access.grpc.pb.h>
+
+namespace camphortide::load
+{
+
+/// Where an instance serves callers.
+struct caller_address
+{
+    std::string m_instance; ///< its name
+    std::string m_address;  ///< HOST:PORT
+
+    friend auto operator<=>(caller_address const&,
+                            caller_address const&) = default;
+};
+
+/// What came back from one call.
+struct call_answer
+{
+    state::outcome m_outcome = state::outcome::unknown;
+    state::reason m_reason = state::reason::none;
+    std::string m_result;
+    std::string m_token; ///< empty: none came back
+    std::string m_member;
+    bool m_from_replica = false;
+    bool m_replayed = false;
+    bool m_from_instance = false; ///< false: the call itself failed
+    state::duration m_age{0};
+    state::duration m_retry_after{0};
+};
+
+/// What one call carries besides the request.
+struct call_context
+{
+    std::string m_address;
+    std::string m_credential;
+    std::string m_token;
+};
+
+/// Sends requests to instances without waiting for the answers. One channel
+/// to each address. Used on one thread; answers come on gRPC's threads.
+class caller_client
+{
+public:
+    using answered = std::function<void(call_answer)>;
+
+    /// Sends an attempt.
+    /// @param context where to and who asks
+    /// @param attempt a read or a write
+    /// @param done is called once, on any thread
+    void send(call_context const& context, request_record const& attempt,
+              answered done);
+
+    /// Asks what became of an attempt.
+    /// @param context where to and who asks
+    /// @param attempt a write with its key
+    /// @param done is called once, on any thread
+    void ask_outcome(call_context const& context, request_record const& attempt,
+                     answered done);
+
+private:
+    v1::Access::Stub& stub(std::string const& address);
+
+    std::map<std::string, std::unique_ptr<v1::Access::Stub>> m_stubs;
+};
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/include/camphortide/load/driver/load_driver.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <camphortide/load/driver/caller_client.hpp>
+#include <camphortide/load/driver/request_source.hpp>
+#include <camphortide/protocol/token_codec.hpp>
+#include <camphortide/standin/group/timer_queue.hpp>
+
+namespace camphortide::load
+{
+
+/// How callers behave.
+struct driver_options
+{
+    run_time m_duration{0}; ///< requests arrive for so long
+    std::uint64_t m_seed = 1;
+    std::string m_run = "1"; ///< makes rows and keys unique among runs
+    std::uint32_t m_most_attempts = 8;
+    /// Hexadecimal; decodes tokens for the history. Empty: not decoded.
+    std::string m_token_key;
+};
+
+/// What has happened so far.
+struct driver_progress
+{
+    std::uint64_t m_arrived = 0;
+    std::uint64_t m_executed = 0;
+    std::uint64_t m_failed = 0; ///< attempts without effect or unknown
+
+    friend auto operator<=>(driver_progress const&,
+                            driver_progress const&) = default;
+};
+
+/// Plays a deployment's callers. Requests arrive at their intended times,
+/// whether earlier ones are answered or not; each session sends one at a
+/// time, carries its token along, repeats what was not executed and asks what
+/// became of what is unknown.
+class load_driver
+{
+public:
+    /// @return the instances that a balancer would offer now
+    using directory = std::function<std::vector<caller_address>()>;
+
+    /// @param value the deployment whose traffic is played
+    /// @param instances is called on the driver's thread
+    load_driver(transport::deployment const& value, directory instances,
+                driver_options options);
+    ~load_driver();
+    load_driver(load_driver const&) = delete;
+    load_driver& operator=(load_driver const&) = delete;
+
+    /// Begins; the run's time counts from here.
+    void start();
+
+    /// Blocks until the last request has its outcome.
+    /// @return every attempt, by the time of its answer
+    history wait();
+
+    /// @return the time since the start; from any thread
+    run_time now() const;
+
+    /// @return the counts so far; from any thread
+    driver_progress progress() const;
+
+private:
+    struct session
+    {
+        std::string m_instance;
+        std::string m_token;
+        std::deque<planned_request> m_waiting;
+        std::optional<request_record> m_active;
+    };
+
+    void after(run_time delay, std::function<void()> run);
+    void arrive();
+    void schedule_arrival();
+    void start_next(session& of);
+    void send(session& of);
+    void ask(session& of);
+    void on_answer(session& of, call_answer const& answer);
+    void on_outcome(session& of, call_answer const& answer);
+    void settle(session& of, state::duration retry_after);
+    void take_token(session& of, std::string const& token);
+    call_context choose_instance(session& of);
+    caller_client::answered
+    back_to(session& of,
+            void (load_driver::*handler)(session&, call_answer const&));
+    std::optional<state::log_position> position_in(std::string const& token,
+                                                   std::string const& group);
+    bool give_up() const;
+    void finish_if_over();
+
+    transport::deployment const m_deployment;
+    directory const m_instances;
+    driver_options const m_options;
+    std::map<std::string, std::string> m_credentials;
+    request_source m_source;
+    std::mt19937_64 m_random;
+    std::optional<protocol::token_codec> m_codec;
+    std::chrono::steady_clock::time_point m_start;
+    std::map<std::string, session> m_sessions;
+    std::optional<planned_request> m_next;
+    std::uint64_t m_open = 0; ///< arrived, without a final outcome
+    history m_history;
+    std::atomic<std::uint64_t> m_arrived{0};
+    std::atomic<std::uint64_t> m_executed{0};
+    std::atomic<std::uint64_t> m_failed{0};
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_over = false;
+    caller_client m_client;
+    standin::timer_queue m_timers;
+};
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/include/camphortide/load/driver/request_source.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <camphortide/load/history/request_record.hpp>
+
+namespace camphortide::load
+{
+
+/// Draws the requests of a deployment's traffic: which session means to send
+/// what, and when. The same seed gives the same requests.
+class request_source
+{
+public:
+    /// @param value the deployment whose traffic is drawn
+    /// @param seed of every choice
+    /// @param run what makes the rows and keys of this run unique
+    request_source(transport::deployment const& value, std::uint64_t seed,
+                   std::string run);
+
+    /// @return true if there is no traffic at all
+    bool empty() const { return m_streams.empty(); }
+
+    /// @return the next request, by rising intended time
+    planned_request next();
+
+private:
+    struct stream
+    {
+        transport::deployment_traffic m_traffic;
+        transport::deployment_entry m_entry;
+        std::mt19937_64 m_random;
+        run_time m_next{0};
+    };
+
+    /// The row that a session used last, by the row's prefix.
+    using last_item_key = std::pair<std::string, std::string>;
+
+    static double uniform(std::mt19937_64& random);
+    run_time gap(stream& from) const;
+    std::uint32_t pick_item(stream& from, std::string const& session);
+    std::string fill(std::string text, std::string const& session,
+                     std::uint32_t item) const;
+
+    std::string const m_run;
+    std::vector<stream> m_streams;
+    std::map<last_item_key, std::uint32_t> m_last_items;
+    std::uint64_t m_count = 0;
+};
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/include/camphortide/load/report/run_summary.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <camphortide/load/checker/promise_break.hpp>
+#include <camphortide/load/checker/run_facts.hpp>
+
+namespace camphortide::load
+{
+
+/// Figures of one kind of time, in milliseconds.
+struct quantiles
+{
+    std::uint64_t m_count = 0;
+    double m_half = 0;       ///< p50
+    double m_hundredth = 0;  ///< p99
+    double m_thousandth = 0; ///< p99.9
+    double m_most = 0;
+
+    friend auto operator<=>(quantiles const&, quantiles const&) = default;
+};
+
+/// What one owner's class of traffic saw.
+struct class_summary
+{
+    std::string m_owner;
+    std::string m_class_name;
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_executed = 0;
+    std::uint64_t m_not_executed = 0;
+    std::uint64_t m_unknown = 0;
+    std::uint64_t m_repeats = 0; ///< attempts beyond the first
+    std::uint64_t m_reads = 0;   ///< executed
+    std::uint64_t m_from_replica = 0;
+    std::uint64_t m_permitted = 0; ///< reads that a replica might answer
+    quantiles m_latency;           ///< from the intended time
+    quantiles m_age;               ///< stated, of replicas' answers
+
+    friend auto operator<=>(class_summary const&,
+                            class_summary const&) = default;
+};
+
+/// A group's primary was lost.
+struct primary_loss
+{
+    std::string m_group;
+    std::string m_member;
+    run_time m_at{0};
+
+    friend auto operator<=>(primary_loss const&, primary_loss const&) = default;
+};
+
+/// All figures of a run.
+struct run_summary
+{
+    std::vector<class_summary> m_classes; ///< by owner and class
+    class_summary m_all;                  ///< all classes together
+    std::vector<double> m_failover_gaps;  ///< ms, one for each loss
+    std::uint64_t m_unhealed = 0;         ///< losses without a later write
+    std::vector<double> m_in_force;       ///< ms, one for each change
+    /// Acknowledged writes in each second of the run.
+    std::vector<std::uint64_t> m_writes_by_second;
+};
+
+/// Works the figures of a run out.
+/// @param facts of the run
+/// @param losses of primaries, by their time
+/// @param warm_up requests that were meant to start earlier are left out of
+///     the figures by class
+run_summary summarise(run_facts const& facts,
+                      std::vector<primary_loss> const& losses,
+                      run_time warm_up);
+
+/// The time that writes to a group were not acknowledged after a loss.
+/// @return milliseconds from the last acknowledgement by the lost member to
+///     the first by another one; nothing if one of them is missing
+std::optional<double> failover_gap(history const& attempts,
+                                   primary_loss const& loss);
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/src/driver/caller_client.cpp
@@ -0,0 +1,150 @@
+#include <chrono>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/load/driver/caller_client.hpp>
+
+namespace camphortide::load
+{
+
+namespace
+{
+
+/// How long a caller waits beyond the deadline that it stated.
+constexpr std::chrono::milliseconds patience{2000};
+
+template <class Request, class Reply>
+struct call
+{
+    grpc::ClientContext m_context;
+    Request m_request;
+    Reply m_reply;
+};
+
+state::outcome from_proto(v1::Outcome value)
+{
+    switch (value)
+    {
+    case v1::OUTCOME_EXECUTED:
+        return state::outcome::executed;
+    case v1::OUTCOME_NOT_EXECUTED:
+        return state::outcome::not_executed;
+    default:
+        return state::outcome::unknown;
+    }
+}
+
+void prepare(grpc::ClientContext& to, call_context const& context,
+             state::duration deadline)
+{
+    to.AddMetadata("authorization", "Bearer " + context.m_credential);
+    to.set_deadline(std::chrono::system_clock::now() + deadline + patience);
+}
+
+call_answer failed(grpc::Status const& status)
+{
+    call_answer result;
+    v1::Failure failure;
+    if (status.error_details().empty() ||
+        !failure.ParseFromString(status.error_details()))
+    {
+        result.m_reason = state::reason::connection_lost;
+        return result;
+    }
+    result.m_from_instance = true;
+    result.m_outcome = from_proto(failure.outcome());
+    result.m_reason = static_cast<state::reason>(failure.reason());
+    result.m_result = failure.detail();
+    result.m_retry_after = state::duration(failure.retry_after_ms());
+    return result;
+}
+
+call_answer answer_of(grpc::Status const& status, v1::Reply const& reply)
+{
+    if (!status.ok())
+    {
+        return failed(status);
+    }
+    call_answer result;
+    result.m_from_instance = true;
+    result.m_outcome = from_proto(reply.outcome());
+    result.m_result = reply.result();
+    result.m_token = reply.session_token();
+    result.m_member = reply.member();
+    result.m_from_replica = reply.from_replica();
+    result.m_replayed = reply.replayed();
+    result.m_age = state::duration(reply.age_ms());
+    return result;
+}
+
+call_answer answer_of(grpc::Status const& status, v1::OutcomeReply const& reply)
+{
+    if (!status.ok())
+    {
+        return failed(status);
+    }
+    call_answer result;
+    result.m_from_instance = true;
+    result.m_outcome = from_proto(reply.outcome());
+    result.m_reason = static_cast<state::reason>(reply.reason());
+    result.m_result = reply.result();
+    result.m_token = reply.session_token();
+    return result;
+}
+
+} // namespace
+
+void caller_client::send(call_context const& context,
+                         request_record const& attempt, answered done)
+{
+    auto const one = std::make_shared<call<v1::Request, v1::Reply>>();
+    prepare(one->m_context, context, attempt.m_request.m_deadline);
+    one->m_request.set_entry(attempt.m_request.m_entry);
+    one->m_request.set_statement(attempt.m_request.m_statements.front());
+    one->m_request.set_request_key(attempt.m_key);
+    one->m_request.set_idempotent(attempt.m_request.m_idempotent);
+    one->m_request.set_session_token(context.m_token);
+    auto ended = [one, done = std::move(done)](grpc::Status const& status)
+    {
+        done(answer_of(status, one->m_reply));
+    };
+    auto* const calls = stub(context.m_address).async();
+    if (attempt.m_request.m_kind == transport::traffic_kind::read)
+    {
+        calls->Read(&one->m_context, &one->m_request, &one->m_reply,
+                    std::move(ended));
+        return;
+    }
+    calls->Write(&one->m_context, &one->m_request, &one->m_reply,
+                 std::move(ended));
+}
+
+void caller_client::ask_outcome(call_context const& context,
+                                request_record const& attempt, answered done)
+{
+    auto const one =
+        std::make_shared<call<v1::OutcomeRequest, v1::OutcomeReply>>();
+    prepare(one->m_context, context, attempt.m_request.m_deadline);
+    one->m_request.set_entry(attempt.m_request.m_entry);
+    one->m_request.set_request_key(attempt.m_key);
+    one->m_request.set_session_token(context.m_token);
+    stub(context.m_address)
+        .async()
+        ->GetOutcome(&one->m_context, &one->m_request, &one->m_reply,
+                     [one, done = std::move(done)](grpc::Status const& status)
+                     { done(answer_of(status, one->m_reply)); });
+}
+
+v1::Access::Stub& caller_client::stub(std::string const& address)
+{
+    auto& place = m_stubs[address];
+    if (!place)
+    {
+        place = v1::Access::NewStub(
+            grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+    }
+    return *place;
+}
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/src/driver/request_source.cpp
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+
+#include <camphortide/load/driver/request_source.hpp>
+#include <camphortide/transport/settings/deployment_file.hpp>
+
+namespace camphortide::load
+{
+
+namespace
+{
+
+constexpr double us_per_s = 1e6;
+/// Share of the requests that use the row which their session used last.
+constexpr double same_row_share = 0.3;
+/// Rows are drawn as the uniform number raised to this.
+constexpr double row_skew = 2.0;
+
+void replace_all(std::string& text, std::string_view name,
+                 std::string const& value)
+{
+    for (auto at = text.find(name); at != std::string::npos;
+         at = text.find(name, at + value.size()))
+    {
+        text.replace(at, name.size(), value);
+    }
+}
+
+/// @return what stands before "{item}" in the key of the first statement that
+///     names an item, such as "toy:"; empty if none does
+std::string row_prefix(transport::deployment_traffic const& traffic)
+{
+    for (auto const& statement : traffic.m_statements)
+    {
+        auto const item = statement.find("{item}");
+        if (item != std::string::npos)
+        {
+            auto const blank = statement.rfind(' ', item);
+            return statement.substr(blank + 1, item - blank - 1);
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+request_source::request_source(transport::deployment const& value,
+                               std::uint64_t seed, std::string run)
+    : m_run(std::move(run))
+{
+    for (auto const& traffic : value.m_traffic)
+    {
+        auto const entry =
+            std::ranges::find(value.m_entries, traffic.m_entry,
+                              &transport::deployment_entry::m_name);
+        if (entry == value.m_entries.end() || traffic.m_statements.empty())
+        {
+            continue;
+        }
+        std::seed_seq seeds{seed, std::uint64_t{m_streams.size()}};
+        m_streams.push_back({traffic, *entry, std::mt19937_64(seeds), {}});
+        m_streams.back().m_next = gap(m_streams.back());
+    }
+}
+
+planned_request request_source::next()
+{
+    auto& from = *std::ranges::min_element(m_streams, {}, &stream::m_next);
+    auto const& traffic = from.m_traffic;
+    planned_request result;
+    result.m_number = ++m_count;
+    result.m_traffic = traffic.m_name;
+    result.m_owner = from.m_entry.m_owner;
+    result.m_class_name = from.m_entry.m_class_name;
+    result.m_session = result.m_owner + '-' +
+                       std::to_string(from.m_random() % traffic.m_sessions);
+    result.m_kind = traffic.m_kind;
+    result.m_idempotent = traffic.m_idempotent;
+    result.m_moves = from.m_random() % 100 < traffic.m_move_percent;
+    result.m_age_allowed = from.m_entry.m_limits.m_age;
+    result.m_deadline = from.m_entry.m_limits.m_deadline;
+    result.m_intended = from.m_next;
+    auto const item = pick_item(from, result.m_session);
+    auto const& groups = from.m_entry.m_groups;
+    result.m_group = groups[item % groups.size()];
+    result.m_entry = catalogue_entry_name(from.m_entry, result.m_group);
+    for (auto const& statement : traffic.m_statements)
+    {
+        result.m_statements.push_back(fill(statement, result.m_session, item));
+    }
+    from.m_next += gap(from);
+    return result;
+}
+
+double request_source::uniform(std::mt19937_64& random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1p-53;
+}
+
+run_time request_source::gap(stream& from) const
+{
+    double const seconds =
+        -std::log(1.0 - uniform(from.m_random)) / from.m_traffic.m_rate;
+    return run_time(1 + std::llround(seconds * us_per_s));
+}
+
+std::uint32_t request_source::pick_item(stream& from,
+                                        std::string const& session)
+{
+    auto const prefix = row_prefix(from.m_traffic);
+    if (prefix.empty())
+    {
+        return static_cast<std::uint32_t>(from.m_random() >> 32U);
+    }
+    double const same = uniform(from.m_random);
+    double const place = std::pow(uniform(from.m_random), row_skew);
+    auto const known = m_last_items.find({session, prefix});
+    if (known != m_last_items.end() && same < same_row_share)
+    {
+        return known->second;
+    }
+    auto const item = static_cast<std::uint32_t>(
+        place * static_cast<double>(from.m_traffic.m_items));
+    m_last_items[{session, prefix}] = item;
+    return item;
+}
+
+std::string request_source::fill(std::string text, std::string const& session,
+                                 std::uint32_t item) const
+{
+    std::string const number = m_run + '-' + std::to_string(m_count);
+    replace_all(text, "{item}", std::to_string(item));
+    replace_all(text, "{request}", number);
+    replace_all(text, "{session}", session + '/' + number);
+    return text;
+}
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/src/report/report_json.cpp
@@ -0,0 +1,106 @@
+#include <nlohmann/json.hpp>
+
+#include <camphortide/load/report/run_report.hpp>
+
+namespace camphortide::load
+{
+
+namespace
+{
+
+using json = nlohmann::ordered_json;
+
+json to_json(quantiles const& value)
+{
+    return {{"count", value.m_count},
+            {"p50", value.m_half},
+            {"p99", value.m_hundredth},
+            {"p99_9", value.m_thousandth},
+            {"max", value.m_most}};
+}
+
+double share(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0.0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void add_counts(json& to, class_summary const& value)
+{
+    to["requests"] = value.m_requests;
+    to["executed"] = value.m_executed;
+    to["not_executed"] = value.m_not_executed;
+    to["unknown"] = value.m_unknown;
+    to["repeats"] = value.m_repeats;
+    to["reads"] = value.m_reads;
+    to["replica_share"] = share(value.m_from_replica, value.m_reads);
+    to["replica_share_allowed"] = share(value.m_permitted, value.m_reads);
+    to["latency_ms"] = to_json(value.m_latency);
+    to["age_ms"] = to_json(value.m_age);
+}
+
+struct break_count
+{
+    char const* m_name;
+    promise m_promise;
+};
+
+constexpr break_count break_counts[] = {
+    {"lost", promise::acknowledged_writes_stay},
+    {"doubled", promise::at_most_once},
+    {"not_executed_but_ran", promise::not_executed_is_true},
+    {"age_breaks", promise::age_of_answers},
+    {"crossed", promise::own_answers},
+    {"mixed", promise::unmixed_transactions},
+    {"work_for_leavers", promise::no_work_for_leavers},
+    {"interrupted_by_stops", promise::stops_interrupt_nothing},
+    {"catalogue_breaks", promise::catalogue_in_force}};
+
+void add_breaks(json& to, std::vector<promise_break> const& breaks)
+{
+    for (auto const& each : break_counts)
+    {
+        to[each.m_name] = count_breaks(breaks, each.m_promise);
+    }
+    to["session_breaks"] = count_breaks(breaks, promise::read_your_writes) +
+                           count_breaks(breaks, promise::monotonic_reads);
+    to["breaks"] = json::array();
+    for (auto const& each : breaks)
+    {
+        json attempts = json::array();
+        for (auto const& attempt : each.m_attempts)
+        {
+            attempts.push_back(to_line(attempt));
+        }
+        to["breaks"].push_back({{"promise", to_string(each.m_promise)},
+                                {"explanation", each.m_explanation},
+                                {"attempts", std::move(attempts)}});
+    }
+}
+
+} // namespace
+
+std::string to_json(report_title const& title, run_result const& result)
+{
+    json value;
+    value["deployment"] = title.m_deployment;
+    value["command"] = title.m_command;
+    value["kept"] = kept(result);
+    add_counts(value, result.m_summary.m_all);
+    add_breaks(value, result.m_breaks);
+    value["failover_gap_ms"] = result.m_summary.m_failover_gaps;
+    value["losses_not_healed"] = result.m_summary.m_unhealed;
+    value["catalogue_in_force_ms"] = result.m_summary.m_in_force;
+    value["groups_without_primary"] = result.m_without_truth;
+    value["classes"] = json::array();
+    for (auto const& one : result.m_summary.m_classes)
+    {
+        json item{{"owner", one.m_owner}, {"class", one.m_class_name}};
+        add_counts(item, one);
+        value["classes"].push_back(std::move(item));
+    }
+    constexpr int indent = 2;
+    return value.dump(indent) + '\n';
+}
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/src/report/report_text.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include <camphortide/load/report/run_report.hpp>
+
+namespace camphortide::load
+{
+
+namespace
+{
+
+constexpr std::size_t most_breaks_shown = 20;
+constexpr int name_width = 32;
+constexpr int width = 9;
+
+std::string percent(std::uint64_t part, std::uint64_t whole)
+{
+    if (whole == 0)
+    {
+        return "-";
+    }
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1)
+        << 100.0 * static_cast<double>(part) / static_cast<double>(whole)
+        << '%';
+    return out.str();
+}
+
+void append_class(std::ostringstream& out, std::string const& name,
+                  class_summary const& one)
+{
+    out << std::left << std::setw(name_width) << name << std::right
+        << std::setw(width) << one.m_requests << std::setw(width)
+        << one.m_executed << std::setw(width) << one.m_not_executed
+        << std::setw(width) << one.m_unknown << std::setw(width)
+        << one.m_repeats << std::setw(width) << one.m_latency.m_half
+        << std::setw(width) << one.m_latency.m_hundredth << std::setw(width)
+        << one.m_latency.m_thousandth << std::setw(width)
+        << percent(one.m_from_replica, one.m_reads) << std::setw(width)
+        << percent(one.m_permitted, one.m_reads) << std::setw(width)
+        << one.m_age.m_half << std::setw(width) << one.m_age.m_hundredth
+        << '\n';
+}
+
+void append_classes(std::ostringstream& out, run_summary const& summary)
+{
+    constexpr char const* heads[] = {
+        "requests", "executed", "not ex.", "unknown", "repeats", "p50 ms",
+        "p99 ms",   "p99.9 ms", "replica", "allowed", "age p50", "age p99"};
+    out << std::left << std::setw(name_width) << "owner/class" << std::right;
+    for (auto const* const head : heads)
+    {
+        out << std::setw(width) << head;
+    }
+    out << '\n' << std::fixed << std::setprecision(1);
+    for (auto const& one : summary.m_classes)
+    {
+        append_class(out, one.m_owner + '/' + one.m_class_name, one);
+    }
+    append_class(out, "all", summary.m_all);
+}
+
+void append_spread(std::ostringstream& out, char const* name,
+                   std::vector<double> values)
+{
+    if (values.empty())
+    {
+        return;
+    }
+    std::ranges::sort(values);
+    auto const middle = values.size() / 2;
+    double const median = values.size() % 2 == 1
+                              ? values[middle]
+                              : (values[middle - 1] + values[middle]) / 2;
+    out << name << ": min " << values.front() << " ms, median " << median
+        << " ms, max " << values.back() << " ms over " << values.size() << '\n';
+}
+
+void append_breaks(std::ostringstream& out,
+                   std::vector<promise_break> const& breaks)
+{
+    std::size_t shown = 0;
+    for (auto const& each : breaks)
+    {
+        if (++shown > most_breaks_shown)
+        {
+            out << "and " << breaks.size() - most_breaks_shown << " more\n";
+            return;
+        }
+        out << "BROKEN " << to_string(each.m_promise) << ": "
+            << each.m_explanation << '\n';
+        for (auto const& attempt : each.m_attempts)
+        {
+            out << "    " << to_line(attempt) << '\n';
+        }
+    }
+}
+
+} // namespace
+
+std::string to_text(report_title const& title, run_result const& result)
+{
+    std::ostringstream out;
+    out << title.m_deployment << "\n\n";
+    append_classes(out, result.m_summary);
+    out << '\n';
+    append_spread(out, "failover gap", result.m_summary.m_failover_gaps);
+    if (result.m_summary.m_unhealed > 0)
+    {
+        out << "losses without a write by another member: "
+            << result.m_summary.m_unhealed << '\n';
+    }
+    append_spread(out, "catalogue change in force",
+                  result.m_summary.m_in_force);
+    for (auto const& group : result.m_without_truth)
+    {
+        out << "group " << group << " has no primary; its writes are not "
+            << "judged\n";
+    }
+    append_breaks(out, result.m_breaks);
+    out << (kept(result) ? "every promise was kept\n"
+                         : "promises were broken\n");
+    return out.str();
+}
+
+bool kept(run_result const& result)
+{
+    return result.m_started && result.m_breaks.empty() &&
+           result.m_without_truth.empty();
+}
+
+} // namespace camphortide::load
