--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -91,8 +91,7 @@
     {
         m_loop->stop();
     }
-    m_exchange.reset();
-    m_platform.reset();
+    // What waits in a gateway answers through the exchange.
     for (auto const& gateway : m_homes.all())
     {
         gateway->close();
@@ -105,6 +104,8 @@
     {
         m_router->tick(state::time_point::max());
     }
+    m_exchange.reset();
+    m_platform.reset();
     m_caller_server.reset();
     m_admin_server.reset();
 }
