--- a/apps/camphortide/src/command_table.cpp
+++ b/apps/camphortide/src/command_table.cpp
@@ -23,6 +23,8 @@
     command{"stop", "plan, list and cancel planned stops", run_stop},
     command{"status", "show instances, groups, members and the catalogue",
             run_status},
+    command{"demo", "run a deployment in this process and check the promises",
+            run_demo},
 };
 
 bool asks_for_help(std::string const& word)
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -91,9 +91,8 @@
     {
         m_loop->stop();
     }
-    m_exchange.reset();
-    m_platform.reset();
-    if (m_fleet)
+    // What waits in a gateway answers through the exchange.
+    for (auto const& gateway : m_homes.all())
     {
         m_fleet->close();
     }
@@ -105,6 +104,8 @@
     {
         m_router->tick(state::time_point::max());
     }
+    m_exchange.reset();
+    m_platform.reset();
     m_caller_server.reset();
     m_admin_server.reset();
 }
