--- a/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -83,12 +85,18 @@
     std::string address_of(std::string const& name) const;
     std::string encode(peer::v1::Envelope envelope) const;
 
+    /// Runs a function on a traffic thread.
+    template <typename Function>
+    void enqueue(Function function);
+
     handlers const m_calls;
     oneapi::tbb::task_arena m_arena;
     mutable std::mutex m_mutex;
     std::map<std::string, std::string, std::less<>> m_addresses;
     std::string m_name;
     std::uint64_t m_incarnation = 0;
+    std::size_t m_running = 0; ///< functions handed to traffic threads
+    std::condition_variable m_idle;
     std::unique_ptr<peer_socket> m_socket;
 };
 
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -92,7 +92,7 @@
         m_loop->stop();
     }
     // What waits in a gateway answers through the exchange.
-    for (auto const& gateway : m_homes.all())
+    if (m_fleet)
     {
         m_fleet->close();
     }
--- a/packages/transport/src/instance/peer_exchange.cpp
+++ b/packages/transport/src/instance/peer_exchange.cpp
@@ -23,6 +23,27 @@
 peer_exchange::~peer_exchange()
 {
     m_socket.reset();
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_running == 0; });
+}
+
+template <typename Function>
+void peer_exchange::enqueue(Function function)
+{
+    {
+        std::scoped_lock const lock(m_mutex);
+        ++m_running;
+    }
+    m_arena.enqueue(
+        [this, function = std::move(function)]
+        {
+            function();
+            std::scoped_lock const lock(m_mutex);
+            if (--m_running == 0)
+            {
+                m_idle.notify_all();
+            }
+        });
 }
 
 absl::StatusOr<std::unique_ptr<peer_exchange>>
@@ -130,13 +151,13 @@
         m_calls.m_on_control(from, std::move(envelope));
         return;
     }
-    m_arena.enqueue([this, from, envelope = std::move(envelope)]
-                    { m_calls.m_on_forward(from, envelope); });
+    enqueue([this, from, envelope = std::move(envelope)]
+            { m_calls.m_on_forward(from, envelope); });
 }
 
 void peer_exchange::on_undelivered(std::uint64_t ticket)
 {
-    m_arena.enqueue([this, ticket] { m_calls.m_on_undelivered(ticket); });
+    enqueue([this, ticket] { m_calls.m_on_undelivered(ticket); });
 }
 
 std::string peer_exchange::address_of(std::string const& name) const
