membership: news that was passed on least goes first

Change: news is handed out by how often it was passed on, the latest first. A head that only bars changes is read. A follower tells at once that a view made it a watcher.

--- a/benchmarks/fleet_control/control_fleet.cpp
+++ b/benchmarks/fleet_control/control_fleet.cpp
@@ -178,9 +178,9 @@
 }
 
 control_fleet::duration
-control_fleet::run_until(std::function<bool()> const& condition, duration limit)
+control_fleet::run_until(std::function<bool()> const& condition, duration limit,
+                         duration step)
 {
-    constexpr duration step{10};
     auto const start = m_now;
     while (!condition() && m_now - start < limit)
     {
--- a/benchmarks/fleet_control/control_fleet.hpp
+++ b/benchmarks/fleet_control/control_fleet.hpp
@@ -32,8 +32,10 @@
     void run(duration time);
 
     /// Runs until a condition holds.
+    /// @param step how often it is looked at
     /// @return the time it took; the limit if it never held
-    duration run_until(std::function<bool()> const& condition, duration limit);
+    duration run_until(std::function<bool()> const& condition, duration limit,
+                       duration step);
 
     void start(std::size_t index);
     void kill(std::size_t index);
--- a/benchmarks/fleet_control/control_node.cpp
+++ b/benchmarks/fleet_control/control_node.cpp
@@ -215,7 +215,7 @@
     }
 }
 
-void control_node::carry_out(std::vector<coordination::heartbeat_to> out)
+void control_node::carry_out(std::vector<coordination::heartbeat_to> const& out)
 {
     for (auto const& action : out)
     {
@@ -223,7 +223,8 @@
     }
 }
 
-void control_node::carry_out(coordination::catalogue_follower::actions out)
+void control_node::carry_out(
+    coordination::catalogue_follower::actions const& out)
 {
     for (auto const& action : out)
     {
@@ -271,7 +272,8 @@
     }
 }
 
-void control_node::carry_out(coordination::stop_list_follower::actions out)
+void control_node::carry_out(
+    coordination::stop_list_follower::actions const& out)
 {
     for (auto const& action : out)
     {
--- a/benchmarks/fleet_control/control_node.hpp
+++ b/benchmarks/fleet_control/control_node.hpp
@@ -93,9 +93,12 @@
               camphortide::peer::v1::Envelope const& message);
     void send_to_peer(std::string const& peer,
                       camphortide::peer::v1::Envelope const& message);
-    void carry_out(std::vector<camphortide::coordination::heartbeat_to> out);
-    void carry_out(camphortide::coordination::catalogue_follower::actions out);
-    void carry_out(camphortide::coordination::stop_list_follower::actions out);
+    void
+    carry_out(std::vector<camphortide::coordination::heartbeat_to> const& out);
+    void carry_out(
+        camphortide::coordination::catalogue_follower::actions const& out);
+    void carry_out(
+        camphortide::coordination::stop_list_follower::actions const& out);
     void dispatch(camphortide::peer::v1::Envelope const& message,
                   time_point now);
     void refresh_view(time_point now);
--- a/benchmarks/fleet_control/main.cpp
+++ b/benchmarks/fleet_control/main.cpp
@@ -20,8 +20,11 @@
 {
 
 constexpr duration settling{60'000};
-constexpr duration window{98'000}; ///< one change of 880 a day
+constexpr duration long_settling{180'000}; ///< until all news is passed on
+constexpr duration window{98'000};         ///< one change of 880 a day
 constexpr duration limit{300'000};
+constexpr duration fine_step{10};
+constexpr duration coarse_step{50};
 constexpr double kilobyte = 1000;
 
 struct sizes
@@ -100,7 +103,7 @@
 {
     auto const before = allocated();
     control_fleet fleet(nodes, databases, 1);
-    fleet.run(settling);
+    fleet.run(long_settling);
     auto const held = allocated() - before;
     fleet.reset_counts();
     auto const least_seen = least_seen_live(fleet);
@@ -217,8 +220,8 @@
             fleet.change_catalogue();
             measured.m_after(fleet);
             times.push_back(fleet.run_until(
-                [&] { return fleet.all_up_to_date(measured.m_counts); },
-                limit));
+                [&] { return fleet.all_up_to_date(measured.m_counts); }, limit,
+                fine_step));
         }
         print_spread(measured.m_name, times);
     }
@@ -264,7 +267,7 @@
     auto const victim = fleet.nodes().size() / 2;
     fleet.kill(victim);
     return fleet.run_until([&] { return all_see(fleet, {victim}, false); },
-                           limit);
+                           limit, coarse_step);
 }
 
 duration suspect_death(control_fleet& fleet)
@@ -282,7 +285,7 @@
                            state::instance_state::suspected;
                 });
         },
-        limit);
+        limit, coarse_step);
 }
 
 duration learn_leaving(control_fleet& fleet)
@@ -290,15 +293,15 @@
     auto const leaving = fleet.nodes().size() / 2;
     fleet.at(leaving).leave(fleet.now());
     return fleet.run_until([&] { return all_see(fleet, {leaving}, false); },
-                           limit);
+                           limit, coarse_step);
 }
 
 duration learn_newcomer(control_fleet& fleet)
 {
     auto const added = fleet.nodes().rbegin()->first + 1;
     fleet.start(added);
-    return fleet.run_until([&] { return all_see(fleet, {added}, true); },
-                           limit);
+    return fleet.run_until([&] { return all_see(fleet, {added}, true); }, limit,
+                           coarse_step);
 }
 
 duration newcomer_ready(control_fleet& fleet)
@@ -308,7 +311,7 @@
     fleet.run(duration(10'000));
     fleet.start(added);
     return fleet.run_until([&] { return fleet.at(added).follower().ready(); },
-                           limit);
+                           limit, coarse_step);
 }
 
 duration lose_data_centre(control_fleet& fleet)
@@ -325,7 +328,8 @@
     {
         fleet.kill(index);
     }
-    return fleet.run_until([&] { return all_see(fleet, lost, false); }, limit);
+    return fleet.run_until([&] { return all_see(fleet, lost, false); }, limit,
+                           coarse_step);
 }
 
 duration join_regions(control_fleet& fleet)
@@ -339,7 +343,8 @@
     fleet.run(outage);
     fleet.reset_counts();
     fleet.m_regions_apart = false;
-    return fleet.run_until([&] { return all_see(fleet, all, true); }, limit);
+    return fleet.run_until([&] { return all_see(fleet, all, true); }, limit,
+                           coarse_step);
 }
 
 void measure_membership(std::size_t nodes, sizes const& wanted)
@@ -368,7 +373,7 @@
         for (std::size_t seed = 1; seed <= wanted.m_repeats; ++seed)
         {
             control_fleet fleet(nodes, 10, seed);
-            fleet.run(settling);
+            fleet.run(long_settling);
             fleet.reset_counts();
             times.push_back(measured.m_measure(fleet));
             if (measured.m_measure == join_regions)
--- a/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_follower.hpp
@@ -89,8 +89,12 @@
     /// @return true if a version is in force
     bool ready() const { return m_head.m_version > 0; }
 
-    /// @return true if this instance watches the store
-    bool is_watcher() const { return m_is_watcher; }
+    /// @return true if this instance is to watch the store, from the call of
+    ///     `on_view` that chose it on
+    bool is_watcher() const
+    {
+        return m_is_chosen && (m_joined || m_is_watcher);
+    }
 
     /// @return how many instances watch the store, in this one's view
     std::size_t watchers() const { return m_watchers; }
--- a/packages/coordination/include/camphortide/coordination/fleet/news_queue.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/news_queue.hpp
@@ -2,14 +2,18 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace camphortide::coordination
 {
 
-/// Names of instances whose records are still to be passed on, the latest
-/// first. Each name is handed out a limited number of times.
+/// Names of instances whose records are still to be passed on. Each name is
+/// handed out a limited number of times, and those that were handed out least
+/// go first, the latest before the others: so much old news does not delay a
+/// new one.
 class news_queue
 {
 public:
@@ -24,16 +28,14 @@
     std::vector<std::string> take(std::size_t count);
 
     /// @return how many names wait
-    std::size_t size() const { return m_items.size(); }
+    std::size_t size() const { return m_left.size(); }
 
 private:
-    struct item
-    {
-        std::string m_name;
-        std::size_t m_left = 0;
-    };
+    using names_by_left =
+        std::map<std::size_t, std::deque<std::string>, std::greater<>>;
 
-    std::deque<item> m_items;
+    names_by_left m_waiting; ///< by how often each is still handed out
+    std::map<std::string, std::size_t> m_left;
 };
 
 /// How often news is passed on so that it reaches every instance.
--- a/packages/coordination/src/fleet/news_queue.cpp
+++ b/packages/coordination/src/fleet/news_queue.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <bit>
 #include <cstdint>
 #include <utility>
@@ -10,24 +9,35 @@
 
 void news_queue::add(std::string const& name, std::size_t times)
 {
-    std::erase_if(m_items, [&name](item const& waiting)
-                  { return waiting.m_name == name; });
-    m_items.push_front({name, times});
+    auto const place = m_left.find(name);
+    if (place != m_left.end())
+    {
+        std::erase(m_waiting[place->second], name);
+    }
+    m_left[name] = times;
+    m_waiting[times].push_front(name);
 }
 
 std::vector<std::string> news_queue::take(std::size_t count)
 {
     std::vector<std::string> result;
-    std::size_t const taken = std::min(count, m_items.size());
-    for (std::size_t index = 0; index < taken; ++index)
+    for (auto& [left, names] : m_waiting)
+    {
+        while (result.size() < count && !names.empty())
+        {
+            result.push_back(std::move(names.front()));
+            names.pop_front();
+        }
+    }
+    for (auto const& name : result)
     {
-        item next = std::move(m_items.front());
-        m_items.pop_front();
-        result.push_back(next.m_name);
-        if (--next.m_left > 0)
+        auto const place = m_left.find(name);
+        if (--place->second == 0)
         {
-            m_items.push_back(std::move(next));
+            m_left.erase(place);
+            continue;
         }
+        m_waiting[place->second].push_front(name);
     }
     return result;
 }
--- a/packages/coordination/test/catalogue/catalogue_edit_test.cpp
+++ b/packages/coordination/test/catalogue/catalogue_edit_test.cpp
@@ -278,3 +278,13 @@
     CHECK(m_store.head()->m_head.m_history.size() == 128);
     CHECK(m_store.head()->m_head.m_version == 200);
 }
+
+TEST_CASE_FIXTURE(edit_fixture, "a change is barred before any was accepted")
+{
+    edit_run resolution(m_store, m_codec, {"c1", "ana", {}, {}},
+                        purpose::resolve);
+    CHECK(resolution.run().m_outcome == edit_outcome::barred);
+    CHECK(apply(sample_addition("c1", "members")).m_outcome ==
+          edit_outcome::barred);
+    CHECK(apply(sample_addition("c2", "members")).m_version == 1);
+}
--- a/packages/coordination/test/catalogue/catalogue_follower_test.cpp
+++ b/packages/coordination/test/catalogue/catalogue_follower_test.cpp
@@ -235,3 +235,19 @@
     fleet.run(settle);
     CHECK(fleet.all_have(2));
 }
+
+TEST_CASE("a view that chooses a watcher tells at once, one that does not too")
+{
+    codec_stub const codec;
+    coordination::catalogue_follower one(
+        coordination::catalogue_follower_settings(), "one", codec, 1, {});
+    std::vector<camphortide::state::instance_record> view(1);
+    view[0].m_name = "one";
+    one.on_view(view, false);
+    CHECK_FALSE(one.is_watcher());
+    one.on_view(view, true);
+    CHECK(one.is_watcher());
+    view[0].m_state = camphortide::state::instance_state::leaving;
+    one.on_view(view, true);
+    CHECK_FALSE(one.is_watcher());
+}
--- a/packages/protocol/src/catalogue_conversion.cpp
+++ b/packages/protocol/src/catalogue_conversion.cpp
@@ -207,7 +207,7 @@
 {
     catalogue::v1::Parts message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-        message.head().version() == 0)
+        !message.has_head())
     {
         return std::nullopt;
     }
--- a/packages/protocol/test/fleet/fleet_conversion_test.cpp
+++ b/packages/protocol/test/fleet/fleet_conversion_test.cpp
@@ -77,6 +77,12 @@
     CHECK(read->m_head == value.m_head);
     REQUIRE(read->m_chunks.size() == 1);
     CHECK(*read->m_chunks.at("5-c1") == *value.m_chunks.at("5-c1"));
+    coordination::catalogue_parts barred;
+    barred.m_head.m_barred = {"c0"}; // before any change was accepted
+    auto const first =
+        protocol::decode_head_object(protocol::encode_head_object(barred));
+    REQUIRE(first.has_value());
+    CHECK(first->m_head == barred.m_head);
     CHECK_FALSE(protocol::decode_head_object("").has_value());
     CHECK_FALSE(protocol::decode_head_object("rubbish").has_value());
 }
