--- a/packages/coordination/test/fleet/instance_fleet.hpp
+++ b/packages/coordination/test/fleet/instance_fleet.hpp
@@ -236,8 +236,9 @@
         m_events.emplace_back(to, std::move(event));
     }
 
-    void carry_out(instance& from,
-                   std::vector<camphortide::coordination::heartbeat_to> out)
+    void
+    carry_out(instance& from,
+              std::vector<camphortide::coordination::heartbeat_to> const& out)
     {
         for (auto const& action : out)
         {
