catalogue: an edit refuses a damaged head

Cause: a head that could not be decoded was taken for an absent one, so that an edit would have written a catalogue of its own records over it.

Change: an object without readable parts ends the edit as damaged.

--- a/packages/coordination/include/camphortide/coordination/fleet/catalogue_edit.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/catalogue_edit.hpp
@@ -99,7 +99,7 @@
 
     /// Takes the head's object.
     /// @param object_version the store's version; 0 if there is no object
-    /// @param parts its value; none if there is no object
+    /// @param parts its value; none if there is no object, or if it is damaged
     /// @return what to do
     actions on_head(std::uint64_t object_version,
                     std::optional<catalogue_parts> parts);
--- a/packages/coordination/src/fleet/catalogue_edit.cpp
+++ b/packages/coordination/src/fleet/catalogue_edit.cpp
@@ -72,6 +72,12 @@
         next_write(out);
         return out;
     }
+    if (!parts && object_version != 0)
+    {
+        finish(m_may_be_written ? edit_outcome::undetermined
+                                : edit_outcome::damaged);
+        return out;
+    }
     m_base = parts ? parts->m_head : state::catalogue_head{};
     m_object_version = object_version;
     if (settle_by_head())
--- a/packages/coordination/test/catalogue/catalogue_edit_test.cpp
+++ b/packages/coordination/test/catalogue/catalogue_edit_test.cpp
@@ -288,3 +288,13 @@
           edit_outcome::barred);
     CHECK(apply(sample_addition("c2", "members")).m_version == 1);
 }
+
+TEST_CASE_FIXTURE(edit_fixture, "a damaged head is not written over")
+{
+    coordination::catalogue_edit edit(coordination::catalogue_edit_settings(),
+                                      sample_addition("c1", "members"),
+                                      purpose::apply, m_codec, {});
+    REQUIRE(edit.tick({}).size() == 1);
+    CHECK(edit.on_head(7, std::nullopt).empty());
+    CHECK(edit.result().m_outcome == edit_outcome::damaged);
+}
