--- /dev/null
+++ b/apps/camphortide/src/catalogue_apply.cpp
@@ -0,0 +1,214 @@
+#include "catalogue_change_text.hpp"
+#include "catalogue_commands.hpp"
+#include "change_identifier.hpp"
+#include "edit_runner.hpp"
+#include "force_wait.hpp"
+#include "stored_catalogue.hpp"
+
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include <camphortide/transport/settings/catalogue_file.hpp>
+
+namespace camphortide::command_line
+{
+
+namespace
+{
+
+using purpose = coordination::catalogue_edit::purpose;
+namespace options = boost::program_options;
+
+constexpr char const* apply_explanation =
+    "Makes the stored catalogue that of FILE. The change is accepted or "
+    "refused\n"
+    "as a whole. Only what differs from the catalogue that FILE was made from\n"
+    "is changed: that of --base, else the stored one, which must then be of\n"
+    "FILE's version. A record that somebody else changed meanwhile refuses it.";
+
+constexpr char const* diff_explanation =
+    "Shows what differs between FILE and the catalogue that it was made from:\n"
+    "that of --base, else the stored one. + added, - removed, ~ changed.";
+
+constexpr char const* resolve_explanation =
+    "Tells what became of a change whose outcome is not known. If it was not\n"
+    "accepted it is barred, so that it never will be.";
+
+constexpr char const* default_admin = "127.0.0.1:7402";
+constexpr std::uint32_t default_wait = 30000; ///< milliseconds
+
+void add_file_options(option_parser& parser)
+{
+    platform_session::add_options(parser);
+    parser.positional("file", 1);
+    parser.add()("base,b", options::value<std::string>(),
+                 "the file of `catalogue get` that FILE was made from");
+}
+
+/// Reads a file and prints its faults.
+std::optional<state::catalogue> read_file(std::string const& path,
+                                          console const& to)
+{
+    auto result = transport::read_catalogue_file(path);
+    for (auto const& error : result.m_errors)
+    {
+        to.m_error << to_string(error) << '\n';
+    }
+    return result.ok() ? std::make_optional(std::move(result.m_value))
+                       : std::nullopt;
+}
+
+/// Finds the change that a command's files ask for.
+/// @param must_match whether the stored catalogue must be of FILE's version
+/// @return the change, or the command's result if there is none
+std::variant<coordination::catalogue_change, exit_code>
+find_change(option_parser const& parser, platform_session& platform,
+            bool must_match, console const& to)
+{
+    if (!parser.has("file"))
+    {
+        to.m_error << "camphortide: a file is needed; see --help\n";
+        return exit_code::usage;
+    }
+    auto const wanted =
+        read_file(parser.get<std::vector<std::string>>("file").front(), to);
+    if (!wanted)
+    {
+        return exit_code::refused;
+    }
+    if (parser.has("base"))
+    {
+        auto const base = read_file(parser.get<std::string>("base"), to);
+        if (!base)
+        {
+            return exit_code::refused;
+        }
+        return make_change(*base, *wanted);
+    }
+    auto const stored = read_catalogue(platform);
+    if (!stored.ok())
+    {
+        return platform.report(stored.status(), to);
+    }
+    auto const version = stored->m_catalogue.version();
+    if (must_match && wanted->version() != version)
+    {
+        to.m_error << "camphortide: the file was made from version "
+                   << wanted->version() << ", the store has version " << version
+                   << "; get it again, or give --base\n";
+        return exit_code::refused;
+    }
+    return make_change(stored->m_catalogue, *wanted);
+}
+
+bool is_empty(coordination::catalogue_change const& change)
+{
+    return change.m_entries.empty() && change.m_groups.empty();
+}
+
+exit_code report(coordination::catalogue_change const& change,
+                 coordination::edit_result const& result, console const& to)
+{
+    bool const accepted =
+        result.m_outcome == coordination::edit_outcome::accepted;
+    (accepted ? to.m_out : to.m_error)
+        << "change " << change.m_id << ' ' << result_text(result);
+    if (result.m_outcome == coordination::edit_outcome::undetermined)
+    {
+        to.m_error << "ask with `camphortide catalogue resolve " << change.m_id
+                   << "`\n";
+    }
+    return accepted ? exit_code::done : exit_code::refused;
+}
+
+} // namespace
+
+exit_code run_catalogue_diff(arguments const& words, console const& to)
+{
+    option_parser parser("catalogue diff FILE [options]", diff_explanation);
+    add_file_options(parser);
+    if (auto const ended = parser.parse(words, to))
+    {
+        return *ended;
+    }
+    platform_session platform(parser);
+    auto const found = find_change(parser, platform, false, to);
+    if (auto const* const ended = std::get_if<exit_code>(&found))
+    {
+        return *ended;
+    }
+    to.m_out << change_text(std::get<coordination::catalogue_change>(found));
+    return exit_code::done;
+}
+
+exit_code run_catalogue_apply(arguments const& words, console const& to)
+{
+    option_parser parser("catalogue apply FILE [options]", apply_explanation);
+    add_file_options(parser);
+    parser.add()("operator",
+                 options::value<std::string>()->default_value(operator_name()),
+                 "who asks for the change")(
+        "change",
+        options::value<std::string>()->default_value(make_identifier(),
+                                                     "random"),
+        "identifier of the change")(
+        "wait", "wait until the version is in force everywhere")(
+        "address,a",
+        options::value<std::string>()->default_value(default_admin),
+        "IP:PORT of an instance's service for operators, for --wait")(
+        "wait-time",
+        options::value<std::uint32_t>()->default_value(default_wait),
+        "longest wait of --wait, ms");
+    if (auto const ended = parser.parse(words, to))
+    {
+        return *ended;
+    }
+    platform_session platform(parser);
+    auto found = find_change(parser, platform, true, to);
+    if (auto const* const ended = std::get_if<exit_code>(&found))
+    {
+        return *ended;
+    }
+    auto change = std::get<coordination::catalogue_change>(std::move(found));
+    if (is_empty(change))
+    {
+        to.m_out << "nothing to change\n";
+        return exit_code::done;
+    }
+    change.m_id = parser.get<std::string>("change");
+    change.m_operator = parser.get<std::string>("operator");
+    to.m_out << change_text(change);
+    auto const result = run_edit(platform, change, purpose::apply);
+    auto const code = report(change, result, to);
+    if (code != exit_code::done || !parser.has("wait"))
+    {
+        return code;
+    }
+    return wait_until_in_force(
+        parser.get<std::string>("address"), result.m_version,
+        state::duration(parser.get<std::uint32_t>("wait-time")), to);
+}
+
+exit_code run_catalogue_resolve(arguments const& words, console const& to)
+{
+    option_parser parser("catalogue resolve CHANGE [options]",
+                         resolve_explanation);
+    platform_session::add_options(parser);
+    parser.positional("change", 1);
+    if (auto const ended = parser.parse(words, to))
+    {
+        return *ended;
+    }
+    if (!parser.has("change"))
+    {
+        to.m_error << "camphortide: the identifier of a change is needed\n";
+        return exit_code::usage;
+    }
+    platform_session platform(parser);
+    coordination::catalogue_change change;
+    change.m_id = parser.get<std::vector<std::string>>("change").front();
+    return report(change, run_edit(platform, change, purpose::resolve), to);
+}
+
+} // namespace camphortide::command_line
--- a/apps/camphortide/src/command_table.cpp
+++ b/apps/camphortide/src/command_table.cpp
@@ -18,6 +18,9 @@
 constexpr std::array commands{
     command{"check", "check settings, deployment and catalogue files",
             run_check},
+    command{"catalogue", "get, compare, change and trace the catalogue",
+            run_catalogue},
+    command{"stop", "plan, list and cancel planned stops", run_stop},
     command{"status", "show instances, groups, members and the catalogue",
             run_status},
 };
--- a/apps/camphortide/src/commands.hpp
+++ b/apps/camphortide/src/commands.hpp
@@ -12,4 +12,10 @@
 /// `status`: shows what an instance knows of the system.
 exit_code run_status(arguments const& words, console const& to);
 
+/// `catalogue get|diff|apply|resolve|history`: the catalogue in the store.
+exit_code run_catalogue(arguments const& words, console const& to);
+
+/// `stop plan|list|cancel`: planned stops.
+exit_code run_stop(arguments const& words, console const& to);
+
 } // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/force_wait.cpp
@@ -0,0 +1,88 @@
+#include "force_wait.hpp"
+
+#include "admin_client.hpp"
+
+#include <chrono>
+#include <set>
+#include <thread>
+
+namespace camphortide::command_line
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_interval{100};
+constexpr state::duration call_timeout{2000};
+
+/// Which instances have a version in force, as one instance knows it.
+class force_report
+{
+public:
+    explicit force_report(std::uint64_t version) : m_version(version) {}
+
+    /// Takes a status and prints the instances that are new in force.
+    void take(admin::v1::StatusReply const& status, console const& to)
+    {
+        m_missing.clear();
+        for (auto const& each : status.instances())
+        {
+            bool const leaving =
+                each.state() == admin::v1::INSTANCE_STATE_LEAVING;
+            if (each.catalogue_version() < m_version)
+            {
+                if (!leaving)
+                {
+                    m_missing.insert(each.name());
+                }
+            }
+            else if (m_told.insert(each.name()).second)
+            {
+                to.m_out << "version " << m_version << " in force at "
+                         << each.name() << '\n';
+            }
+        }
+        m_complete = m_missing.empty() && !m_told.empty();
+    }
+
+    bool complete() const { return m_complete; }
+    std::set<std::string> const& missing() const { return m_missing; }
+
+private:
+    std::uint64_t m_version;
+    std::set<std::string> m_told;
+    std::set<std::string> m_missing;
+    bool m_complete = false;
+};
+
+} // namespace
+
+exit_code wait_until_in_force(std::string const& address, std::uint64_t version,
+                              state::duration timeout, console const& to)
+{
+    force_report report(version);
+    auto const end = state::clock::now() + timeout;
+    while (state::clock::now() < end)
+    {
+        auto const status = fetch_status(address, call_timeout);
+        if (status.ok())
+        {
+            report.take(*status, to);
+        }
+        if (report.complete())
+        {
+            return exit_code::done;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    to.m_error << "camphortide: version " << version
+               << " is not known to be in force everywhere; asked " << address
+               << '\n';
+    for (auto const& name : report.missing())
+    {
+        to.m_error << "  not at " << name << '\n';
+    }
+    return exit_code::refused;
+}
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/stored_catalogue.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "platform_session.hpp"
+
+#include <cstdint>
+
+#include <absl/status/statusor.h>
+
+#include <camphortide/state/catalogue.hpp>
+#include <camphortide/state/catalogue_head.hpp>
+
+namespace camphortide::command_line
+{
+
+/// The catalogue as the store has it.
+struct stored_catalogue
+{
+    state::catalogue_head m_head;
+    state::catalogue m_catalogue; ///< of version 0 if the store has none
+};
+
+/// Reads the catalogue from the store.
+/// @param platform the store
+/// @return the catalogue, or DATA_LOSS if the stored one is damaged, or the
+///     failure of a call
+absl::StatusOr<stored_catalogue> read_catalogue(platform_session& platform);
+
+} // namespace camphortide::command_line
--- a/apps/camphortide/test/check/check_test.cpp
+++ b/apps/camphortide/test/check/check_test.cpp
@@ -61,6 +61,34 @@
     }
 }
 
+TEST_CASE("every command of a table explains itself")
+{
+    std::vector<arguments> const commands{{"catalogue"},
+                                          {"catalogue", "get"},
+                                          {"catalogue", "diff"},
+                                          {"catalogue", "apply"},
+                                          {"catalogue", "resolve"},
+                                          {"catalogue", "history"},
+                                          {"stop"},
+                                          {"stop", "plan"},
+                                          {"stop", "list"},
+                                          {"stop", "cancel"}};
+    for (auto words : commands)
+    {
+        std::string usage = "Usage: camphortide";
+        for (auto const& word : words)
+        {
+            usage += " " + word;
+        }
+        auto wrong = words;
+        words.emplace_back("--help");
+        wrong.emplace_back("--nonsense");
+        CHECK(run(words).m_code == exit_code::done);
+        CHECK(run(words).m_out.rfind(usage, 0) == 0);
+        CHECK(run(wrong).m_code == exit_code::usage);
+    }
+}
+
 TEST_CASE("check accepts the examples and names their kind")
 {
     auto const result =
--- a/packages/transport/include/camphortide/transport/settings/catalogue_file.hpp
+++ b/packages/transport/include/camphortide/transport/settings/catalogue_file.hpp
@@ -10,7 +10,8 @@
 
 /// Reads and checks a file of catalogue entries and groups.
 /// @param path a file of JSON with comments
-/// @return the catalogue, of version 0, with every fault found
+/// @return the catalogue, of the version that the file was taken from or 0,
+///     with every fault found
 checked<state::catalogue> read_catalogue_file(std::string const& path);
 
 /// Reads and checks entries and groups held in memory.
@@ -19,8 +20,8 @@
 checked<state::catalogue> parse_catalogue(std::string const& file,
                                           std::string const& text);
 
-/// Writes a catalogue as a file that reads back as the same entries and
-/// groups; stamps of changes are left out.
+/// Writes a catalogue as a file that reads back as the same version, entries
+/// and groups; stamps of changes are left out.
 /// @return JSON, ordered by name
 std::string write_catalogue(state::catalogue const& value);
 
--- a/packages/transport/src/settings/catalogue_file.cpp
+++ b/packages/transport/src/settings/catalogue_file.cpp
@@ -56,7 +56,8 @@
     }
     value_reader const reader(context);
     auto records = catalogue_schema().read(document, reader);
-    state::catalogue value(0, records.m_entries, records.m_groups);
+    state::catalogue value(records.m_version, records.m_entries,
+                           records.m_groups);
     if (context.m_errors.empty())
     {
         for (auto const& problem : validate(value))
@@ -81,7 +82,7 @@
 std::string write_catalogue(state::catalogue const& value)
 {
     return catalogue_schema()
-               .write({value.groups(), value.entries()})
+               .write({value.version(), value.groups(), value.entries()})
                .dump(indentation) +
            '\n';
 }
--- a/packages/transport/src/settings/catalogue_schema.cpp
+++ b/packages/transport/src/settings/catalogue_schema.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t most_records = 100000;
 constexpr std::size_t most_members = 9;
 constexpr std::uint32_t most_count = 1000000;
+constexpr std::uint64_t most_version = std::uint64_t{1} << 53;
 
 schema<state::member_description> member_schema()
 {
@@ -65,6 +66,9 @@
     using records = catalogue_records;
     schema<records> table;
     table
+        .optional("version", &records::m_version,
+                  large_count_kind({0, most_version}),
+                  "Version that the file was taken from.")
         .required("groups", &records::m_groups,
                   list_kind(group_schema().kind(), {0, most_records}),
                   "Database groups.")
--- a/packages/transport/src/settings/catalogue_schema.hpp
+++ b/packages/transport/src/settings/catalogue_schema.hpp
@@ -13,6 +13,7 @@
 /// The records of a catalogue file.
 struct catalogue_records
 {
+    std::uint64_t m_version = 0; ///< that the file was taken from
     std::vector<state::group_description> m_groups;
     std::vector<state::catalogue_entry> m_entries;
 };
--- a/packages/transport/src/settings/value_kind.hpp
+++ b/packages/transport/src/settings/value_kind.hpp
@@ -59,6 +59,9 @@
 /// A whole number.
 value_kind<std::uint32_t> count_kind(value_range<std::uint32_t> range);
 
+/// A whole number that may be large.
+value_kind<std::uint64_t> large_count_kind(value_range<std::uint64_t> range);
+
 /// A number that may have a fraction.
 value_kind<double> number_kind(value_range<double> range);
 
--- a/packages/transport/test/settings/deployment_test.cpp
+++ b/packages/transport/test/settings/deployment_test.cpp
@@ -105,6 +105,7 @@
     REQUIRE(again.ok());
     CHECK(again.m_value.entries() == catalogue.entries());
     CHECK(again.m_value.groups() == catalogue.groups());
+    CHECK(again.m_value.version() == 1);
 }
 
 TEST_CASE("a name that a deployment does not have is a fault")
