--- a/apps/camphortide/src/admin_client.cpp
+++ b/apps/camphortide/src/admin_client.cpp
@@ -5,6 +5,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <camphortide/admin/v1/admin.grpc.pb.h>
+#include <camphortide/transport/platform/client_credentials.hpp>
 
 namespace camphortide::command_line
 {
@@ -15,39 +16,39 @@
 /// Runs one call of the service.
 template <typename Request, typename Reply>
 absl::StatusOr<Reply>
-call(std::string const& address, state::duration timeout,
-     Request const& request,
+call(admin_place const& place, state::duration timeout, Request const& request,
      grpc::Status (admin::v1::Admin::Stub::*method)(grpc::ClientContext*,
                                                     Request const&, Reply*))
 {
-    auto const stub = admin::v1::Admin::NewStub(
-        grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+    auto const stub = admin::v1::Admin::NewStub(grpc::CreateChannel(
+        place.m_address, transport::client_credentials(place.m_authority)));
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + timeout);
     Reply reply;
     auto const status = (stub.get()->*method)(&context, request, &reply);
     if (!status.ok())
     {
-        return absl::UnavailableError(address + ": " + status.error_message());
+        return absl::UnavailableError(place.m_address + ": " +
+                                      status.error_message());
     }
     return reply;
 }
 
 } // namespace
 
-absl::StatusOr<admin::v1::StatusReply> fetch_status(std::string const& address,
+absl::StatusOr<admin::v1::StatusReply> fetch_status(admin_place const& place,
                                                     state::duration timeout)
 {
-    return call(address, timeout, admin::v1::StatusRequest{},
+    return call(place, timeout, admin::v1::StatusRequest{},
                 &admin::v1::Admin::Stub::Status);
 }
 
-absl::StatusOr<admin::v1::MetricsReply>
-fetch_metrics(std::string const& address, state::duration timeout)
+absl::StatusOr<admin::v1::MetricsReply> fetch_metrics(admin_place const& place,
+                                                      state::duration timeout)
 {
     admin::v1::MetricsRequest request;
     request.set_text(true);
-    return call(address, timeout, request, &admin::v1::Admin::Stub::Metrics);
+    return call(place, timeout, request, &admin::v1::Admin::Stub::Metrics);
 }
 
 } // namespace camphortide::command_line
--- a/apps/camphortide/src/admin_client.hpp
+++ b/apps/camphortide/src/admin_client.hpp
@@ -10,16 +10,23 @@
 namespace camphortide::command_line
 {
 
+/// Where an instance's service for operators is.
+struct admin_place
+{
+    std::string m_address;   ///< IP:PORT
+    std::string m_authority; ///< PEM file; empty: no TLS
+};
+
 /// Asks an instance for its status, and waits.
-/// @param address IP:PORT of its service for operators
+/// @param place the instance's service for operators
 /// @param timeout the longest wait
 /// @return the status, or UNAVAILABLE if there was no answer in time
-absl::StatusOr<admin::v1::StatusReply> fetch_status(std::string const& address,
+absl::StatusOr<admin::v1::StatusReply> fetch_status(admin_place const& place,
                                                     state::duration timeout);
 
 /// Asks an instance for its metrics, and waits.
 /// @return the metrics, with the text page
-absl::StatusOr<admin::v1::MetricsReply>
-fetch_metrics(std::string const& address, state::duration timeout);
+absl::StatusOr<admin::v1::MetricsReply> fetch_metrics(admin_place const& place,
+                                                      state::duration timeout);
 
 } // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/authority_option.cpp
@@ -0,0 +1,36 @@
+#include "authority_option.hpp"
+
+#include <fstream>
+
+namespace camphortide::command_line
+{
+
+namespace options = boost::program_options;
+
+namespace
+{
+
+void check_readable(std::string const& path)
+{
+    if (!std::ifstream(path).is_open())
+    {
+        throw options::error("the authority cannot be read: " + path);
+    }
+}
+
+} // namespace
+
+void add_authority_option(option_parser& to)
+{
+    to.add()("authority",
+             options::value<std::string>()->notifier(check_readable),
+             "PEM of the authority of the servers' certificates; turns TLS on");
+}
+
+std::string authority_of(option_parser const& from)
+{
+    return from.has("authority") ? from.get<std::string>("authority")
+                                 : std::string();
+}
+
+} // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/src/authority_option.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "option_parser.hpp"
+
+#include <string>
+
+namespace camphortide::command_line
+{
+
+/// Adds `--authority FILE`: TLS to the platform and to instances. A file that
+/// cannot be read is a wrong use.
+void add_authority_option(option_parser& options);
+
+/// @return the file; empty without TLS
+std::string authority_of(option_parser const& options);
+
+} // namespace camphortide::command_line
--- a/apps/camphortide/src/catalogue_apply.cpp
+++ b/apps/camphortide/src/catalogue_apply.cpp
@@ -1,3 +1,4 @@
+#include "authority_option.hpp"
 #include "catalogue_change_text.hpp"
 #include "catalogue_commands.hpp"
 #include "change_identifier.hpp"
@@ -155,8 +156,10 @@
         "identifier of the change")(
         "wait", "wait until the version is in force everywhere")(
         "address,a",
-        options::value<std::string>()->default_value(default_admin),
-        "IP:PORT of an instance's service for operators, for --wait")(
+        options::value<arguments>()->default_value({default_admin},
+                                                   default_admin),
+        "IP:PORT of an instance's service for operators, for --wait; repeat it "
+        "to ask more instances")(
         "wait-time",
         options::value<std::uint32_t>()->default_value(default_wait),
         "longest wait of --wait, ms");
@@ -185,8 +188,13 @@
     {
         return code;
     }
+    std::vector<admin_place> places;
+    for (auto const& address : parser.get<arguments>("address"))
+    {
+        places.push_back({address, authority_of(parser)});
+    }
     return wait_until_in_force(
-        parser.get<std::string>("address"), result.m_version,
+        places, result.m_version,
         state::duration(parser.get<std::uint32_t>("wait-time")), to);
 }
 
--- a/apps/camphortide/src/force_wait.cpp
+++ b/apps/camphortide/src/force_wait.cpp
@@ -3,7 +3,9 @@
 #include "admin_client.hpp"
 
 #include <chrono>
+#include <ostream>
 #include <set>
+#include <string>
 #include <thread>
 
 namespace camphortide::command_line
@@ -15,7 +17,7 @@
 constexpr std::chrono::milliseconds poll_interval{100};
 constexpr state::duration call_timeout{2000};
 
-/// Which instances have a version in force, as one instance knows it.
+/// Which instances have a version in force, as some instances tell.
 class force_report
 {
 public:
@@ -24,63 +26,66 @@
     /// Takes a status and prints the instances that are new in force.
     void take(admin::v1::StatusReply const& status, console const& to)
     {
-        m_missing.clear();
         for (auto const& each : status.instances())
         {
-            bool const leaving =
-                each.state() == admin::v1::INSTANCE_STATE_LEAVING;
-            if (each.catalogue_version() < m_version)
+            if (each.catalogue_version() >= m_version)
             {
-                if (!leaving)
+                m_missing.erase(each.name());
+                if (m_told.insert(each.name()).second)
                 {
-                    m_missing.insert(each.name());
+                    to.m_out << "version " << m_version << " in force at "
+                             << each.name() << std::endl;
                 }
             }
-            else if (m_told.insert(each.name()).second)
+            else if (each.state() == admin::v1::INSTANCE_STATE_LEAVING)
             {
-                to.m_out << "version " << m_version << " in force at "
-                         << each.name() << '\n';
+                m_missing.erase(each.name());
+            }
+            else if (m_told.count(each.name()) == 0)
+            {
+                m_missing.insert(each.name());
             }
         }
-        m_complete = m_missing.empty() && !m_told.empty();
     }
 
-    bool complete() const { return m_complete; }
+    bool complete() const { return m_missing.empty() && !m_told.empty(); }
     std::set<std::string> const& missing() const { return m_missing; }
 
 private:
     std::uint64_t m_version;
     std::set<std::string> m_told;
     std::set<std::string> m_missing;
-    bool m_complete = false;
 };
 
 } // namespace
 
-exit_code wait_until_in_force(std::string const& address, std::uint64_t version,
-                              state::duration timeout, console const& to)
+exit_code wait_until_in_force(std::vector<admin_place> const& places,
+                              std::uint64_t version, state::duration timeout,
+                              console const& to)
 {
     force_report report(version);
     auto const end = state::clock::now() + timeout;
-    while (state::clock::now() < end)
+    do
     {
-        auto const status = fetch_status(address, call_timeout);
-        if (status.ok())
+        for (auto const& place : places)
         {
-            report.take(*status, to);
+            auto const status = fetch_status(place, call_timeout);
+            if (status.ok())
+            {
+                report.take(*status, to);
+            }
         }
         if (report.complete())
         {
             return exit_code::done;
         }
         std::this_thread::sleep_for(poll_interval);
-    }
+    } while (state::clock::now() < end);
     to.m_error << "camphortide: version " << version
-               << " is not known to be in force everywhere; asked " << address
-               << '\n';
+               << " is not known to be in force everywhere\n";
     for (auto const& name : report.missing())
     {
-        to.m_error << "  not at " << name << '\n';
+        to.m_error << "  not known at " << name << '\n';
     }
     return exit_code::refused;
 }
--- a/apps/camphortide/src/force_wait.hpp
+++ b/apps/camphortide/src/force_wait.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "admin_client.hpp"
 #include "command.hpp"
 
 #include <cstdint>
-#include <string>
+#include <vector>
 
 #include <camphortide/state/clock.hpp>
 
@@ -11,12 +12,13 @@
 {
 
 /// Waits until a version of the catalogue is in force at every instance that
-/// an instance knows, and tells where it is.
-/// @param address IP:PORT of that instance's service for operators
+/// some instances list, and tells where it is.
+/// @param places the services for operators that are asked
 /// @param version the version
 /// @param timeout the longest wait
-/// @return refused if it is not in force everywhere in time
-exit_code wait_until_in_force(std::string const& address, std::uint64_t version,
-                              state::duration timeout, console const& to);
+/// @return refused if it is not known to be in force everywhere in time
+exit_code wait_until_in_force(std::vector<admin_place> const& places,
+                              std::uint64_t version, state::duration timeout,
+                              console const& to);
 
 } // namespace camphortide::command_line
--- a/apps/camphortide/src/platform_session.cpp
+++ b/apps/camphortide/src/platform_session.cpp
@@ -1,5 +1,7 @@
 #include "platform_session.hpp"
 
+#include "authority_option.hpp"
+
 #include <future>
 #include <memory>
 #include <utility>
@@ -29,7 +31,8 @@
 platform_session::platform_session(option_parser const& options)
     : m_address(options.get<std::string>("platform")),
       m_client(m_address,
-               state::duration(options.get<std::uint32_t>("timeout")))
+               state::duration(options.get<std::uint32_t>("timeout")),
+               authority_of(options))
 {
 }
 
@@ -43,6 +46,7 @@
         "timeout",
         program_options::value<std::uint32_t>()->default_value(default_timeout),
         "longest wait for one answer, ms");
+    add_authority_option(options);
 }
 
 absl::StatusOr<transport::platform_object>
--- a/apps/camphortide/src/status_command.cpp
+++ b/apps/camphortide/src/status_command.cpp
@@ -1,4 +1,5 @@
 #include "admin_client.hpp"
+#include "authority_option.hpp"
 #include "commands.hpp"
 #include "option_parser.hpp"
 #include "status_text.hpp"
@@ -63,25 +64,25 @@
         "longest wait for the answer, ms")("json", "print JSON")(
         "metrics", "print the histograms and counters instead")(
         "text", "print the metrics' page in the Prometheus format instead");
+    add_authority_option(parser);
     if (auto const ended = parser.parse(words, to))
     {
         return *ended;
     }
-    auto const address = parser.get<std::string>("address");
+    admin_place const place{parser.get<std::string>("address"),
+                            authority_of(parser)};
     state::duration const timeout(parser.get<std::uint32_t>("timeout"));
     bool const as_json = parser.has("json");
     if (parser.has("text"))
     {
-        return print_reply(fetch_metrics(address, timeout), false, page_text,
-                           to);
+        return print_reply(fetch_metrics(place, timeout), false, page_text, to);
     }
     if (parser.has("metrics"))
     {
-        return print_reply(fetch_metrics(address, timeout), as_json,
-                           metrics_text, to);
+        return print_reply(fetch_metrics(place, timeout), as_json, metrics_text,
+                           to);
     }
-    return print_reply(fetch_status(address, timeout), as_json, status_text,
-                       to);
+    return print_reply(fetch_status(place, timeout), as_json, status_text, to);
 }
 
 } // namespace camphortide::command_line
--- /dev/null
+++ b/apps/camphortide/test/deployment/deployment_test.cpp
@@ -0,0 +1,77 @@
+#include "../support/command_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <camphortide/standin/deployment/running_deployment.hpp>
+
+namespace standin = camphortide::standin;
+namespace transport = camphortide::transport;
+using camphortide::command_line::exit_code;
+using camphortide::command_line::run_command;
+
+namespace
+{
+
+transport::deployment two_instances()
+{
+    transport::deployment result;
+    result.m_name = "test";
+    result.m_region = "serra-gaucha";
+    result.m_data_centres = {"sede-centro", "ginasio-norte"};
+    result.m_instances = {{"entry-1", "sede-centro"},
+                          {"entry-2", "ginasio-norte"}};
+    transport::deployment_group group;
+    group.m_name = "loans";
+    group.m_members = {
+        {"a", "sede-centro"}, {"b", "ginasio-norte"}, {"c", "sede-centro"}};
+    result.m_groups = {group};
+    result.m_owners = {{"desks", "secret"}};
+    transport::deployment_entry entry;
+    entry.m_name = "checkouts";
+    entry.m_owner = "desks";
+    entry.m_class_name = "checkouts";
+    entry.m_groups = {"loans"};
+    result.m_entries = {entry};
+    return result;
+}
+
+run_result run(camphortide::command_line::arguments const& words)
+{
+    std::ostringstream out;
+    std::ostringstream error;
+    auto const code = run_command(words, {out, error});
+    return {code, out.str(), error.str()};
+}
+
+} // namespace
+
+TEST_CASE("an operator sees a deployment and changes its catalogue")
+{
+    standin::running_deployment running(two_instances(), std::string(64, 'a'));
+    REQUIRE(running.wait_ready(std::chrono::seconds(60)));
+    auto const admin = running.admin_address("entry-1");
+    auto const platform = running.platform_address();
+
+    auto const status = run({"status", "--address", admin});
+    CHECK(status.m_code == exit_code::done);
+    CHECK(status.says("entry-2"));
+    CHECK(status.says("group loans"));
+    CHECK(run({"status", "--address", admin, "--text"}).m_code ==
+          exit_code::done);
+
+    auto const stored = run({"catalogue", "get", "--platform", platform});
+    REQUIRE(stored.m_code == exit_code::done);
+    auto changed = stored.m_out;
+    auto const place = changed.find("\"rate\": 100");
+    REQUIRE(place != std::string::npos);
+    changed.replace(place, std::string("\"rate\": 100").size(),
+                    "\"rate\": 150");
+    temporary_file const file("deployment_test.jsonc", changed);
+    auto const applied =
+        run({"catalogue", "apply", "deployment_test.jsonc", "--platform",
+             platform, "--wait", "--address", admin, "--address",
+             running.admin_address("entry-2")});
+    CHECK(applied.m_code == exit_code::done);
+    CHECK(applied.says("in force at entry-1"));
+    CHECK(applied.says("in force at entry-2"));
+}
--- a/apps/camphortide/test/status/status_test.cpp
+++ b/apps/camphortide/test/status/status_test.cpp
@@ -124,3 +124,17 @@
           exit_code::refused);
     CHECK(error.str().find("no answer from 127.0.0.1:1") != std::string::npos);
 }
+
+TEST_CASE("an authority that cannot be read is a wrong use")
+{
+    std::ostringstream out;
+    std::ostringstream error;
+    CHECK(run_command({"status", "--authority", "no/such"}, {out, error}) ==
+          exit_code::usage);
+    CHECK(error.str().find("no/such") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(fixture, "with TLS a server without a certificate is refused")
+{
+    CHECK(run({"--authority", "README.md"}) == exit_code::refused);
+}
--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -36,6 +36,7 @@
     bool m_listen_beyond_loopback = false;
 
     std::string m_platform_address;
+    std::string m_platform_authority; ///< PEM file; empty: no TLS
     state::duration m_platform_timeout{std::chrono::milliseconds(500)};
 
     std::vector<std::string> m_seed_peers;
--- /dev/null
+++ b/packages/transport/src/platform/client_credentials.cpp
@@ -0,0 +1,35 @@
+#include <fstream>
+#include <iterator>
+
+#include <camphortide/transport/platform/client_credentials.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// Stands for an authority that signed nothing. Without any text gRPC would
+/// take the authorities of the machine.
+constexpr char const* no_authority = "unreadable";
+
+} // namespace
+
+std::shared_ptr<grpc::ChannelCredentials>
+client_credentials(std::string const& authority_file)
+{
+    if (authority_file.empty())
+    {
+        return grpc::InsecureChannelCredentials();
+    }
+    std::ifstream stream(authority_file, std::ios::binary);
+    grpc::SslCredentialsOptions options;
+    options.pem_root_certs.assign(std::istreambuf_iterator<char>(stream), {});
+    if (options.pem_root_certs.empty())
+    {
+        options.pem_root_certs = no_authority;
+    }
+    return grpc::SslCredentials(options);
+}
+
+} // namespace camphortide::transport
--- a/packages/transport/src/platform/platform_client.cpp
+++ b/packages/transport/src/platform/platform_client.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
-#include <fstream>
-#include <iterator>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -12,6 +10,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <camphortide/platform/v1/objects.grpc.pb.h>
+#include <camphortide/transport/platform/client_credentials.hpp>
 #include <camphortide/transport/platform/platform_client.hpp>
 
 namespace camphortide::transport
@@ -25,19 +24,6 @@
 constexpr int keepalive_timeout = 5000;   ///< milliseconds
 constexpr int most_reconnect_wait = 1000; ///< milliseconds
 
-std::shared_ptr<grpc::ChannelCredentials>
-make_credentials(std::string const& authority_file)
-{
-    if (authority_file.empty())
-    {
-        return grpc::InsecureChannelCredentials();
-    }
-    std::ifstream stream(authority_file, std::ios::binary);
-    grpc::SslCredentialsOptions options;
-    options.pem_root_certs.assign(std::istreambuf_iterator<char>(stream), {});
-    return grpc::SslCredentials(options);
-}
-
 std::shared_ptr<platform::v1::Objects::Stub>
 make_stub(std::string const& address, std::string const& authority_file)
 {
@@ -47,7 +33,7 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, most_reconnect_wait);
     return platform::v1::Objects::NewStub(grpc::CreateCustomChannel(
-        address, make_credentials(authority_file), arguments));
+        address, client_credentials(authority_file), arguments));
 }
 
 /// Whether a call changes an object.
--- a/packages/transport/src/settings/instance_schema.cpp
+++ b/packages/transport/src/settings/instance_schema.cpp
@@ -51,6 +51,9 @@
     table
         .required("platform.address", &settings::m_platform_address,
                   address_kind(), "Address of the platform's object API.")
+        .optional("platform.authority", &settings::m_platform_authority,
+                  path_kind(),
+                  "Authority of its certificate, PEM; left out, no TLS.")
         .optional("platform.timeout", &settings::m_platform_timeout,
                   time_kind({10ms, 60s}), "Longest wait for its answer.")
         .optional("platform.catalogue_watchers",
@@ -225,8 +228,9 @@
         std::string_view m_key;
         std::string settings::*m_path;
     };
-    static constexpr std::array<file_setting, 3> files{
-        {{"tls.certificate", &settings::m_tls_certificate},
+    static constexpr std::array<file_setting, 4> files{
+        {{"platform.authority", &settings::m_platform_authority},
+         {"tls.certificate", &settings::m_tls_certificate},
          {"tls.key", &settings::m_tls_key},
          {"tls.authority", &settings::m_tls_authority}}};
     for (auto const& each : files)
