--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -36,7 +36,6 @@
     bool m_listen_beyond_loopback = false;
 
     std::string m_platform_address;
-    std::string m_platform_authority; ///< PEM file; empty: no TLS
     state::duration m_platform_timeout{std::chrono::milliseconds(500)};
 
     std::vector<std::string> m_seed_peers;
@@ -52,7 +51,7 @@
     std::string m_token_key; ///< 32 bytes in hexadecimal digits
     std::string m_tls_certificate;
     std::string m_tls_key;
-    std::string m_tls_authority;
+    std::string m_tls_authority;    ///< of the platform; empty: no TLS to it
     std::string m_curve_public_key; ///< Z85; one pair for the whole system
     std::string m_curve_secret_key; ///< Z85
 
--- a/packages/transport/src/settings/instance_schema.cpp
+++ b/packages/transport/src/settings/instance_schema.cpp
@@ -51,9 +51,6 @@
     table
         .required("platform.address", &settings::m_platform_address,
                   address_kind(), "Address of the platform's object API.")
-        .optional("platform.authority", &settings::m_platform_authority,
-                  path_kind(),
-                  "Authority of its certificate, PEM; left out, no TLS.")
         .optional("platform.timeout", &settings::m_platform_timeout,
                   time_kind({10ms, 60s}), "Longest wait for its answer.")
         .optional("platform.catalogue_watchers",
@@ -99,8 +96,9 @@
                   "Certificate chain of the gRPC services, PEM.")
         .optional("tls.key", &settings::m_tls_key, path_kind(),
                   "Private key of the certificate, PEM.")
-        .optional("tls.authority", &settings::m_tls_authority, path_kind(),
-                  "Authority that clients' certificates must come from, PEM.")
+        .optional(
+            "tls.authority", &settings::m_tls_authority, path_kind(),
+            "Authority of the platform's certificate, PEM; none: no TLS to it.")
         .optional("curve.public_key", &settings::m_curve_public_key,
                   curve_key_kind(),
                   "CURVE key of the system's peers; one pair for all.")
@@ -228,9 +226,8 @@
         std::string_view m_key;
         std::string settings::*m_path;
     };
-    static constexpr std::array<file_setting, 4> files{
-        {{"platform.authority", &settings::m_platform_authority},
-         {"tls.certificate", &settings::m_tls_certificate},
+    static constexpr std::array<file_setting, 3> files{
+        {{"tls.certificate", &settings::m_tls_certificate},
          {"tls.key", &settings::m_tls_key},
          {"tls.authority", &settings::m_tls_authority}}};
     for (auto const& each : files)
