--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -51,7 +51,7 @@
     std::string m_token_key; ///< 32 bytes in hexadecimal digits
     std::string m_tls_certificate;
     std::string m_tls_key;
-    std::string m_tls_authority;
+    std::string m_tls_authority;    ///< of the platform; empty: no TLS to it
     std::string m_curve_public_key; ///< Z85; one pair for the whole system
     std::string m_curve_secret_key; ///< Z85
 
--- a/packages/transport/src/settings/instance_schema.cpp
+++ b/packages/transport/src/settings/instance_schema.cpp
@@ -96,8 +96,9 @@
                   "Certificate chain of the gRPC services, PEM.")
         .optional("tls.key", &settings::m_tls_key, path_kind(),
                   "Private key of the certificate, PEM.")
-        .optional("tls.authority", &settings::m_tls_authority, path_kind(),
-                  "Authority that clients' certificates must come from, PEM.")
+        .optional(
+            "tls.authority", &settings::m_tls_authority, path_kind(),
+            "Authority of the platform's certificate, PEM; none: no TLS to it.")
         .optional("curve.public_key", &settings::m_curve_public_key,
                   curve_key_kind(),
                   "CURVE key of the system's peers; one pair for all.")
