request, standin: a valid token is not refused at a home that is cut off

Cause: the explorer now runs the classes that decide requests, in place of its own.

A token is bad only where the view differs from it at or below its safe index: the safe part of all logs is one.

--- a/packages/coordination/src/request/accept_read.cpp
+++ b/packages/coordination/src/request/accept_read.cpp
@@ -8,9 +8,11 @@
 
 using state::reason;
 
+/// Beyond the safe index the view may be that of a superseded primary, whose
+/// log lacks what a later one made safe.
 bool token_is_invalid(read_requirement const& needed, log_view const& log)
 {
-    return needed.m_covered &&
+    return needed.m_covered && needed.m_covered->m_index <= log.m_safe &&
            standing_of(*needed.m_covered, log) == log_standing::absent;
 }
 
--- a/packages/standin/test/explorer/explorer.cpp
+++ b/packages/standin/test/explorer/explorer.cpp
@@ -23,7 +23,7 @@
     {10, &explorer::write},
     {10, &explorer::read},
     {2, &explorer::give_up},
-    {6, &explorer::resolve},
+    {6, &explorer::ask},
     {2, &explorer::fault},
     {1, &explorer::home_fault},
     {1, &explorer::isolate},
@@ -221,7 +221,7 @@
     {
         if (!m_world.is_paused({party::kind::home, home}))
         {
-            m_client.poll(home);
+            m_client.pump(home);
         }
     }
 }
@@ -230,7 +230,7 @@
 {
     heal();
     m_world.m_reliable = true;
-    m_client.give_up_all();
+    m_client.break_connections();
     for (std::size_t round = 0; round < rest_rounds; ++round)
     {
         m_world.advance(round_time);
@@ -251,7 +251,7 @@
             m_world.move_message();
         }
         poll();
-        m_client.resolve();
+        m_client.ask();
         if (is_at_rest())
         {
             m_world.checker().finish(m_world.member(*leader()).log());
--- a/packages/standin/test/explorer/explorer.hpp
+++ b/packages/standin/test/explorer/explorer.hpp
@@ -45,7 +45,7 @@
     void write() { m_client.start_write(); }
     void read() { m_client.start_read(); }
     void give_up() { m_client.give_up(); }
-    void resolve() { m_client.resolve(); }
+    void ask() { m_client.ask(); }
     void fault();
     /// Leaves the primary and a home with each other alone.
     void isolate();
--- a/packages/standin/test/explorer/explorer_client.hpp
+++ b/packages/standin/test/explorer/explorer_client.hpp
@@ -3,15 +3,20 @@
 #include "explorer_home.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <camphortide/coordination/request/accept_read.hpp>
+#include <camphortide/coordination/request/write_tracker.hpp>
+
 namespace camphortide::standin
 {
 
 /// Callers that write with keys, ask what became of a key, and read in
-/// sessions, through the homes of a group.
+/// sessions, through the homes of a group. The homes decide by the same
+/// classes as a running instance.
 class explorer_client
 {
 public:
@@ -21,28 +26,27 @@
 
     void start_write();
     void start_read();
-    /// Stops waiting for a random request; it is unknown from then on.
+    /// Breaks the connection of a random request, or ends its caller's wait.
     void give_up();
-    /// Stops waiting for all requests.
-    void give_up_all();
-    /// Asks at a random home what became of an unknown request.
-    void resolve();
-    /// Ends the requests at a home whose records are safe.
-    void poll(std::size_t home);
-    /// A home was lost; its requests are unknown.
+    /// Breaks the connections of all requests.
+    void break_connections();
+    /// Asks at a random home what became of a key whose outcome is unknown.
+    void ask();
+    /// Lets a home go on with its requests and reads.
+    void pump(std::size_t home);
+    /// A home was lost; the outcome of its requests is unknown.
     void home_lost(std::size_t home);
     /// @return true if a request has no definite answer
     bool is_open() const;
 
     std::size_t m_write_percent = 100; ///< of the writes that may start
-    std::size_t m_readers = 0; ///< the last homes, which no write comes to
+    std::size_t m_readers = 0;         ///< the last homes, which get no write
 
 private:
     enum class stage
     {
-        sent,
-        written,
-        unknown,
+        tracked, ///< at a home
+        unknown, ///< its caller was told so
         ended
     };
     struct request
@@ -50,30 +54,51 @@
         std::string m_key;
         std::size_t m_session = 0;
         std::size_t m_home = 0;
-        stage m_stage = stage::sent;
+        stage m_stage = stage::tracked;
         std::uint64_t m_attempt = 0;
-        bool m_uncertain = false; ///< an earlier attempt may have run
-        bool m_barrier = false;
-        state::term m_term;
-        state::log_position m_position;
+        state::term m_sent_in;
+    };
+    struct due_statement
+    {
+        bool m_resolve = false;
+        state::term m_above; ///< the term that refused it
+    };
+    struct held_read
+    {
+        std::size_t m_session = 0;
+        statement_answer m_answer;
+        std::uint64_t m_required = 0;
+        coordination::read_requirement m_needed;
+    };
+    struct home_state
+    {
+        coordination::write_tracker m_tracker;
+        coordination::log_view m_seen;
+        std::map<std::uint64_t, due_statement> m_due;
+        std::vector<held_read> m_reads;
     };
 
-    void attempt(std::size_t index, bool resolve);
-    void answered(std::size_t index, std::uint64_t attempt, state::term term,
+    void send_due(std::size_t home);
+    void send(std::uint64_t number, bool resolve,
+              coordination::group_primary const& primary);
+    void answered(std::uint64_t number, std::uint64_t attempt,
                   statement_answer const& answer);
-    void lose(request& value);
-    void end(request& value);
-    void read_answered(std::size_t home, std::size_t session,
-                       std::uint64_t required, statement_answer const& answer);
-    bool may_release(explorer_home const& home,
-                     state::log_position position) const;
+    void follow(std::uint64_t number, coordination::keyed_step const& step,
+                state::term refused);
+    void finish(request& value, coordination::request_result const& result);
+    coordination::read_requirement need(std::size_t session);
+    /// @return true unless the read has to wait
+    bool judge(std::size_t home, held_read const& read);
+    coordination::log_view view_for_writes(std::size_t home) const;
+    coordination::log_view view_for_reads(std::size_t home) const;
 
     static constexpr std::size_t sessions = 3;
 
     group_world& m_world;
     homes& m_homes;
     std::vector<request> m_requests;
-    std::vector<std::uint64_t> m_tokens;
+    std::vector<home_state> m_states;
+    std::vector<state::log_position> m_tokens;
 };
 
 } // namespace camphortide::standin
--- a/packages/standin/test/explorer/explorer_home.cpp
+++ b/packages/standin/test/explorer/explorer_home.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <camphortide/coordination/group/group_monitor_builder.hpp>
-#include <camphortide/coordination/safe_position.hpp>
 
 namespace camphortide::standin
 {
@@ -61,7 +60,9 @@
                      .seed(m_world.random().below(1U << 20U))
                      .build();
     m_writes_paused = false;
-    m_samples = {};
+    m_last_probe = 0;
+    m_log.emplace(m_world.size());
+    m_samples.emplace(m_world.size());
 }
 
 void explorer_home::request_switchover()
@@ -91,6 +92,7 @@
             {
                 auto actions =
                     m_monitor->status_received(status, m_world.now());
+                note_status(status);
                 replied(result);
                 return actions;
             },
@@ -99,38 +101,6 @@
     request(member, name, work, false);
 }
 
-bool explorer_home::is_safe(state::term term, std::uint64_t index) const
-{
-    auto const statuses = m_monitor->statuses();
-    switch (m_world.broken())
-    {
-    case broken_rule::acknowledge_unsafe:
-        return true;
-    case broken_rule::count_old_terms:
-        return static_cast<std::size_t>(std::ranges::count_if(
-                   statuses, [&](state::member_status const& status)
-                   { return status.m_received.m_index >= index; })) >
-               statuses.size() / 2;
-    default:
-        return coordination::safe_index(statuses, statuses.size(), term) >=
-               index;
-    }
-}
-
-std::optional<state::time_point>
-explorer_home::fresh_from(std::uint64_t index) const
-{
-    std::optional<state::time_point> best;
-    for (auto const& sample : m_samples)
-    {
-        if (is_confirmed(sample) && *sample.m_primary_index <= index)
-        {
-            best = std::max(best.value_or(sample.m_sent), sample.m_sent);
-        }
-    }
-    return best;
-}
-
 void explorer_home::apply(coordination::group_actions const& actions)
 {
     for (auto const& action : actions)
@@ -142,14 +112,10 @@
 void explorer_home::act(coordination::send_probe const& action)
 {
     auto const member = m_world.index_of(action.m_member);
-    auto& sample = m_samples[action.m_probe % samples];
-    if (sample.m_probe != action.m_probe)
+    if (m_last_probe != action.m_probe)
     {
-        sample = {action.m_probe,
-                  m_world.now(),
-                  {},
-                  std::nullopt,
-                  std::vector<state::term>(m_world.size())};
+        m_last_probe = action.m_probe;
+        m_samples->note_probe_sent(action.m_probe, m_world.now());
     }
     auto const probe = action.m_probe;
     request(member, "probe",
@@ -157,9 +123,9 @@
             {
                 auto const status = m_world.status(member, probe);
                 reply(member, "probe reply",
-                      [this, member, status]
+                      [this, status]
                       {
-                          note_answer(member, status);
+                          note_status(status);
                           return m_monitor->status_received(status,
                                                             m_world.now());
                       });
@@ -275,31 +241,40 @@
         {{party::kind::member, member}, self(), name, may_repeat, deliver});
 }
 
-void explorer_home::note_answer(std::size_t member,
-                                state::member_status const& status)
+void explorer_home::note_status(state::member_status const& status)
 {
-    auto& sample = m_samples[status.m_probe % samples];
-    if (sample.m_probe != status.m_probe)
+    m_samples->note_status(status);
+    m_log->note_status(for_log(status));
+    if (m_world.broken() == broken_rule::sample_alone &&
+        status.m_role == state::member_role::primary)
     {
-        return;
+        note_as_majority(status);
     }
-    sample.m_granted[member] = status.m_granted;
-    if (status.m_role == state::member_role::primary &&
-        status.m_granted > sample.m_term)
+}
+
+void explorer_home::note_as_majority(state::member_status const& status)
+{
+    auto forged = status;
+    forged.m_role = state::member_role::replica;
+    for (auto const& name : m_world.names())
     {
-        sample.m_term = status.m_granted;
-        sample.m_primary_index = status.m_received.m_index;
+        forged.m_member = name;
+        if (name != status.m_member)
+        {
+            m_samples->note_status(forged);
+        }
     }
 }
 
-bool explorer_home::is_confirmed(age_sample const& sample) const
+state::member_status explorer_home::for_log(state::member_status status) const
 {
-    auto const granted = static_cast<std::size_t>(
-        std::ranges::count(sample.m_granted, sample.m_term));
-    std::size_t const needed = m_world.broken() == broken_rule::sample_alone
-                                   ? 1
-                                   : m_world.size() / 2 + 1;
-    return sample.m_primary_index && granted >= needed;
+    if (m_world.broken() == broken_rule::count_old_terms &&
+        status.m_role != state::member_role::primary)
+    {
+        status.m_granted = m_log->view().m_term;
+        status.m_received.m_term = m_log->view().m_term;
+    }
+    return status;
 }
 
 } // namespace camphortide::standin
--- a/packages/standin/test/explorer/explorer_home.hpp
+++ b/packages/standin/test/explorer/explorer_home.hpp
@@ -2,7 +2,6 @@
 
 #include "group_world.hpp"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,12 +9,14 @@
 #include <vector>
 
 #include <camphortide/coordination/group/group_monitor.hpp>
+#include <camphortide/coordination/request/freshness.hpp>
+#include <camphortide/coordination/request/log_tracker.hpp>
 
 namespace camphortide::standin
 {
 
 /// An instance that is home for the group: its monitor, its messages to the
-/// members and its age samples.
+/// members, and what it knows of the log and of the age of data.
 class explorer_home
 {
 public:
@@ -35,27 +36,17 @@
     void run_statement(std::size_t member, char const* name, statement run,
                        answer replied);
 
-    /// @return whether a record is safe in a term by what this home knows
-    bool is_safe(state::term term, std::uint64_t index) const;
+    /// @return what this home knows of the primary's log
+    coordination::log_view const& log() const { return m_log->view(); }
 
-    /// @return the latest time at which all that was acknowledged before lay
-    ///     at or below an index
-    std::optional<state::time_point> fresh_from(std::uint64_t index) const;
+    /// @return what this home knows of the age of data
+    coordination::freshness const& samples() const { return *m_samples; }
 
     coordination::group_monitor const& monitor() const { return *m_monitor; }
     std::size_t index() const { return m_index; }
     bool writes_paused() const { return m_writes_paused; }
 
 private:
-    struct age_sample
-    {
-        std::uint64_t m_probe = 0;
-        state::time_point m_sent;
-        state::term m_term;
-        std::optional<std::uint64_t> m_primary_index;
-        std::vector<state::term> m_granted; ///< by member; term 0: no answer
-    };
-
     void apply(coordination::group_actions const& actions);
     void act(coordination::send_probe const& action);
     void act(coordination::send_fence const& action);
@@ -70,19 +61,20 @@
     void reply(std::size_t member, char const* name,
                std::function<coordination::group_actions()> work,
                bool may_repeat = true);
-    void note_answer(std::size_t member, state::member_status const& status);
-    bool is_confirmed(age_sample const& sample) const;
+    void note_status(state::member_status const& status);
+    void note_as_majority(state::member_status const& status);
+    state::member_status for_log(state::member_status status) const;
     party self() const { return {party::kind::home, m_index}; }
 
-    static constexpr std::size_t samples = 8;
-
     group_world& m_world;
     std::size_t m_index;
     std::uint64_t m_generation = 0;
     std::uint64_t m_asking_generation = 0; ///< of the request being answered
     std::optional<coordination::group_monitor> m_monitor;
     bool m_writes_paused = false;
-    std::array<age_sample, samples> m_samples;
+    std::uint64_t m_last_probe = 0;
+    std::optional<coordination::log_tracker> m_log;
+    std::optional<coordination::freshness> m_samples;
 };
 
 } // namespace camphortide::standin
--- a/packages/standin/test/explorer/promise_checker.cpp
+++ b/packages/standin/test/explorer/promise_checker.cpp
@@ -38,9 +38,9 @@
 std::string to_string(promise value)
 {
     constexpr char const* names[] = {
-        "one_primary",      "nothing_lost", "at_most_once",
-        "not_executed",     "reads_stay",   "reads_match",
-        "read_your_writes", "age",          "agreement"};
+        "one_primary", "nothing_lost", "at_most_once",     "not_executed",
+        "reads_stay",  "reads_match",  "read_your_writes", "valid_token",
+        "age",         "agreement"};
     return names[static_cast<std::size_t>(value)];
 }
 
--- a/packages/standin/test/explorer/promise_checker.hpp
+++ b/packages/standin/test/explorer/promise_checker.hpp
@@ -23,6 +23,7 @@
     reads_stay,       ///< a released read saw records that stay
     reads_match,      ///< a released value is that of the log at its position
     read_your_writes, ///< a session's reads do not go back
+    valid_token,      ///< a token that was given out is not refused
     age,              ///< a read is no older than stated
     agreement         ///< a healed group has one primary and equal logs
 };
