--- a/apps/camphortide/src/demo_command.cpp
+++ b/apps/camphortide/src/demo_command.cpp
@@ -32,25 +32,29 @@
 
 void add_options(option_parser& parser)
 {
-    parser.add()("deployment",
-                 options::value<std::string>()->default_value("caxias-serrana"),
-                 "caxias-serrana, bajio or the path of a deployment file")(
-        "seconds", options::value<double>()->default_value(20),
-        "how long requests arrive")(
-        "seed", options::value<std::uint64_t>()->default_value(1),
-        "of every choice")("fault", options::value<std::string>(),
-                           "faults to switch on together: NAME[,NAME]")(
-        "at", options::value<double>()->default_value(7),
-        "seconds until the fault")("hold",
-                                   options::value<double>()->default_value(6),
-                                   "seconds until the fault is lifted")(
-        "every", options::value<double>()->default_value(0),
-        "seconds between repeats of the fault; 0: once")(
-        "list-faults",
-        "print the names of the faults")("json", "print the figures as JSON")(
-        "report", options::value<std::string>(),
-        "write a page of HTML to this file")("verbose",
-                                             "keep the logs of the instances");
+    auto add = parser.add();
+    add("deployment",
+        options::value<std::string>()->default_value("caxias-serrana"),
+        "caxias-serrana, bajio or the path of a deployment file");
+    add("seconds", options::value<double>()->default_value(20),
+        "how long requests arrive");
+    add("seed", options::value<std::uint64_t>()->default_value(1),
+        "of every choice");
+    add("fault", options::value<std::string>(),
+        "faults to switch on together: NAME[,NAME]");
+    add("at", options::value<double>()->default_value(7),
+        "seconds until the fault");
+    add("hold", options::value<double>()->default_value(6),
+        "seconds until the fault is lifted");
+    add("every", options::value<double>()->default_value(0),
+        "seconds between repeats of the fault; 0: once");
+    add("list-faults", "print the names of the faults");
+    add("json", "print the figures as JSON");
+    add("report", options::value<std::string>(),
+        "write a page of HTML to this file");
+    add("history", options::value<std::string>(),
+        "write every attempt to this file, one a line");
+    add("verbose", "keep the logs of the instances");
 }
 
 std::vector<std::string> split(std::string const& names)
--- a/apps/camphortide/src/run_output.cpp
+++ b/apps/camphortide/src/run_output.cpp
@@ -38,6 +38,31 @@
     return (files::path(source_directory) / file).string();
 }
 
+/// @return whether the file could be written
+bool write_file(std::string const& path, std::string const& text,
+                console const& to)
+{
+    std::ofstream file(path);
+    file << text;
+    if (!file.flush())
+    {
+        to.m_error << "camphortide: cannot write " << path << '\n';
+        return false;
+    }
+    return true;
+}
+
+std::string lines_of(load::history const& attempts)
+{
+    std::string text;
+    for (auto const& attempt : attempts)
+    {
+        text += load::to_line(attempt);
+        text += '\n';
+    }
+    return text;
+}
+
 } // namespace
 
 std::optional<transport::deployment> read_deployment(std::string const& name,
@@ -96,18 +121,19 @@
     }
     to.m_out << (parser.has("json") ? load::to_json(title, result)
                                     : load::to_text(title, result));
+    bool written = true;
     if (parser.has("report"))
     {
-        auto const path = parser.get<std::string>("report");
-        std::ofstream page(path);
-        page << load::to_html(title, result);
-        if (!page.flush())
-        {
-            to.m_error << "camphortide: cannot write " << path << '\n';
-            return exit_code::refused;
-        }
+        written = write_file(parser.get<std::string>("report"),
+                             load::to_html(title, result), to);
+    }
+    if (parser.has("history"))
+    {
+        written = write_file(parser.get<std::string>("history"),
+                             lines_of(result.m_history), to) &&
+                  written;
     }
-    return load::kept(result) ? exit_code::done : exit_code::refused;
+    return written && load::kept(result) ? exit_code::done : exit_code::refused;
 }
 
 } // namespace camphortide::command_line
--- a/packages/load/include/camphortide/load/demo/demo_run.hpp
+++ b/packages/load/include/camphortide/load/demo/demo_run.hpp
@@ -32,6 +32,7 @@
     std::vector<promise_break> m_breaks;
     /// Groups without a primary after the run; their writes are not judged.
     std::vector<std::string> m_without_truth;
+    history m_history; ///< every attempt
 };
 
 /// Told once a second how the run goes.
--- a/packages/load/src/demo/demo_run.cpp
+++ b/packages/load/src/demo/demo_run.cpp
@@ -163,6 +163,7 @@
     take_truths(running, result, facts);
     result.m_breaks = check_promises(facts);
     result.m_summary = summarise(facts, faults.losses(), options.m_warm_up);
+    result.m_history = std::move(facts.m_history);
     return result;
 }
 
