load: bound the wait that a retry hint asks for

Cause: after a lost data centre an answer's hint was 60 s, and a run of 10 s took 70 s. Change: callers repeat after 5 s at the latest.

--- a/packages/load/src/driver/load_driver.cpp
+++ b/packages/load/src/driver/load_driver.cpp
@@ -17,6 +17,8 @@
 constexpr run_time first_backoff{20'000};
 constexpr run_time most_backoff{640'000};
 constexpr run_time no_instance_wait{100'000};
+/// A caller repeats after so long, whatever the answer's hint says.
+constexpr run_time most_retry_wait{5'000'000};
 
 bool may_be_repeated(state::reason why)
 {
@@ -294,8 +296,9 @@
     request_record next;
     next.m_request = attempt.m_request;
     next.m_attempt = attempt.m_attempt + 1;
-    run_time const wait =
-        std::max<run_time>(retry_after, backoff(attempt.m_attempt));
+    run_time const wait = std::min(
+        most_retry_wait,
+        std::max<run_time>(retry_after, backoff(attempt.m_attempt)));
     of.m_active = std::move(next);
     after(wait, [this, &of] { send(of); });
 }
