--- a/packages/standin/test/promotion/promotion_test.cpp
+++ b/packages/standin/test/promotion/promotion_test.cpp
@@ -2,10 +2,6 @@
 #include <string>
 #include <variant>
 
-#include <random>
-#include <string>
-#include <variant>
-
 #include <doctest/doctest.h>
 
 #include <camphortide/standin/model/manual_group.hpp>
