gateway: give up on silent members, check failed reads, bound ages on the way

Cause: a review of the read path found that a read at a silent member waited for its deadline, a member that had just failed was tried again at once, a failed statement was told without the check of the position that it saw, a request could loosen its class's age, owner and key joined by a slash could collide, and the way to the caller did not count in the age. Change: attempts are kept by their own decision and given up after several times the expected time; failures pass the same check as results; the lesser age counts; keys are scoped by the owner's length; the way over an entry instance is added to the age and the read repeated if that makes it too old.

--- a/packages/transport/include/camphortide/transport/gateway/group_operation.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_operation.hpp
@@ -5,6 +5,7 @@
 
 #include <camphortide/coordination/limits/admission_types.hpp>
 #include <camphortide/coordination/request/connection_pool.hpp>
+#include <camphortide/coordination/request/read_attempts.hpp>
 #include <camphortide/coordination/request/read_requirement.hpp>
 #include <camphortide/transport/gateway/group_request.hpp>
 
@@ -27,10 +28,10 @@
     bool m_waits = false;       ///< for a member or a connection
     std::size_t m_member = 0;   ///< that the statement was sent to
     coordination::connection_id m_connection;
-    state::time_point m_route_at; ///< when to route again, while waiting
-    std::uint32_t m_tried = 0;    ///< members that failed this read
-    bool m_primary_next = false;
-    bool m_resolving = false; ///< RESOLVE is sent in place of the write
+    bool m_waited = false; ///< for time to pass, not for a connection
+    coordination::read_attempts m_attempts{coordination::deadline()};
+    state::time_point m_give_up_at; ///< of the attempt that is outstanding
+    bool m_resolving = false;       ///< RESOLVE is sent in place of the write
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/gateway/read_service.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/read_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <vector>
 
@@ -39,7 +40,9 @@
     void route(group_operation& work);
     void send(group_operation& work, std::size_t member);
     void check(group_operation& work);
-    void retry(group_operation& work, state::reason why);
+    void try_again(group_operation& work,
+                   coordination::attempt_result const& result);
+    void advance_sent();
     void wait(group_operation& work, state::time_point until);
     void give_up(group_operation& work, state::reason why);
     void advance_held();
@@ -50,6 +53,8 @@
     coordination::retry_budget m_retries;
     std::vector<std::uint64_t> m_waiting; ///< to be routed again
     std::vector<std::uint64_t> m_held;    ///< answered, not released yet
+    /// by the time when the attempt is given up
+    std::multimap<state::time_point, std::uint64_t> m_sent;
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/instance_router.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance_router.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
         std::vector<std::string> m_tried;
         bool m_may_have_run = false;
         state::time_point m_retry_at;
+        std::optional<state::time_point> m_forwarded; ///< at the last try
     };
     using journey_ptr = std::shared_ptr<journey>;
 
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -4,6 +4,7 @@
 
 #include <google/protobuf/message.h>
 
+#include <camphortide/coordination/request/key_registry.hpp>
 #include <camphortide/transport/access/authenticator.hpp>
 #include <camphortide/transport/access/request_check.hpp>
 
@@ -15,6 +16,8 @@
 
 constexpr std::size_t most_key_bytes = 200;
 constexpr std::size_t most_entry_bytes = 200;
+/// Counted into the age of answers.
+constexpr state::duration way_to_caller{5};
 
 bool has_unknown_fields(google::protobuf::Message const& message)
 {
@@ -38,6 +41,18 @@
     return std::chrono::duration_cast<state::duration>(left);
 }
 
+/// The lesser of the ages that the class and the request allow.
+std::optional<state::duration> allowed_age(v1::Request const& request,
+                                           state::catalogue_entry const& entry)
+{
+    if (!request.has_max_age_ms())
+    {
+        return entry.m_limits.m_age;
+    }
+    state::duration const asked(request.max_age_ms());
+    return std::min(asked, entry.m_limits.m_age.value_or(asked));
+}
+
 } // namespace
 
 v1::Failure not_executed(state::reason reason, std::string detail)
@@ -113,16 +128,16 @@
     out.m_idempotent = request.idempotent() || entry.m_limits.m_idempotent;
     out.m_deadline = now + left;
     out.m_token = result.m_token;
-    out.m_max_age = request.has_max_age_ms()
-                        ? state::duration(request.max_age_ms())
-                        : entry.m_limits.m_age;
+    out.m_max_age = allowed_age(request, entry);
+    out.m_onward = way_to_caller;
     if (kind != request_kind::read)
     {
         if (result.m_caller_key.empty())
         {
             result.m_caller_key = new_key();
         }
-        out.m_key = entry.m_owner + "/" + result.m_caller_key;
+        out.m_key =
+            coordination::scoped_key(entry.m_owner, result.m_caller_key);
     }
     return result;
 }
--- a/packages/transport/src/gateway/read_service.cpp
+++ b/packages/transport/src/gateway/read_service.cpp
@@ -24,15 +24,20 @@
 void read_service::start(group_operation& work)
 {
     m_retries.note_request();
+    work.m_attempts = coordination::read_attempts(work.m_needed.m_deadline);
     route(work);
 }
 
 void read_service::route(group_operation& work)
 {
     auto const views = m_core.views();
-    coordination::read_input const input{
-        work.m_needed,       views,           m_core.m_freshness, work.m_tried,
-        work.m_primary_next, m_core.random(), m_core.m_now};
+    coordination::read_input const input{work.m_needed,
+                                         views,
+                                         m_core.m_freshness,
+                                         work.m_attempts.tried(),
+                                         work.m_attempts.primary_next(),
+                                         m_core.random(),
+                                         m_core.m_now};
     auto const choice = m_router.route(input);
     switch (choice.m_action)
     {
@@ -58,8 +63,12 @@
         return;
     }
     link.note_sent_read(m_core.m_now);
-    work.m_tried |= 1U << member;
     work.m_outstanding = true;
+    work.m_member = member;
+    work.m_connection = *connection;
+    work.m_give_up_at = work.m_attempts.give_up_at(
+        link.view({}, m_core.m_now).m_latency, m_core.m_now);
+    m_sent.emplace(work.m_give_up_at, work.m_id);
     endpoint::v1::Statement message;
     message.set_kind(endpoint::v1::STATEMENT_KIND_READ);
     message.set_text(work.m_request.m_statement);
@@ -70,7 +79,7 @@
 void read_service::wait(group_operation& work, state::time_point until)
 {
     work.m_waits = true;
-    work.m_route_at = until;
+    work.m_waited = until > m_core.m_now;
     m_waiting.push_back(work.m_id);
 }
 
@@ -78,17 +87,12 @@
                             endpoint::v1::StatementReply const& reply)
 {
     work.m_outstanding = false;
-    if (reply.code() != endpoint::v1::STATEMENT_CODE_OK)
-    {
-        auto failed = failed_reply(state::outcome::not_executed,
-                                   state::reason::statement_failed);
-        failed.m_result = reply.result();
-        m_core.complete(work, std::move(failed));
-        return;
-    }
+    bool const ran = reply.code() == endpoint::v1::STATEMENT_CODE_OK;
     auto& answer = work.m_reply;
-    answer.m_outcome = state::outcome::executed;
-    answer.m_reason = state::reason::none;
+    answer.m_outcome =
+        ran ? state::outcome::executed : state::outcome::not_executed;
+    answer.m_reason =
+        ran ? state::reason::none : state::reason::statement_failed;
     answer.m_result = reply.result();
     answer.m_position = protocol::from_proto(reply.position());
     answer.m_member = m_core.m_members[member]->description().m_name;
@@ -111,8 +115,8 @@
         m_held.push_back(work.m_id);
         return;
     case coordination::read_verdict::retry:
-        work.m_primary_next = true;
-        retry(work, result.m_reason);
+        try_again(work, work.m_attempts.rejected(result.m_reason, m_retries,
+                                                 m_core.m_now));
         return;
     case coordination::read_verdict::drop:
         give_up(work, result.m_reason);
@@ -120,11 +124,12 @@
     }
 }
 
-void read_service::retry(group_operation& work, state::reason why)
+void read_service::try_again(group_operation& work,
+                             coordination::attempt_result const& result)
 {
-    if (!m_retries.take())
+    if (!result.m_again)
     {
-        give_up(work, why);
+        give_up(work, result.m_reason);
         return;
     }
     wait(work, m_core.m_now);
@@ -133,8 +138,9 @@
 void read_service::connection_lost(group_operation& work, std::size_t member)
 {
     work.m_outstanding = false;
-    work.m_tried |= 1U << member;
-    retry(work, state::reason::connection_lost);
+    try_again(work,
+              work.m_attempts.failed(member, state::reason::connection_lost,
+                                     m_retries, m_core.m_now));
 }
 
 void read_service::give_up(group_operation& work, state::reason why)
@@ -147,10 +153,32 @@
 
 void read_service::advance()
 {
+    advance_sent();
     advance_held();
     advance_waiting();
 }
 
+void read_service::advance_sent()
+{
+    while (!m_sent.empty() && m_sent.begin()->first <= m_core.m_now)
+    {
+        auto const id = m_sent.begin()->second;
+        m_sent.erase(m_sent.begin());
+        auto* const work = m_core.find(id);
+        if (work == nullptr || !work->m_outstanding ||
+            work->m_give_up_at > m_core.m_now)
+        {
+            continue;
+        }
+        auto& link = *m_core.m_members[work->m_member];
+        link.note_answer(coordination::answer_quality::failed, {},
+                         m_core.m_now);
+        link.abandon(work->m_connection);
+        m_core.leave_slot(id, std::nullopt);
+        connection_lost(*work, work->m_member);
+    }
+}
+
 void read_service::advance_held()
 {
     for (auto const id : std::exchange(m_held, {}))
@@ -176,10 +204,9 @@
             give_up(*work, state::reason::deadline_exceeded);
             continue;
         }
-        work->m_waits = false;
-        if (work->m_route_at <= m_core.m_now)
+        if (std::exchange(work->m_waits, false) && work->m_waited)
         {
-            work->m_tried = 0;
+            work->m_attempts.note_wait();
         }
         route(*work);
     }
--- a/packages/transport/src/instance/forward_conversion.cpp
+++ b/packages/transport/src/instance/forward_conversion.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// From a home over the entry instance to the caller.
+constexpr state::duration way_over_entry{10};
+
 std::uint32_t milliseconds(state::duration value)
 {
     return static_cast<std::uint32_t>(
@@ -71,6 +74,7 @@
     request.m_transaction = message.transaction();
     request.m_entry_instance = sender;
     request.m_hops = message.hops();
+    request.m_onward = way_over_entry;
     return request;
 }
 
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -33,6 +33,22 @@
             reply.m_reason == state::reason::draining);
 }
 
+/// Counts the way from a home into the age of an answer.
+/// @param forwarded when the request was forwarded; nothing if it was not
+/// @return true if the answer is older now than the request allows
+bool add_way(group_reply& reply,
+             std::optional<state::time_point> const& forwarded,
+             group_request const& request)
+{
+    if (!forwarded || !reply.m_age ||
+        reply.m_outcome != state::outcome::executed)
+    {
+        return false;
+    }
+    *reply.m_age += state::clock::now() - *forwarded;
+    return request.m_max_age && *reply.m_age > *request.m_max_age;
+}
+
 } // namespace
 
 instance_router::instance_router(std::string self, home_registry const& homes,
@@ -80,6 +96,7 @@
         wait(on);
         return;
     }
+    on->m_forwarded.reset();
     if (home != m_self)
     {
         forward(on, home);
@@ -131,6 +148,7 @@
     bool const is_read = on->m_request.m_kind == request_kind::read;
     auto const patience = is_read ? read_patience : write_patience;
     auto const give_up = std::min(on->m_request.m_deadline, now + patience);
+    on->m_forwarded = now;
     m_client.forward(home, on->m_request, give_up,
                      [this, on, home](forward_result result, group_reply reply)
                      {
@@ -142,7 +160,9 @@
 void instance_router::returned(journey_ptr const& on, std::string const& home,
                                forward_result result, group_reply reply)
 {
-    if (result == forward_result::answered && !is_no_home(reply))
+    bool const outdated = result == forward_result::answered &&
+                          add_way(reply, on->m_forwarded, on->m_request);
+    if (result == forward_result::answered && !is_no_home(reply) && !outdated)
     {
         bool const barred = on->m_may_have_run &&
                             on->m_request.m_kind == request_kind::resolve &&
@@ -156,7 +176,7 @@
         return;
     }
     on->m_tried.push_back(home);
-    if (result != forward_result::silent)
+    if (result != forward_result::silent || outdated)
     {
         move_on(on);
         return;
--- a/tests/test/faults/primary_change_test.cpp
+++ b/tests/test/faults/primary_change_test.cpp
@@ -6,6 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <camphortide/coordination/request/key_registry.hpp>
+
+namespace coordination = camphortide::coordination;
 namespace standin = camphortide::standin;
 namespace tests = camphortide::tests;
 namespace v1 = camphortide::v1;
@@ -62,13 +65,15 @@
             auto const status = m_caller.write("add count 1", key);
             if (status.ok())
             {
-                m_acknowledged.push_back("desks/" + key);
+                m_acknowledged.push_back(
+                    coordination::scoped_key("desks", key));
             }
             else if (tests::failure_of(status).outcome() ==
                      v1::OUTCOME_NOT_EXECUTED)
             {
                 m_last_failure = status.error_message();
-                m_not_executed.push_back("desks/" + key);
+                m_not_executed.push_back(
+                    coordination::scoped_key("desks", key));
             }
             else
             {
