--- /dev/null
+++ b/benchmarks/fleet_control/cost_measurement.cpp
@@ -0,0 +1,81 @@
+#include "measurement.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <malloc.h>
+
+namespace state = camphortide::state;
+using state::duration;
+
+namespace
+{
+
+constexpr duration window{98'000}; ///< one change of 880 a day
+
+std::size_t allocated()
+{
+    auto const info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// @return how many live instances the smallest view has
+std::size_t least_seen_live(control_fleet const& fleet)
+{
+    std::size_t least = fleet.nodes().size();
+    for (auto const& [index, node] : fleet.nodes())
+    {
+        auto const view = node->members().view();
+        auto const live =
+            std::ranges::count_if(view, [](state::instance_record const& record)
+                                  { return state::is_live(record.m_state); });
+        least = std::min(least, static_cast<std::size_t>(live));
+    }
+    return least;
+}
+
+void measure_cost(std::size_t nodes, std::size_t databases)
+{
+    auto const before = allocated();
+    control_fleet fleet(nodes, databases, 1);
+    fleet.run(long_settling);
+    auto const held = allocated() - before;
+    fleet.reset_counts();
+    auto const least_seen = least_seen_live(fleet);
+    fleet.run(window / 2);
+    fleet.change_catalogue();
+    fleet.run(window / 2);
+    auto const sum = sum_up(fleet);
+    double const count = static_cast<double>(nodes);
+    double const time = seconds(window);
+    std::printf("| %zu | %zu | %.2f | %.2f | %.1f | %.2f | %zu | %.4f | %.4f | "
+                "%.0f | %.0f | %.1f | %zu |\n",
+                nodes, databases, sum.m_bytes / count / time / kilobyte,
+                sum.m_most_bytes / time / kilobyte,
+                sum.m_messages / count / time, sum.m_calls / time,
+                fleet.watches(), 100 * sum.m_cpu / count / time,
+                100 * sum.m_most_cpu / time,
+                static_cast<double>(held) / count / kilobyte,
+                static_cast<double>(fleet.store().chunk_bytes()) / kilobyte,
+                static_cast<double>(fleet.store().head().size()) / kilobyte,
+                least_seen);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+void measure_costs(sizes const& wanted)
+{
+    std::printf("\n## Cost of one node\n\n"
+                "| nodes | databases | KB/s mean | KB/s most | messages/s | "
+                "store calls/s, all | watches, all | CPU %% mean | CPU %% most "
+                "| memory KB | catalogue KB | head KB | least seen live |\n"
+                "|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (std::size_t const databases : wanted.m_databases)
+    {
+        for (std::size_t const nodes : wanted.m_nodes)
+        {
+            measure_cost(nodes, databases);
+        }
+    }
+}
