platform: never let go of the last channel on a thread of gRPC

Cause: contexts of calls and of watches hold the channel. When the client was gone first, the last reference fell in a callback; gRPC's thread of callbacks then joined itself and freed its queue twice. Change: a call's context goes before the client hears of the end, and a watch's end waits for its attempt and lets go of the channel itself.

--- a/packages/transport/src/platform/platform_client.cpp
+++ b/packages/transport/src/platform/platform_client.cpp
@@ -133,14 +133,14 @@
             Request m_request;
             Reply m_reply;
         };
-        auto const running = std::make_shared<call>();
+        auto running = std::make_shared<call>();
         running->m_request = std::move(request);
         running->m_context.set_deadline(std::chrono::system_clock::now() +
                                         m_timeout);
         begin(running->m_context);
         method(m_stub->async(), &running->m_context, &running->m_request,
                &running->m_reply,
-               [this, running, kind, done](grpc::Status const& status)
+               [this, running, kind, done](grpc::Status const& status) mutable
                {
                    if (status.ok())
                    {
@@ -150,7 +150,11 @@
                    {
                        done(to_status(status, kind));
                    }
-                   end(running->m_context);
+                   // A context holds the channel, which must not be let go of
+                   // last on a thread of gRPC: that thread would join itself.
+                   forget(running->m_context);
+                   running.reset();
+                   end();
                });
     }
 
@@ -162,7 +166,7 @@
         {
             context->TryCancel();
         }
-        m_idle.wait(lock, [this] { return m_running.empty(); });
+        m_idle.wait(lock, [this] { return m_count == 0; });
     }
 
     std::shared_ptr<platform::v1::Objects::Stub> const& stub() const
@@ -175,12 +179,19 @@
     {
         std::scoped_lock const lock(m_mutex);
         m_running.insert(&context);
+        ++m_count;
     }
 
-    void end(grpc::ClientContext& context)
+    void forget(grpc::ClientContext& context)
     {
         std::scoped_lock const lock(m_mutex);
         m_running.erase(&context);
+    }
+
+    void end()
+    {
+        std::scoped_lock const lock(m_mutex);
+        --m_count;
         m_idle.notify_all();
     }
 
@@ -189,6 +200,7 @@
     std::mutex m_mutex;
     std::condition_variable m_idle;
     std::set<grpc::ClientContext*> m_running;
+    std::size_t m_count = 0; ///< calls that have not ended
 };
 
 platform_client::platform_client(std::string const& address,
--- a/packages/transport/src/platform/watch_call.cpp
+++ b/packages/transport/src/platform/watch_call.cpp
@@ -55,8 +55,12 @@
 
     void OnDone(grpc::Status const&) override
     {
-        auto const self = std::move(m_self);
-        m_call->broken();
+        // The context holds the channel: it goes before the watch is told.
+        auto const call = m_call;
+        auto self = std::move(m_self);
+        call->detach();
+        self.reset();
+        call->broken();
     }
 
     std::shared_ptr<watch_call> m_call;
@@ -86,7 +90,7 @@
 
 void watch_call::stop()
 {
-    std::scoped_lock const lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     m_stopped = true;
     if (m_attempt != nullptr)
     {
@@ -96,10 +100,13 @@
     {
         m_alarm->Cancel();
     }
+    m_ended.wait(lock, [this] { return !m_running && m_alarm == nullptr; });
+    m_stub.reset();
 }
 
 void watch_call::open()
 {
+    m_running = true;
     m_attempt = std::make_shared<attempt>(shared_from_this());
     m_attempt->start(m_attempt, m_after_version);
 }
@@ -128,12 +135,19 @@
                             event.deleted()});
 }
 
-void watch_call::broken()
+void watch_call::detach()
 {
     std::scoped_lock const lock(m_mutex);
     m_attempt = nullptr;
+}
+
+void watch_call::broken()
+{
+    std::scoped_lock const lock(m_mutex);
+    m_running = false;
     if (m_stopped)
     {
+        m_ended.notify_all();
         return;
     }
     if (std::exchange(m_connected, false) && m_handlers.m_on_connected)
@@ -147,6 +161,7 @@
                  {
                      std::scoped_lock const inner(self->m_mutex);
                      self->m_alarm = nullptr;
+                     self->m_ended.notify_all();
                      if (!self->m_stopped)
                      {
                          self->open();
--- a/packages/transport/src/platform/watch_call.hpp
+++ b/packages/transport/src/platform/watch_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -29,7 +30,8 @@
     /// Opens the first attempt.
     void start();
 
-    /// Ends the watch; afterwards no handler runs.
+    /// Ends the watch, and waits until gRPC has let go of it; afterwards no
+    /// handler runs. Lets go of the channel on the calling thread.
     void stop();
 
 private:
@@ -38,9 +40,10 @@
     void open();
     void opened();
     void changed(platform::v1::WatchEvent const& event);
+    void detach();
     void broken();
 
-    std::shared_ptr<platform::v1::Objects::Stub> const m_stub;
+    std::shared_ptr<platform::v1::Objects::Stub> m_stub;
     std::string const m_prefix;
     watch_handlers const m_handlers;
 
@@ -48,6 +51,8 @@
     std::uint64_t m_after_version;
     bool m_stopped = false;
     bool m_connected = false;
+    bool m_running = false; ///< an attempt has not ended
+    std::condition_variable m_ended;
     std::shared_ptr<attempt> m_attempt;
     std::shared_ptr<grpc::Alarm> m_alarm;
     backoff m_backoff;
