load: traces of the failover decision, replayed

Cause: the decisions are proved by replay of recorded traces against stated outcomes. Change: a format in JSON lines for the group monitor, a recorder, a replay that names every difference, the command replay, and 13 traces of scenes with a stated outcome. A trace with one other action, another outcome or none fails. Instances do not record yet.

--- a/apps/camphortide/src/command_table.cpp
+++ b/apps/camphortide/src/command_table.cpp
@@ -24,6 +24,8 @@
             run_demo},
     command{"load", "play a deployment's callers against running instances",
             run_load},
+    command{"replay", "feed recorded traces to the decisions and compare",
+            run_replay},
 };
 
 bool asks_for_help(std::string const& word)
--- a/apps/camphortide/src/commands.hpp
+++ b/apps/camphortide/src/commands.hpp
@@ -18,4 +18,7 @@
 /// `load ADDRESS...`: plays a deployment's callers against instances.
 exit_code run_load(arguments const& words, console const& to);
 
+/// `replay PATH...`: replays recorded traces.
+exit_code run_replay(arguments const& words, console const& to);
+
 } // namespace camphortide::command_line
--- /dev/null
+++ b/packages/load/include/camphortide/load/trace/trace_recorder.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <ostream>
+
+#include <absl/status/statusor.h>
+
+#include <camphortide/load/trace/monitor_input.hpp>
+#include <camphortide/load/trace/trace_head.hpp>
+
+namespace camphortide::load
+{
+
+/// Writes a trace as JSON lines: the head, each input with its time and the
+/// actions that it led to, and the outcome.
+class trace_recorder
+{
+public:
+    /// @param to outlives this
+    trace_recorder(std::ostream& to, trace_head const& head);
+
+    /// Writes one step.
+    void step(monitor_input const& input,
+              coordination::group_actions const& actions,
+              state::time_point now);
+
+    /// Writes the outcome; the last line.
+    void finish(trace_outcome const& outcome);
+
+private:
+    std::ostream& m_to;
+};
+
+/// @return the outcome as a monitor shows it now
+trace_outcome outcome_of(coordination::group_monitor const& monitor);
+
+/// Builds the monitor that a head describes.
+/// @return INVALID_ARGUMENT if it can't be built
+absl::StatusOr<coordination::group_monitor>
+build_monitor(trace_head const& head);
+
+} // namespace camphortide::load
--- /dev/null
+++ b/packages/load/test/trace/trace_replay_test.cpp
@@ -0,0 +1,119 @@
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/load/trace/group_scene.hpp>
+#include <camphortide/load/trace/trace_replay.hpp>
+
+namespace load = camphortide::load;
+
+namespace
+{
+
+load::named_scene const& scene(std::string_view name)
+{
+    for (auto const& each : load::known_scenes())
+    {
+        if (each.m_name == name)
+        {
+            return each;
+        }
+    }
+    throw std::invalid_argument("no such scene");
+}
+
+std::string changed(std::string text, std::string const& from,
+                    std::string const& to)
+{
+    auto const at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+load::replay_result replay_text(std::string const& text)
+{
+    std::istringstream in(text);
+    return load::replay(in);
+}
+
+} // namespace
+
+TEST_CASE("the recorded traces pass")
+{
+    std::size_t count = 0;
+    for (auto const& each : std::filesystem::directory_iterator("traces"))
+    {
+        if (each.path().extension() != ".jsonl")
+        {
+            continue;
+        }
+        ++count;
+        CAPTURE(each.path().string());
+        std::ifstream in(each.path());
+        auto const result = load::replay(in);
+        CHECK(result.passed());
+        CHECK(result.m_steps > 0);
+    }
+    CHECK(count >= 12);
+}
+
+TEST_CASE("a scene gives the same trace again, and its replay passes")
+{
+    for (auto const& each : load::known_scenes())
+    {
+        CAPTURE(std::string(each.m_name));
+        auto const trace = load::record_scene(each);
+        CHECK(trace == load::record_scene(each));
+        CHECK(replay_text(trace).passed());
+    }
+}
+
+TEST_CASE("a trace with one other action or outcome fails")
+{
+    auto const trace = load::record_scene(scene("primary-kill"));
+    SUBCASE("action")
+    {
+        auto const result =
+            replay_text(changed(trace, R"("do":"promote","member":"b")",
+                                R"("do":"promote","member":"c")"));
+        REQUIRE(result.m_differences.size() == 1);
+        CHECK(result.m_differences.front().m_fault ==
+              load::trace_fault::other_actions);
+    }
+    SUBCASE("outcome")
+    {
+        auto const result =
+            replay_text(changed(trace, R"("outcome":{"primary":"b")",
+                                R"("outcome":{"primary":"c")"));
+        REQUIRE(result.m_differences.size() == 1);
+        CHECK(result.m_differences.front().m_fault ==
+              load::trace_fault::other_outcome);
+    }
+    SUBCASE("no outcome")
+    {
+        auto const result =
+            replay_text(trace.substr(0, trace.find("{\"outcome\"")));
+        REQUIRE(result.m_differences.size() == 1);
+        CHECK(result.m_differences.front().m_fault ==
+              load::trace_fault::no_outcome);
+    }
+}
+
+TEST_CASE("what is no trace of this version is refused by type")
+{
+    auto const trace = load::record_scene(scene("quiet"));
+    for (auto const& text :
+         {std::string("nothing"), std::string("{}"), std::string("[1]"),
+          changed(trace, "\"version\":1", "\"version\":2"),
+          changed(trace, "\"kind\":\"tick\"", "\"kind\":\"tock\""),
+          changed(trace, "\"t\":", "\"u\":")})
+    {
+        auto const result = replay_text(text);
+        REQUIRE_FALSE(result.passed());
+        CHECK(result.m_differences.back().m_fault ==
+              load::trace_fault::not_a_trace);
+    }
+}
