--- a/packages/load/src/demo/fault_injector.cpp
+++ b/packages/load/src/demo/fault_injector.cpp
@@ -135,7 +135,7 @@
 
 std::string fault_injector::lose_primary(std::string const& group)
 {
-    auto const member = m_running.group(group).primary();
+    auto member = m_running.group(group).primary();
     if (!member.empty())
     {
         std::scoped_lock const lock(m_mutex);
