instance: settle handlers before an instance ends; measured defaults

Change: closing a gateway waits for its handlers, and the loop lives as long as what posts to it. The age of the confirmation travels; a newcomer joins first. A monitor made again has another proposer's name. A home that stays silent is left after 0.3 s for reads and 1 s for writes. The checker scopes keys as members do.

--- a/packages/load/src/checker/write_checks.cpp
+++ b/packages/load/src/checker/write_checks.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 
+#include <camphortide/coordination/request/key_registry.hpp>
 #include <camphortide/standin/statement_language.hpp>
 
 namespace camphortide::load
@@ -116,7 +117,7 @@
 
 std::string logged_key(request_record const& attempt)
 {
-    return attempt.m_request.m_owner + '/' + attempt.m_key;
+    return coordination::scoped_key(attempt.m_request.m_owner, attempt.m_key);
 }
 
 void check_writes(run_facts const& facts, std::vector<promise_break>& out)
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -60,7 +61,8 @@
     /// Connects to the members.
     void start();
 
-    /// Closes every connection. What has no answer yet ends.
+    /// Closes every connection. What has no answer yet ends. Returns when no
+    /// handler runs any more. Must not be called by a handler.
     void close();
 
     /// Sets how many connections to hold to each member.
@@ -141,6 +143,8 @@
     std::vector<state::member_status> m_to_tell;
     std::size_t m_budget = 0;
     std::uint64_t m_probe = 0;
+    std::size_t m_active = 0; ///< threads with handlers to run
+    std::condition_variable m_quiet;
     bool m_closed = false;
 };
 
--- a/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
@@ -32,8 +32,8 @@
     /// @param incarnation differs from that of earlier runs, and is higher
     fleet_control(instance_settings const& settings, std::uint64_t incarnation,
                   home_registry& registry, peer_exchange& exchange,
-                  platform_client* platform, control_loop& loop,
-                  handlers calls);
+                  platform_client* platform,
+                  std::shared_ptr<control_loop> const& loop, handlers calls);
 
     /// Does what is due.
     void tick(state::time_point now);
@@ -56,6 +56,7 @@
     void on_view(std::vector<state::instance_record> const& view);
     void on_heartbeat(peer::v1::Envelope const& envelope);
     void follow_stops(state::time_point now);
+    void tell_stops(std::vector<state::instance_record> const& view);
 
     std::string const m_self;
     std::size_t const m_watchers; ///< of the store, in each data centre
@@ -65,6 +66,7 @@
     stop_control m_stops;
     membership_control m_membership;
     std::map<std::string, state::instance_state> m_states;
+    bool m_told_watcher = false; ///< to the stops
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/group_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -29,10 +29,10 @@
 
     /// @param gateway of the group
     /// @param monitor of the group
-    /// @param loop runs the replies; outlives this
+    /// @param loop runs the replies
     group_control(std::shared_ptr<group_gateway> gateway,
-                  coordination::group_monitor monitor, control_loop& loop,
-                  handlers calls);
+                  coordination::group_monitor monitor,
+                  std::shared_ptr<control_loop> loop, handlers calls);
 
     /// Does what is due.
     void tick(state::time_point now);
@@ -74,7 +74,7 @@
 
     std::shared_ptr<group_gateway> m_gateway;
     coordination::group_monitor m_monitor;
-    control_loop& m_loop;
+    std::shared_ptr<control_loop> m_loop;
     handlers m_calls;
     bool m_paused_here = false;
     bool m_others_drained = true;
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -35,7 +35,7 @@
     /// @param registry is kept up to date for the traffic threads
     /// @param exchange reaches the other homes
     home_control(home_settings settings, home_registry& registry,
-                 peer_exchange& exchange, control_loop& loop);
+                 peer_exchange& exchange, std::shared_ptr<control_loop> loop);
 
     /// Takes a version of the catalogue.
     void on_catalogue(std::shared_ptr<state::catalogue const> catalogue);
@@ -85,11 +85,12 @@
 
     home_settings const m_settings;
     home_registry& m_registry;
-    control_loop& m_loop;
+    std::shared_ptr<control_loop> m_loop;
     write_pause_control m_pauses;
     std::shared_ptr<state::catalogue const> m_catalogue;
     coordination::home_table m_table;
     std::map<std::string, home, std::less<>> m_home;
+    std::uint64_t m_monitors = 0; ///< made so far; names each apart
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -89,7 +89,7 @@
     std::shared_ptr<state::catalogue const> m_catalogue;
     std::atomic<bool> m_asked_to_drain{false};
     std::unique_ptr<fleet_control> m_fleet; ///< used on the control thread
-    std::unique_ptr<control_loop> m_loop;
+    std::shared_ptr<control_loop> m_loop;
     std::unique_ptr<platform_client> m_platform;
     std::unique_ptr<peer_exchange> m_exchange;
     std::unique_ptr<forward_client> m_forwards;
--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -39,14 +39,14 @@
     state::duration m_platform_timeout{std::chrono::milliseconds(500)};
 
     std::vector<std::string> m_seed_peers;
-    state::duration m_heartbeat_interval{std::chrono::milliseconds(200)};
+    state::duration m_heartbeat_interval{std::chrono::milliseconds(1000)};
     std::uint32_t m_heartbeat_fanout = 3;
-    state::duration m_peer_timeout{std::chrono::milliseconds(1500)};
+    state::duration m_peer_timeout{std::chrono::milliseconds(2500)};
 
     /// Homes of each group; nothing: every instance is one.
     std::optional<std::uint32_t> m_homes_per_group = 2;
-    state::duration m_probe_interval{std::chrono::milliseconds(20)};
-    state::duration m_suspicion_timeout{std::chrono::milliseconds(300)};
+    state::duration m_probe_interval{std::chrono::milliseconds(100)};
+    state::duration m_suspicion_timeout{std::chrono::milliseconds(500)};
 
     std::string m_token_key; ///< 32 bytes in hexadecimal digits
     std::string m_tls_certificate;
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -83,6 +83,8 @@
                                         state::reason::draining, drain_hint));
             }
         });
+    std::unique_lock lock(m_mutex);
+    m_quiet.wait(lock, [this] { return m_active == 0; });
 }
 
 void group_gateway::set_budget(std::size_t connections)
@@ -466,6 +468,11 @@
         settle();
         completions.swap(m_core.m_completions);
         statuses.swap(m_to_tell);
+        if (m_closed)
+        {
+            statuses.clear();
+        }
+        ++m_active;
     }
     for (auto const& completion : completions)
     {
@@ -478,6 +485,11 @@
             m_on_status(status);
         }
     }
+    std::scoped_lock const lock(m_mutex);
+    if (--m_active == 0)
+    {
+        m_quiet.notify_all();
+    }
 }
 
 } // namespace camphortide::transport
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -56,21 +56,22 @@
 fleet_control::fleet_control(instance_settings const& settings,
                              std::uint64_t incarnation, home_registry& registry,
                              peer_exchange& exchange, platform_client* platform,
-                             control_loop& loop, handlers calls)
+                             std::shared_ptr<control_loop> const& loop,
+                             handlers calls)
     : m_self(settings.m_name),
       m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
       m_homes(homes_of(settings, incarnation), registry, exchange, loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
-                  exchange, platform, loop,
+                  exchange, platform, *loop,
                   [this](std::shared_ptr<state::catalogue const> value)
                   {
                       m_homes.on_catalogue(value);
                       m_calls.m_on_catalogue(std::move(value));
                   }),
-      m_stops(settings.m_name, incarnation, exchange, platform, loop),
+      m_stops(settings.m_name, incarnation, exchange, platform, *loop),
       m_membership(make_membership(settings, incarnation), exchange, platform,
-                   loop, [this](auto const& view) { on_view(view); })
+                   *loop, [this](auto const& view) { on_view(view); })
 {
 }
 
@@ -79,9 +80,14 @@
     coordination::held_versions held;
     held.m_catalogue = m_catalogue.decision().version();
     held.m_stops = m_stops.list().m_version;
+    held.m_confirmed_age = m_catalogue.decision().confirmed_age(now);
     m_membership.decision().set_held(held);
     m_membership.tick(now, m_catalogue.decision().is_watcher());
     m_catalogue.tick(now);
+    if (m_told_watcher != m_catalogue.decision().is_watcher())
+    {
+        tell_stops(m_membership.decision().view());
+    }
     m_stops.tick(now);
     m_homes.tick(now);
     follow_stops(now);
@@ -89,11 +95,10 @@
 
 void fleet_control::on_view(std::vector<state::instance_record> const& view)
 {
-    bool const joined = m_membership.decision().joined() || view.size() <= 1;
+    bool const joined = m_membership.decision().joined() || view.size() > 1;
     m_homes.on_view(view);
     m_catalogue.on_view(view, joined);
-    auto const watchers = coordination::choose_watchers(view, m_watchers);
-    m_stops.on_view(view, m_catalogue.decision().is_watcher(), watchers.size());
+    tell_stops(view);
     for (auto const& record : view)
     {
         auto& known = m_states[record.m_name];
@@ -106,6 +111,13 @@
     }
 }
 
+void fleet_control::tell_stops(std::vector<state::instance_record> const& view)
+{
+    m_told_watcher = m_catalogue.decision().is_watcher();
+    auto const watchers = coordination::choose_watchers(view, m_watchers);
+    m_stops.on_view(view, m_told_watcher, watchers.size());
+}
+
 void fleet_control::follow_stops(state::time_point now)
 {
     if (!m_homes.catalogue() || m_stops.list().m_stops.empty())
@@ -134,8 +146,7 @@
     m_membership.on_heartbeat(*message);
     coordination::catalogue_offer offer;
     offer.m_version = message->m_held.m_catalogue;
-    offer.m_confirmed_age =
-        state::duration(envelope.heartbeat().confirmed_age_ms());
+    offer.m_confirmed_age = message->m_held.m_confirmed_age;
     m_catalogue.on_offer(envelope.sender(), offer);
     m_stops.on_peer_version(envelope.sender(), message->m_held.m_stops);
 }
--- a/packages/transport/src/instance/group_control.cpp
+++ b/packages/transport/src/instance/group_control.cpp
@@ -17,10 +17,10 @@
 
 group_control::group_control(std::shared_ptr<group_gateway> gateway,
                              coordination::group_monitor monitor,
-                             control_loop& loop, handlers calls)
+                             std::shared_ptr<control_loop> loop, handlers calls)
     : m_gateway(std::move(gateway)),
       m_monitor(std::move(monitor)),
-      m_loop(loop),
+      m_loop(std::move(loop)),
       m_calls(std::move(calls))
 {
 }
@@ -28,7 +28,7 @@
 template <typename Function>
 void group_control::post(Function function)
 {
-    m_loop.post(
+    m_loop->post(
         [weak = weak_from_this(), function = std::move(function)]
         {
             if (auto const self = weak.lock())
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 home_control::home_control(home_settings settings, home_registry& registry,
-                           peer_exchange& exchange, control_loop& loop)
+                           peer_exchange& exchange,
+                           std::shared_ptr<control_loop> loop)
     : m_settings(std::move(settings)),
       m_registry(registry),
-      m_loop(loop),
+      m_loop(std::move(loop)),
       m_pauses(m_settings.m_self, registry, exchange)
 {
 }
@@ -112,8 +113,9 @@
     {
         members.push_back(member.m_name);
     }
-    auto const identity =
-        m_settings.m_self + "/" + std::to_string(m_settings.m_incarnation);
+    auto const identity = m_settings.m_self + "/" +
+                          std::to_string(m_settings.m_incarnation) + "/" +
+                          std::to_string(++m_monitors);
     auto const hash = coordination::hash_name(identity + "/" + group.m_name);
     auto monitor = coordination::group_monitor_builder()
                        .proposer(identity)
@@ -134,7 +136,7 @@
         group,
         [this, name](state::member_status const& status)
         {
-            m_loop.post(
+            m_loop->post(
                 [this, name, status]
                 {
                     auto const found = m_home.find(name);
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -153,13 +153,13 @@
     m_forwards = std::make_unique<forward_client>(*m_exchange);
     m_router = std::make_unique<instance_router>(m_settings.m_name, m_homes,
                                                  *m_forwards);
-    m_loop = std::make_unique<control_loop>(tick_interval, [this] { tick(); });
+    m_loop = std::make_shared<control_loop>(tick_interval, [this] { tick(); });
     m_loop->post(
         [this]
         {
             m_fleet = std::make_unique<fleet_control>(
                 m_settings, m_incarnation, m_homes, *m_exchange,
-                m_platform.get(), *m_loop,
+                m_platform.get(), m_loop,
                 fleet_control::handlers{
                     [this](auto value) { set_catalogue(std::move(value)); },
                     [this](std::string const& name)
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -10,9 +10,9 @@
 {
 
 /// How long a read waits for one home before it goes to another.
-constexpr state::duration read_patience{500};
+constexpr state::duration read_patience{300};
 /// How long a write waits for one home before its key is asked for elsewhere.
-constexpr state::duration write_patience{2000};
+constexpr state::duration write_patience{1000};
 /// Pause before the homes of a group are tried once more.
 constexpr state::duration retry_pause{20};
 constexpr state::duration retry_hint{100};
