--- a/apps/camphortide/test/deployment/deployment_test.cpp
+++ b/apps/camphortide/test/deployment/deployment_test.cpp
@@ -1,5 +1,8 @@
 #include "../support/command_fixture.hpp"
 
+#include <chrono>
+#include <thread>
+
 #include <doctest/doctest.h>
 
 #include <camphortide/standin/deployment/running_deployment.hpp>
@@ -12,6 +15,9 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds poll_interval{20};
+constexpr int most_polls = 3000;
+
 transport::deployment two_instances()
 {
     transport::deployment result;
@@ -52,7 +58,13 @@
     auto const admin = running.admin_address("entry-1");
     auto const platform = running.platform_address();
 
-    auto const status = run({"status", "--address", admin});
+    // The instances learn of each other a while after they are ready.
+    auto status = run({"status", "--address", admin});
+    for (int i = 0; i < most_polls && !status.says("entry-2"); ++i)
+    {
+        std::this_thread::sleep_for(poll_interval);
+        status = run({"status", "--address", admin});
+    }
     CHECK(status.m_code == exit_code::done);
     CHECK(status.says("entry-2"));
     CHECK(status.says("group loans"));
