transport: wait for forwarded messages before an exchange goes

Cause: messages that wait for a traffic thread hold their exchange; its end did not wait for them, so they could run after the instance was gone. Change: the exchange counts them in a task group and waits.

--- a/packages/load/test/driver/request_source_test.cpp
+++ b/packages/load/test/driver/request_source_test.cpp
@@ -22,6 +22,7 @@
     REQUIRE(file.ok());
     load::request_source source(file.m_value, seed, "r");
     std::vector<load::planned_request> result;
+    result.reserve(drawn);
     for (int count = 0; count < drawn; ++count)
     {
         result.push_back(source.next());
--- a/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <oneapi/tbb/task_arena.h>
+#include <oneapi/tbb/task_group.h>
 
 #include <camphortide/peer/v1/peer.pb.h>
 #include <camphortide/state/instance_record.hpp>
@@ -85,6 +86,9 @@
 
     handlers const m_calls;
     oneapi::tbb::task_arena m_arena;
+    /// What m_arena has still to run; its destructor may throw.
+    std::unique_ptr<oneapi::tbb::task_group> const m_tasks =
+        std::make_unique<oneapi::tbb::task_group>();
     mutable std::mutex m_mutex;
     std::map<std::string, std::string, std::less<>> m_addresses;
     std::string m_name;
--- a/packages/transport/src/instance/peer_exchange.cpp
+++ b/packages/transport/src/instance/peer_exchange.cpp
@@ -23,6 +23,7 @@
 peer_exchange::~peer_exchange()
 {
     m_socket.reset();
+    m_arena.execute([this] { m_tasks->wait(); });
 }
 
 absl::StatusOr<std::unique_ptr<peer_exchange>>
@@ -130,13 +131,14 @@
         m_calls.m_on_control(from, std::move(envelope));
         return;
     }
-    m_arena.enqueue([this, from, envelope = std::move(envelope)]
-                    { m_calls.m_on_forward(from, envelope); });
+    m_arena.enqueue(m_tasks->defer([this, from, envelope = std::move(envelope)]
+                                   { m_calls.m_on_forward(from, envelope); }));
 }
 
 void peer_exchange::on_undelivered(std::uint64_t ticket)
 {
-    m_arena.enqueue([this, ticket] { m_calls.m_on_undelivered(ticket); });
+    m_arena.enqueue(
+        m_tasks->defer([this, ticket] { m_calls.m_on_undelivered(ticket); }));
 }
 
 std::string peer_exchange::address_of(std::string const& name) const
