access: a refused question leaves the key's outcome unknown

Cause: GetOutcome at an instance without a catalogue was refused with the outcome not executed. Change: the refusal keeps its status and reason, its outcome is unknown.

--- a/packages/transport/src/access/access_service.cpp
+++ b/packages/transport/src/access/access_service.cpp
@@ -41,6 +41,16 @@
     reactor->Finish(to_status(failure));
 }
 
+/// Ends a question about an outcome that could not be asked. The status is
+/// that of the refusal; what became of the key stays unknown.
+void refuse_question(grpc::ServerUnaryReactor* reactor, v1::Failure failure)
+{
+    auto const status = to_status(failure);
+    failure.set_outcome(v1::OUTCOME_UNKNOWN);
+    reactor->Finish({status.error_code(), status.error_message(),
+                     failure.SerializeAsString()});
+}
+
 } // namespace
 
 access_service::access_service(request_check& check, request_router& router,
@@ -118,7 +128,7 @@
         m_check.check(*context, m_catalogue(), *request, state::clock::now());
     if (auto const* const failure = std::get_if<v1::Failure>(&checked))
     {
-        finish(reactor, *failure);
+        refuse_question(reactor, *failure);
         return reactor;
     }
     run(std::get<checked_request>(std::move(checked)),
