--- a/packages/load/test/checker/checker_test.cpp
+++ b/packages/load/test/checker/checker_test.cpp
@@ -21,7 +21,7 @@
 {
     standin::record result;
     result.m_term = state::term(1);
-    result.m_key = "desks/" + key;
+    result.m_key = coordination::scoped_key("desks", key);
     result.m_statements = std::move(statements);
     return result;
 }
--- a/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <condition_variable>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +9,7 @@
 #include <vector>
 
 #include <oneapi/tbb/task_arena.h>
+#include <oneapi/tbb/task_group.h>
 
 #include <camphortide/peer/v1/peer.pb.h>
 #include <camphortide/state/instance_record.hpp>
@@ -85,18 +84,15 @@
     std::string address_of(std::string const& name) const;
     std::string encode(peer::v1::Envelope envelope) const;
 
-    /// Runs a function on a traffic thread.
-    template <typename Function>
-    void enqueue(Function function);
-
     handlers const m_calls;
     oneapi::tbb::task_arena m_arena;
+    /// What m_arena has still to run; its destructor may throw.
+    std::unique_ptr<oneapi::tbb::task_group> const m_tasks =
+        std::make_unique<oneapi::tbb::task_group>();
     mutable std::mutex m_mutex;
     std::map<std::string, std::string, std::less<>> m_addresses;
     std::string m_name;
     std::uint64_t m_incarnation = 0;
-    std::size_t m_running = 0; ///< functions handed to traffic threads
-    std::condition_variable m_idle;
     std::unique_ptr<peer_socket> m_socket;
 };
 
