--- a/packages/load/test/checker/checker_test.cpp
+++ b/packages/load/test/checker/checker_test.cpp
@@ -4,8 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <camphortide/coordination/request/key_registry.hpp>
 #include <camphortide/load/checker/checker.hpp>
 
+namespace coordination = camphortide::coordination;
 namespace load = camphortide::load;
 namespace standin = camphortide::standin;
 namespace state = camphortide::state;
