gateway: a lost connection says nothing of a statement's cost

Cause: after a member was lost and came back, reads of its group stalled for seconds and were refused as too late or over the queue. The time until a broken connection was noticed counted as the time that a statement takes, so that admission expected no request to end in time, admitted few, and learnt slowly. Ruled out: lost slots (none leaked in the history). Change: the slot goes back without a cost.

--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -296,7 +296,7 @@
                 m_transactions.connection_lost(whose->m_operation);
                 return;
             }
-            m_core.leave_slot(whose->m_operation, whose->m_sent);
+            m_core.leave_slot(whose->m_operation, std::nullopt);
             bool const is_write =
                 whose->m_service == awaited_answer::service::write;
             m_core.m_writes_sent -= is_write ? 1 : 0;
