transport: stop an exchange before it goes

Change: the instance stops its exchange and keeps it; the socket is shared with those that send, and what is sent after the stop is dropped. Waiting in the destructor alone did not do, as the pointer was null by then.

--- a/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
+++ b/packages/transport/include/camphortide/transport/instance/peer_exchange.hpp
@@ -44,6 +44,10 @@
     open(peer_socket_settings const& settings, handlers calls);
 
     ~peer_exchange() override;
+
+    /// Ends the socket and waits for the messages that a traffic thread has
+    /// still to take. What is sent from then on is dropped.
+    void stop();
     peer_exchange(peer_exchange const&) = delete;
     peer_exchange& operator=(peer_exchange const&) = delete;
 
@@ -72,9 +76,10 @@
     void reply(peer_route const& to, peer::v1::Envelope envelope);
 
     /// @return the address that it listens on
-    std::string const& address() const { return m_socket->address(); }
+    std::string const& address() const { return m_address; }
 
-    peer_socket_counts counts() const { return m_socket->counts(); }
+    /// @return the socket's counts; none after the stop
+    peer_socket_counts counts() const;
 
 private:
     explicit peer_exchange(handlers calls);
@@ -83,6 +88,8 @@
     void on_undelivered(std::uint64_t ticket) override;
     std::string address_of(std::string const& name) const;
     std::string encode(peer::v1::Envelope envelope) const;
+    std::shared_ptr<peer_socket> socket() const;
+    void hand_over(peer_message message);
 
     handlers const m_calls;
     oneapi::tbb::task_arena m_arena;
@@ -93,7 +100,8 @@
     std::map<std::string, std::string, std::less<>> m_addresses;
     std::string m_name;
     std::uint64_t m_incarnation = 0;
-    std::unique_ptr<peer_socket> m_socket;
+    std::string m_address;
+    std::shared_ptr<peer_socket> m_socket; ///< null after the stop
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -104,7 +104,10 @@
     {
         m_router->tick(state::time_point::max());
     }
-    m_exchange.reset();
+    if (m_exchange)
+    {
+        m_exchange->stop();
+    }
     m_platform.reset();
     m_caller_server.reset();
     m_admin_server.reset();
--- a/packages/transport/src/instance/peer_exchange.cpp
+++ b/packages/transport/src/instance/peer_exchange.cpp
@@ -22,10 +22,40 @@
 
 peer_exchange::~peer_exchange()
 {
-    m_socket.reset();
+    stop();
+}
+
+void peer_exchange::stop()
+{
+    std::shared_ptr<peer_socket> last;
+    {
+        std::scoped_lock const lock(m_mutex);
+        last = std::move(m_socket);
+    }
+    last.reset();
     m_arena.execute([this] { m_tasks->wait(); });
 }
 
+peer_socket_counts peer_exchange::counts() const
+{
+    auto const open = socket();
+    return open ? open->counts() : peer_socket_counts{};
+}
+
+std::shared_ptr<peer_socket> peer_exchange::socket() const
+{
+    std::scoped_lock const lock(m_mutex);
+    return m_socket;
+}
+
+void peer_exchange::hand_over(peer_message message)
+{
+    if (auto const open = socket())
+    {
+        open->send(std::move(message));
+    }
+}
+
 absl::StatusOr<std::unique_ptr<peer_exchange>>
 peer_exchange::open(peer_socket_settings const& settings, handlers calls)
 {
@@ -36,6 +66,7 @@
         return socket.status();
     }
     result->m_socket = *std::move(socket);
+    result->m_address = result->m_socket->address();
     return result;
 }
 
@@ -66,9 +97,13 @@
             }
         }
     }
+    auto const open = socket();
     for (auto const& address : gone)
     {
-        m_socket->forget(address);
+        if (open)
+        {
+            open->forget(address);
+        }
     }
 }
 
@@ -87,7 +122,7 @@
     peer_message message;
     message.m_to.m_address = address;
     message.m_bytes = encode(std::move(envelope));
-    m_socket->send(std::move(message));
+    hand_over(std::move(message));
 }
 
 bool peer_exchange::send_reported(std::string const& name,
@@ -105,7 +140,7 @@
     message.m_delivery = delivery::reported;
     message.m_ticket = ticket;
     message.m_expires = expires;
-    m_socket->send(std::move(message));
+    hand_over(std::move(message));
     return true;
 }
 
@@ -114,7 +149,7 @@
     peer_message message;
     message.m_to = to;
     message.m_bytes = encode(std::move(envelope));
-    m_socket->send(std::move(message));
+    hand_over(std::move(message));
 }
 
 void peer_exchange::on_message(peer_route const& from, std::string_view bytes)
