--- a/packages/transport/include/camphortide/transport/access/request_check.hpp
+++ b/packages/transport/include/camphortide/transport/access/request_check.hpp
@@ -34,7 +34,7 @@
     /// @param most_bytes of a statement
     /// @param instance name, for the keys of writes that come without one
     request_check(protocol::token_codec const& codec, std::size_t most_bytes,
-                  std::string instance);
+                  std::string const& instance);
 
     /// Checks a read or write.
     /// @param context with the credential and the caller's gRPC deadline
--- a/packages/transport/include/camphortide/transport/instance/write_pause_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/write_pause_control.hpp
@@ -66,7 +66,6 @@
     /// by group, then by the home that asked
     std::map<std::string, std::map<std::string, other_pause>, std::less<>>
         m_others;
-    std::uint64_t m_last_number = 0;
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -65,7 +65,8 @@
 }
 
 request_check::request_check(protocol::token_codec const& codec,
-                             std::size_t most_bytes, std::string instance)
+                             std::size_t most_bytes,
+                             std::string const& instance)
     : m_codec(codec),
       m_most_bytes(most_bytes),
       m_key_prefix(random_prefix(instance))
