--- a/benchmarks/path_overhead/path_overhead.cpp
+++ b/benchmarks/path_overhead/path_overhead.cpp
@@ -227,6 +227,7 @@
 int measure_throughput(standin::running_deployment& running)
 {
     std::vector<std::unique_ptr<v1::Access::Stub>> stubs;
+    stubs.reserve(connections);
     for (int i = 0; i < static_cast<int>(connections); ++i)
     {
         stubs.push_back(connect(running.caller_address("entry-1"), i));
@@ -237,6 +238,7 @@
         std::atomic<std::size_t> done{0};
         std::atomic<std::size_t> left{callers};
         std::vector<std::unique_ptr<repeating_caller>> all;
+        all.reserve(callers);
         for (std::size_t i = 0; i < callers; ++i)
         {
             all.push_back(std::make_unique<repeating_caller>(
--- a/packages/load/src/driver/caller_client.cpp
+++ b/packages/load/src/driver/caller_client.cpp
@@ -4,6 +4,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <camphortide/load/driver/caller_client.hpp>
+#include <camphortide/transport/access/outcome_conversion.hpp>
 
 namespace camphortide::load
 {
@@ -22,19 +23,6 @@
     Reply m_reply;
 };
 
-state::outcome from_proto(v1::Outcome value)
-{
-    switch (value)
-    {
-    case v1::OUTCOME_EXECUTED:
-        return state::outcome::executed;
-    case v1::OUTCOME_NOT_EXECUTED:
-        return state::outcome::not_executed;
-    default:
-        return state::outcome::unknown;
-    }
-}
-
 void prepare(grpc::ClientContext& to, call_context const& context,
              state::duration deadline)
 {
@@ -53,7 +41,7 @@
         return result;
     }
     result.m_from_instance = true;
-    result.m_outcome = from_proto(failure.outcome());
+    result.m_outcome = transport::from_proto(failure.outcome());
     result.m_reason = static_cast<state::reason>(failure.reason());
     result.m_result = failure.detail();
     result.m_retry_after = state::duration(failure.retry_after_ms());
@@ -68,7 +56,7 @@
     }
     call_answer result;
     result.m_from_instance = true;
-    result.m_outcome = from_proto(reply.outcome());
+    result.m_outcome = transport::from_proto(reply.outcome());
     result.m_result = reply.result();
     result.m_token = reply.session_token();
     result.m_member = reply.member();
@@ -86,7 +74,7 @@
     }
     call_answer result;
     result.m_from_instance = true;
-    result.m_outcome = from_proto(reply.outcome());
+    result.m_outcome = transport::from_proto(reply.outcome());
     result.m_reason = static_cast<state::reason>(reply.reason());
     result.m_result = reply.result();
     result.m_token = reply.session_token();
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -55,7 +55,7 @@
     grpc::ClientContext context;
     authorize(context);
     m_reply.Clear();
-    auto const status = m_stub->Write(&context, request, &m_reply);
+    auto status = m_stub->Write(&context, request, &m_reply);
     if (status.ok())
     {
         m_token = m_reply.session_token();
@@ -68,7 +68,7 @@
     grpc::ClientContext context;
     authorize(context);
     m_reply.Clear();
-    auto const status = m_stub->Read(&context, make(statement), &m_reply);
+    auto status = m_stub->Read(&context, make(statement), &m_reply);
     if (status.ok())
     {
         m_token = m_reply.session_token();
--- a/tests/test/path/gateway_test.cpp
+++ b/tests/test/path/gateway_test.cpp
@@ -50,7 +50,8 @@
         request.m_entry = "desk";
         request.m_group = "loans";
         request.m_deadline = state::clock::now() + deadline;
-        m_gateway->submit(std::move(request), [&](transport::group_reply reply)
+        m_gateway->submit(std::move(request),
+                          [&](transport::group_reply const& reply)
                           { promise.set_value(reply); });
         auto future = promise.get_future();
         while (future.wait_for(std::chrono::milliseconds(5)) !=
