--- a/packages/transport/include/camphortide/transport/instance/instance_router.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance_router.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -54,13 +55,19 @@
     void move_on(journey_ptr const& on);
     void end(journey_ptr const& on, state::outcome outcome, state::reason why);
     void wait(journey_ptr const& on);
-    std::string choose(journey const& on) const;
+    /// @return the homes to try, the preferred one first
+    std::vector<std::string> candidates(journey const& on) const;
+    std::string choose(journey const& on);
+    bool is_avoided(std::string const& home);
+    void note(std::string const& home, forward_result result);
 
     std::string const m_self;
     home_registry const& m_homes;
     forward_client& m_client;
     std::mutex m_mutex;
     std::deque<journey_ptr> m_waiting;
+    /// homes that did not answer, and until when they are left out
+    std::map<std::string, state::time_point, std::less<>> m_silent;
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -16,6 +16,8 @@
 /// Pause before the homes of a group are tried once more.
 constexpr state::duration retry_pause{20};
 constexpr state::duration retry_hint{100};
+/// How long a home that was silent is left out, but for one request each time.
+constexpr state::duration avoid_time{2000};
 /// How often a request may be passed on by instances that are no home.
 constexpr std::uint32_t most_hops = 2;
 
@@ -117,29 +119,62 @@
                     });
 }
 
-std::string instance_router::choose(journey const& on) const
+std::vector<std::string> instance_router::candidates(journey const& on) const
 {
     auto const& request = on.m_request;
     if (belongs_to_transaction(request.m_kind))
     {
-        return request.m_home;
+        return {request.m_home};
     }
-    auto const fits = [&](std::string const& home)
+    auto homes = m_homes.homes_of(request.m_group);
+    std::erase(homes, m_self);
+    if (m_homes.find(request.m_group))
     {
-        return std::ranges::find(on.m_tried, home) == on.m_tried.end();
-    };
-    if (fits(m_self) && m_homes.find(request.m_group))
+        homes.insert(homes.begin(), m_self);
+    }
+    std::erase_if(homes, [&on](std::string const& home)
+                  { return std::ranges::count(on.m_tried, home) > 0; });
+    return homes;
+}
+
+std::string instance_router::choose(journey const& on)
+{
+    auto const homes = candidates(on);
+    auto const found = std::ranges::find_if(homes, [this](auto const& home)
+                                            { return !is_avoided(home); });
+    if (found != homes.end())
     {
-        return m_self;
+        return *found;
     }
-    for (auto const& home : m_homes.homes_of(request.m_group))
+    return homes.empty() ? std::string() : homes.front();
+}
+
+bool instance_router::is_avoided(std::string const& home)
+{
+    auto const now = state::clock::now();
+    std::scoped_lock const lock(m_mutex);
+    auto const found = m_silent.find(home);
+    if (found == m_silent.end())
     {
-        if (home != m_self && fits(home))
-        {
-            return home;
-        }
+        return false;
+    }
+    if (now < found->second)
+    {
+        return true;
+    }
+    found->second = now + avoid_time;
+    return false;
+}
+
+void instance_router::note(std::string const& home, forward_result result)
+{
+    std::scoped_lock const lock(m_mutex);
+    if (result == forward_result::answered)
+    {
+        m_silent.erase(home);
+        return;
     }
-    return {};
+    m_silent[home] = state::clock::now() + avoid_time;
 }
 
 void instance_router::forward(journey_ptr const& on, std::string const& home)
@@ -153,6 +188,7 @@
                      [this, on, home](forward_result result, group_reply reply)
                      {
                          reply.m_home = home;
+                         note(home, result);
                          returned(on, home, result, std::move(reply));
                      });
 }
@@ -218,7 +254,7 @@
 void instance_router::wait(journey_ptr const& on)
 {
     auto const now = state::clock::now();
-    on->m_retry_at = choose(*on).empty() ? now + retry_pause : now;
+    on->m_retry_at = candidates(*on).empty() ? now + retry_pause : now;
     std::scoped_lock const lock(m_mutex);
     m_waiting.push_back(on);
 }
@@ -252,7 +288,7 @@
             m_waiting.push_back(on);
             continue;
         }
-        if (choose(*on).empty())
+        if (candidates(*on).empty())
         {
             on->m_tried.clear();
         }
