group: probe members by demand, and let statements carry the probes

Cause: at 500 instances the probes of members each 100 ms take 22 KB/s of the 9 KB/s that all control may take (worked out), and an answer held for the next probe waits up to 100 ms for it. Change: rounds come each 400 ms, more often for the smallest age asked for of late (probe_pace), at once for a held answer, each 20 ms as soon as the primary is late or a change of primary is wanted. A statement carries the newest probe; a probe goes out by itself only if none follows in 40 ms. The manual group pushes a member's status after a change, as the protocol says. ZeroMQ pings each 5 minutes, the platform's list is read each 20 s.

--- a/packages/coordination/include/camphortide/coordination/group/group_monitor.hpp
+++ b/packages/coordination/include/camphortide/coordination/group/group_monitor.hpp
@@ -54,6 +54,11 @@
     /// Does what is due at this time.
     group_actions tick(state::time_point now);
 
+    /// Asks for probes more often than the settings say, down to their least
+    /// interval, so that the ages of answers can be told more closely.
+    /// @param interval between two probes, until the next call
+    group_actions probe_every(state::duration interval, state::time_point now);
+
     /// Asks for a planned change of primary, ended by switchover_ended.
     /// @param target the member to promote; empty for any replica
     group_actions request_switchover(std::string_view target,
@@ -123,6 +128,8 @@
     std::uint64_t m_promotions = 0;
     std::uint64_t m_probe = 0;
     std::optional<state::time_point> m_last_input;
+    state::duration m_probe_interval;
+    state::time_point m_probed_at{};
     state::time_point m_probe_at{};
     state::time_point m_follow_at{};
     state::time_point m_switchover_not_before{};
--- a/packages/coordination/src/group/group_monitor.cpp
+++ b/packages/coordination/src/group/group_monitor.cpp
@@ -13,7 +13,8 @@
       m_tag(builder.m_tag),
       m_view(builder.m_members),
       m_detector(builder.m_settings, builder.m_seed),
-      m_jitter(~builder.m_seed)
+      m_jitter(~builder.m_seed),
+      m_probe_interval(builder.m_settings.m_probe_interval)
 {
 }
 
@@ -84,6 +85,19 @@
     return out;
 }
 
+group_actions group_monitor::probe_every(state::duration interval,
+                                         state::time_point now)
+{
+    group_actions out;
+    begin(now);
+    auto const least = std::min(m_settings.m_least_probe_interval,
+                                m_settings.m_probe_interval);
+    m_probe_interval = std::clamp(interval, least, m_settings.m_probe_interval);
+    m_probe_at = std::min(m_probe_at, m_probed_at + m_probe_interval);
+    probe(now, out);
+    return out;
+}
+
 group_actions group_monitor::request_switchover(std::string_view target,
                                                 state::time_point now)
 {
@@ -190,15 +204,17 @@
 
 void group_monitor::probe(state::time_point now, group_actions& out)
 {
-    if (now < m_probe_at)
+    bool const calm = !m_promotion && !m_switchover && !m_wanted_at &&
+                      verdict(now) == primary_verdict::alive;
+    auto const interval =
+        calm ? m_probe_interval
+             : std::min(m_probe_interval, m_settings.m_fast_probe_interval);
+    if (now < std::min(m_probe_at, m_probed_at + interval))
     {
         return;
     }
-    bool const calm =
-        !m_promotion && !m_switchover && verdict(now) == primary_verdict::alive;
-    m_probe_at = now + (calm ? m_settings.m_probe_interval
-                             : std::min(m_settings.m_probe_interval,
-                                        m_settings.m_fast_probe_interval));
+    m_probed_at = now;
+    m_probe_at = now + interval;
     ++m_probe;
     for (auto const& status : m_view.statuses())
     {
--- a/packages/standin/include/camphortide/standin/group/group_server.hpp
+++ b/packages/standin/include/camphortide/standin/group/group_server.hpp
@@ -66,6 +66,10 @@
     /// @return statements that a member was sent on new work since the start
     std::uint64_t statements(std::string const& member) const;
 
+    /// @return probes that a member was sent on observation streams since the
+    ///     start; those that came with statements aren't counted
+    std::uint64_t probes(std::string const& member) const;
+
 private:
     friend class member_server;
 
--- a/packages/standin/include/camphortide/standin/group/member_server.hpp
+++ b/packages/standin/include/camphortide/standin/group/member_server.hpp
@@ -93,6 +93,7 @@
     /// Replicates what the member wrote and tells its observers.
     void written();
     void count_statement() { ++m_statements; }
+    void count_probe() { ++m_probes; }
     void forget(std::shared_ptr<connection_stream> const& stream);
     void forget(std::shared_ptr<observe_stream> const& stream);
     void run_held();
@@ -110,6 +111,7 @@
     bool m_leaving = false;
     std::uint64_t m_generation = 0; ///< rises with every stop
     std::uint64_t m_statements = 0;
+    std::uint64_t m_probes = 0;
     std::chrono::microseconds m_receive_lag{0};
     std::chrono::microseconds m_apply_lag{0};
     std::chrono::microseconds m_statement_time{0};
--- a/packages/standin/include/camphortide/standin/model/manual_group.hpp
+++ b/packages/standin/include/camphortide/standin/model/manual_group.hpp
@@ -90,6 +90,8 @@
     state::member_status status(std::size_t member, std::uint64_t probe) const;
     std::size_t index_of(std::string const& member) const;
     bool reachable(std::size_t monitor, std::size_t member) const;
+    /// Tells every monitor that a member's status changed.
+    void push(std::size_t member);
     template <class Request>
     void request(std::size_t monitor, Request const& action);
     void answer(std::size_t monitor, std::size_t member,
--- a/packages/standin/src/group/connection_stream.cpp
+++ b/packages/standin/src/group/connection_stream.cpp
@@ -90,22 +90,23 @@
     auto const kind = static_cast<std::size_t>(request.kind());
     if (kind == 0 || kind >= std::size(handlers))
     {
-        reply(request.request(),
+        reply(request,
               {statement_code::failed, "unknown kind of statement", {}, false});
         return;
     }
-    reply(request.request(), (this->*handlers[kind])(request));
+    reply(request, (this->*handlers[kind])(request));
 }
 
-void connection_stream::reply(std::uint64_t request, statement_answer answer)
+void connection_stream::reply(endpoint::v1::Statement const& request,
+                              statement_answer answer)
 {
     endpoint::v1::StatementReply message;
-    message.set_request(request);
+    message.set_request(request.request());
     message.set_code(to_proto(answer.m_code));
     message.set_result(std::move(answer.m_result));
     *message.mutable_position() = protocol::to_proto(answer.m_position);
     message.set_replayed(answer.m_replayed);
-    *message.mutable_status() = m_member.status_message(0);
+    *message.mutable_status() = m_member.status_message(request.probe());
     m_member.after_network_delay(
         [self = shared_from_this(), this, message = std::move(message)]
         { m_member.when_answering([self, this, message] { send(message); }); });
--- a/packages/standin/src/group/group_server.cpp
+++ b/packages/standin/src/group/group_server.cpp
@@ -149,6 +149,12 @@
     return find(member).m_model.rows();
 }
 
+std::uint64_t group_server::probes(std::string const& member) const
+{
+    std::scoped_lock const lock(m_mutex);
+    return find(member).m_probes;
+}
+
 std::uint64_t group_server::statements(std::string const& member) const
 {
     std::scoped_lock const lock(m_mutex);
--- a/packages/standin/src/group/observe_stream.cpp
+++ b/packages/standin/src/group/observe_stream.cpp
@@ -35,6 +35,7 @@
             m_member.when_answering(
                 [self, this, probe]
                 {
+                    m_member.count_probe();
                     m_probe = probe;
                     push();
                 });
--- a/packages/standin/src/model/manual_group.cpp
+++ b/packages/standin/src/model/manual_group.cpp
@@ -288,6 +288,22 @@
     return result;
 }
 
+void manual_group::push(std::size_t member)
+{
+    auto const held = status(member, 0);
+    for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
+    {
+        if (reachable(monitor, member))
+        {
+            deliver(monitor,
+                    [this, monitor, held] {
+                        apply(monitor,
+                              m_monitors[monitor].status_received(held, m_now));
+                    });
+        }
+    }
+}
+
 std::size_t manual_group::index_of(std::string const& member) const
 {
     return static_cast<std::size_t>(member.front() - 'a');
@@ -356,6 +372,7 @@
 {
     bool const granted =
         m_members[member].fence(action.m_term, action.m_proposer);
+    push(member);
     auto const held = status(member, 0);
     if (!m_lose_reply || !m_lose_reply(monitor, action))
     {
@@ -373,6 +390,7 @@
 {
     bool const done =
         m_members[member].promote(action.m_term, action.m_proposer);
+    push(member);
     auto const held = status(member, 0);
     if (!m_lose_reply || !m_lose_reply(monitor, action))
     {
@@ -389,6 +407,7 @@
                           coordination::send_follow const& action)
 {
     m_members[member].follow(action.m_term, action.m_primary);
+    push(member);
     auto const held = status(member, 0);
     if (!m_lose_reply || !m_lose_reply(monitor, action))
     {
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <camphortide/coordination/group/group_action.hpp>
+#include <camphortide/coordination/request/probe_pace.hpp>
 #include <camphortide/endpoint/v1/member.pb.h>
 #include <camphortide/state/group_description.hpp>
 #include <camphortide/transport/gateway/answer_dispatch.hpp>
@@ -96,6 +97,11 @@
     /// @param number rises from round to round
     void probe(std::string_view member, std::uint64_t number);
 
+    /// @return the time wanted between two probes for the ages that recent
+    ///     requests allow; zero while an answer is held for the next one;
+    ///     duration::max() if nothing asks for probes
+    state::duration probe_interval();
+
     /// @return the client of a member; null if there is no such member.
     ///     Lives as long as the gateway
     member_client* client(std::string_view member);
@@ -139,6 +145,7 @@
     status_relay m_relay;
     std::size_t m_budget = 0;
     std::uint64_t m_probe = 0;
+    coordination::probe_pace m_pace;
     std::size_t m_active = 0; ///< threads with handlers to run
     std::condition_variable m_quiet;
     bool m_closed = false;
--- a/packages/transport/include/camphortide/transport/gateway/member_link.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -112,8 +112,12 @@
                      coordination::freshness const& samples,
                      state::time_point now);
 
-    /// Sends a probe on the observation stream.
-    void probe(std::uint64_t number);
+    /// Takes a probe. It goes out with the next statement, or by itself on
+    /// the observation stream if there is none soon.
+    /// @param number rises from call to call
+    /// @param urgent it goes out at once, as it also does if the one before
+    ///     it was a short while ago
+    void probe(std::uint64_t number, bool urgent, state::time_point now);
 
     void observation_lost();
 
@@ -147,6 +151,8 @@
 
 private:
     void open(coordination::connection_id connection);
+    void observe();
+    void send_probe();
 
     state::member_description m_description;
     std::size_t const m_index;
@@ -161,6 +167,9 @@
     std::unordered_map<std::uint64_t, awaited_answer> m_awaited;
     state::member_status m_status;
     std::size_t m_waiting = 0;
+    std::uint64_t m_probe = 0;
+    state::time_point m_probed_at{};
+    std::optional<state::time_point> m_probe_due; ///< none: it went out
     bool m_changed = true;
     bool m_reachable = false;
 };
--- a/packages/transport/include/camphortide/transport/gateway/read_service.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/read_service.hpp
@@ -36,6 +36,9 @@
     /// @return reads that wait for a connection or a replica
     std::size_t waiting() const { return m_waiting.size(); }
 
+    /// @return true while answers wait for a later probe or record
+    bool holds() const { return !m_held.empty(); }
+
 private:
     void route(group_operation& work);
     void send(group_operation& work, std::size_t member);
--- a/packages/transport/include/camphortide/transport/instance/group_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -78,6 +78,7 @@
     handlers m_calls;
     bool m_paused_here = false;
     bool m_others_drained = true;
+    state::duration m_probe_interval = state::duration::max();
     bool m_paused_for_other = false;
 };
 
--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -45,7 +45,7 @@
 
     /// Homes of each group; nothing: every instance is one.
     std::optional<std::uint32_t> m_homes_per_group = 2;
-    state::duration m_probe_interval{std::chrono::milliseconds(100)};
+    state::duration m_probe_interval{std::chrono::milliseconds(400)};
     state::duration m_suspicion_timeout{std::chrono::milliseconds(500)};
 
     std::string m_token_key; ///< 32 bytes in hexadecimal digits
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -180,6 +180,10 @@
     work.m_needed = coordination::require_for(
         request.m_token, m_group.m_name, request.m_max_age, m_core.m_now,
         coordination::deadline(request.m_deadline));
+    if (request.m_max_age)
+    {
+        m_pace.note_age(*request.m_max_age, m_core.m_now);
+    }
     work.m_needed.m_onward = request.m_onward;
     work.m_lane = goes_to_primary(request, work.m_needed)
                       ? coordination::lane::primary
@@ -285,12 +289,19 @@
             {
                 if (link->description().m_name == member)
                 {
-                    link->probe(number);
+                    link->probe(number, m_reads.holds(), m_core.m_now);
                 }
             }
         });
 }
 
+state::duration group_gateway::probe_interval()
+{
+    std::scoped_lock const lock(m_mutex);
+    return m_reads.holds() ? state::duration::zero()
+                           : m_pace.interval(state::clock::now());
+}
+
 member_client* group_gateway::client(std::string_view member)
 {
     std::scoped_lock const lock(m_mutex);
--- a/packages/transport/src/gateway/member_link.cpp
+++ b/packages/transport/src/gateway/member_link.cpp
@@ -6,6 +6,16 @@
 namespace camphortide::transport
 {
 
+namespace
+{
+
+/// How long a probe waits for a statement to go with.
+constexpr state::duration probe_wait{40};
+/// Probes that follow each other faster than this are urgent.
+constexpr state::duration urgent_interval{50};
+
+} // namespace
+
 member_link::member_link(state::member_description const& description,
                          std::size_t index, std::weak_ptr<member_events> events)
     : m_description(description),
@@ -35,7 +45,8 @@
 bool member_link::wants_step(state::time_point now) const
 {
     auto const next = m_pool.next_step();
-    return m_changed || (next && *next <= now);
+    return m_changed || (next && *next <= now) ||
+           (m_probe_due && *m_probe_due <= now);
 }
 
 void member_link::step(state::time_point now)
@@ -54,10 +65,18 @@
             found->second->close();
         }
     }
-    if (m_observation)
+    if (!m_observation)
     {
-        return;
+        observe();
+    }
+    if (m_probe_due && *m_probe_due <= now)
+    {
+        send_probe();
     }
+}
+
+void member_link::observe()
+{
     m_observation = m_client->observe(
         [events = m_events, index = m_index](auto const& status)
         {
@@ -105,6 +124,8 @@
                        awaited_answer const& whose)
 {
     message.set_request(m_pool.next_request(connection));
+    message.set_probe(m_probe);
+    m_probe_due.reset();
     m_awaited[connection.m_generation] = whose;
     m_streams.at(connection.m_generation)->send(std::move(message));
 }
@@ -174,14 +195,28 @@
     return true;
 }
 
-void member_link::probe(std::uint64_t number)
+void member_link::probe(std::uint64_t number, bool urgent,
+                        state::time_point now)
+{
+    bool const follows = now - m_probed_at < urgent_interval;
+    m_probe = number;
+    m_probed_at = now;
+    m_probe_due = m_probe_due.value_or(now + probe_wait);
+    if (urgent || follows)
+    {
+        send_probe();
+    }
+}
+
+void member_link::send_probe()
 {
     if (!m_observation)
     {
         return;
     }
+    m_probe_due.reset();
     endpoint::v1::Probe message;
-    message.set_probe(number);
+    message.set_probe(m_probe);
     m_observation->send(std::move(message));
 }
 
--- a/packages/transport/src/instance/membership_control.cpp
+++ b/packages/transport/src/instance/membership_control.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Between two reads of the platform's list.
-constexpr state::duration list_interval{5000};
+constexpr state::duration list_interval{20000};
 /// Between two reads until a peer has answered.
 constexpr state::duration first_list_interval{500};
 
--- a/packages/transport/src/peers/peer_loop.cpp
+++ b/packages/transport/src/peers/peer_loop.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr int heartbeat_interval = 60000;    ///< milliseconds
-constexpr int heartbeat_timeout = 60000;     ///< milliseconds
+constexpr int heartbeat_interval = 300000;   ///< milliseconds
+constexpr int heartbeat_timeout = 300000;    ///< milliseconds
 constexpr int first_reconnect_wait = 20;     ///< milliseconds
 constexpr int longest_reconnect_wait = 1000; ///< milliseconds
 constexpr int socket_queue_length = 1000;    ///< messages inside ZeroMQ
