requests: a member that comes back gets connections at once, and reads wait for none without

Cause, seen by a trial that printed the pool at each read without a connection: the openings that failed while a member was away double the pause before the next up to 5 s, and openings that fail together counted each. Once the observation stream was back the member was reachable, idle and close, so read routing chose it; reads then waited up to 3.4 s for its first connection, held the slots of the replicas' lane, and admission refused those behind them with deadline_too_short and a hint of 4 to 6 s.

- A pool counts the openings that fail within one pause as one failure.
- A member that answers after it was away is opened at once.
- Read routing passes over a member without a connection, free or in use.

Ruled out by the histories: writes (served in 7 to 10 ms all the while by the same home), forwarding (other groups of the same home went on), the freshness of answers (reads without an age waited too), the queue's estimate of cost as the first cause (the queue grew only after the reads waited).

--- a/packages/coordination/include/camphortide/coordination/request/connection_pool.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/connection_pool.hpp
@@ -81,6 +81,10 @@
     /// Takes the end of a connection, in any state; also a failed opening.
     void lost(connection_id connection, state::time_point now);
 
+    /// Takes the news that an endpoint that was away answers again, so that
+    /// the next opening need not wait for those that failed.
+    void endpoint_returned();
+
     /// Works out what to open and close now. Call it after every change and
     /// at next_step().
     actions step(state::time_point now);
@@ -148,7 +152,7 @@
     std::size_t m_busy = 0;
     std::size_t m_opening = 0;
     std::size_t m_closing = 0;
-    std::size_t m_failures = 0; ///< openings in a row
+    std::size_t m_failures = 0; ///< rounds of openings in a row
     state::time_point m_not_before;
 };
 
--- a/packages/coordination/src/request/connection_pool.cpp
+++ b/packages/coordination/src/request/connection_pool.cpp
@@ -97,7 +97,8 @@
     {
         return;
     }
-    if (found->second.m_phase == phase::opening)
+    bool const counted = m_failures > 0 && now < m_not_before;
+    if (found->second.m_phase == phase::opening && !counted)
     {
         auto const doublings = std::min(m_failures, max_doublings);
         auto const pause = m_limits.m_retry_after * (1 << doublings);
@@ -110,6 +111,11 @@
     m_connections.erase(found);
 }
 
+void connection_pool::endpoint_returned()
+{
+    m_failures = 0;
+}
+
 connection_pool::actions connection_pool::step(state::time_point now)
 {
     close_worn(now);
--- a/packages/coordination/src/request/read_router.cpp
+++ b/packages/coordination/src/request/read_router.cpp
@@ -35,11 +35,18 @@
     return draw < member.m_share;
 }
 
+/// Without a connection, free or in use, none will be free soon.
+bool has_connection(member_view const& member)
+{
+    return member.m_free_connections > 0 || member.m_outstanding > 0;
+}
+
 bool usable(read_input const& input, std::size_t place)
 {
     auto const& member = input.m_members[place];
     bool const tried = (input.m_tried >> place & 1U) != 0;
-    return member.m_reachable && !member.m_leaving && !tried;
+    return member.m_reachable && !member.m_leaving && !tried &&
+           has_connection(member);
 }
 
 /// A statement waits for a slot behind those that are outstanding, and for a
--- a/packages/coordination/test/connections/connection_pool_test.cpp
+++ b/packages/coordination/test/connections/connection_pool_test.cpp
@@ -197,6 +197,40 @@
     CHECK(last == pool_limits().m_max_retry_after);
 }
 
+TEST_CASE("openings that fail together count as one failure")
+{
+    connection_pool pool({.m_warm = 4});
+    pool.set_budget(4);
+    for (auto const& action : pool.step(at(0)))
+    {
+        pool.lost(action.m_connection, at(0));
+    }
+    CHECK(pool.next_step() == at(0) + pool_limits().m_retry_after);
+}
+
+TEST_CASE("an endpoint that answers again is opened at once")
+{
+    connection_pool pool({.m_warm = 1});
+    pool.set_budget(4);
+    auto now = at(0);
+    for (int i = 0; i < 12; ++i)
+    {
+        pool.lost(pool.step(now).front().m_connection, now);
+        now = *pool.next_step();
+    }
+    auto const back = now - state::duration(1);
+    REQUIRE(pool.step(back).empty());
+    pool.endpoint_returned();
+    auto const actions = pool.step(back);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions.front().m_kind == kind::open);
+    SUBCASE("and a refusal starts with the shortest wait")
+    {
+        pool.lost(actions.front().m_connection, back);
+        CHECK(pool.next_step() == back + pool_limits().m_retry_after);
+    }
+}
+
 TEST_CASE("any order of events keeps the budget and the bookkeeping")
 {
     std::mt19937 random(7);
--- a/packages/coordination/test/read_routing/read_router_test.cpp
+++ b/packages/coordination/test/read_routing/read_router_test.cpp
@@ -133,6 +133,12 @@
     {
         group.m_members[1].m_role = member_role::unknown;
     }
+    SUBCASE("without a connection, free or in use")
+    {
+        group.m_members[1].m_latency = state::duration(0);
+        group.m_members[1].m_free_connections = 0;
+        group.m_members[2].m_latency = state::duration(3);
+    }
     SUBCASE("tried before")
     {
         group.m_tried = 1U << 1;
@@ -147,6 +153,31 @@
     }
 }
 
+TEST_CASE("a read waits while no member has a connection")
+{
+    fixture group;
+    group.require(50);
+    for (auto& member : group.m_members)
+    {
+        member.m_free_connections = 0;
+    }
+    for (auto const* const name : replica_strategies)
+    {
+        CHECK(group.route(name).m_action == action::wait);
+    }
+    CHECK(group.route("primary_only").m_action == action::wait);
+}
+
+TEST_CASE("a member whose connections are all in use may be waited for")
+{
+    fixture group;
+    group.require(50);
+    group.m_members[1].m_free_connections = 0;
+    group.m_members[1].m_outstanding = 1;
+    group.m_members[2].m_latency = state::duration(90);
+    CHECK(group.route("covering_replica").m_member == 1);
+}
+
 TEST_CASE("a reduced share takes its part of the reads")
 {
     fixture group;
--- a/packages/transport/src/gateway/member_link.cpp
+++ b/packages/transport/src/gateway/member_link.cpp
@@ -162,7 +162,11 @@
                               coordination::freshness const& samples,
                               state::time_point now)
 {
-    m_reachable = true;
+    if (!std::exchange(m_reachable, true))
+    {
+        m_pool.endpoint_returned();
+        m_changed = true;
+    }
     if (status.m_granted < m_status.m_granted)
     {
         return false;
