limits: homes share a group's limits by the ledger in the store

Cause: each home divided the limits by the number of homes in its own view, so the parts could exceed the limit while views differed. Change: a home applies its shares of the ledger to its admission and its connections (share_control), the control thread carries the calls to the store out and tells who is gone (ledger_control, holder_watch). The pool takes over the rule for guarded shares, so connections are counted once. A home without a share passes a request on; one refused by a limit is tried at one more home. A drain returns the shares. The test on a smaller share's excess moved to the pool, which counts.

--- a/packages/coordination/include/camphortide/coordination/fleet/membership.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/membership.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -79,6 +80,16 @@
     /// @return true once a peer has sent its whole view
     bool joined() const { return m_joined; }
 
+    /// Looks up the contact with the instances that the platform lists as live,
+    /// this one among them.
+    /// @return a time after which a majority of them took part in an exchange
+    ///     with this instance; nothing if there was no list, or no majority yet
+    std::optional<state::time_point>
+    majority_heard(state::time_point now) const;
+
+    /// @return true if the platform lists no other live instance
+    bool listed_alone() const { return m_listed && m_listed->empty(); }
+
     /// @return true if the platform's list wants this instance to leave
     bool asked_to_leave() const;
 
@@ -117,6 +128,8 @@
     instance_table m_table;
     news_queue m_news;
     std::set<std::string> m_platform_leaving;
+    /// other instances that the platform lists as live; nothing: not read yet
+    std::optional<std::set<std::string>> m_listed;
     std::vector<std::pair<std::string, std::string>> m_candidates;
     std::vector<std::string> m_observed;
     held_versions m_held;
--- a/packages/coordination/include/camphortide/coordination/limits/connection_budget.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/connection_budget.hpp
@@ -10,8 +10,9 @@
 {
 
 /// Decides when one home may open a connection to one member: within its
-/// share, and never when the member itself reports that it has none left.
-/// Not thread-safe; used under the lock of the share's keeper.
+/// share, and never when the member itself reports that it has none left. The
+/// connections are counted by the pool. Not thread-safe; used under the lock
+/// of the share's keeper.
 class connection_budget
 {
 public:
@@ -23,28 +24,25 @@
     void report(std::int64_t connections, std::int64_t limit,
                 state::time_point asked_at);
 
+    /// @param opening connections that are being opened
+    /// @param in_use all that the member may count: opening, open, closing
     /// @return true if a connection may be opened now. While the share is
     ///     guarded that takes a report from after the last change, and there
     ///     is one opening at a time.
-    bool may_open(state::time_point now) const;
+    bool may_open(std::int64_t opening, std::int64_t in_use,
+                  state::time_point now) const;
 
-    /// States that a connection is being opened; it counts from here on.
-    void opening();
-
-    /// States that a connection is open.
-    void opened(state::time_point now);
+    /// States that a connection opened or ended.
+    void changed(state::time_point now) { m_changed = now; }
 
     /// States that the member refused to open one.
     void refused(state::time_point now);
 
-    /// States that a connection that was open has ended.
-    void closed(state::time_point now);
-
-    /// @return connections that are open or opening
-    std::int64_t in_use() const { return m_opening + m_open; }
+    /// @return true if the member reported lately
+    bool heard(state::time_point now) const;
 
-    /// @return connections to be closed as soon as they are idle
-    std::int64_t excess() const;
+    /// @return the connections that the home may hold
+    std::int64_t amount() const { return m_allowance.m_amount; }
 
 private:
     struct member_report
@@ -54,11 +52,9 @@
         state::time_point m_asked_at;
     };
 
-    bool member_agrees(state::time_point now) const;
+    bool member_agrees(std::int64_t opening, state::time_point now) const;
 
     share_allowance m_allowance;
-    std::int64_t m_opening = 0;
-    std::int64_t m_open = 0;
     std::optional<member_report> m_report;
     state::time_point m_changed;
     std::optional<state::time_point> m_refused;
--- a/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
@@ -96,6 +96,9 @@
     /// Gives all shares back as they fall out of use.
     void leave() { m_home.m_leaving = true; }
 
+    /// Takes part again after leave(), as a newcomer does.
+    void rejoin() { m_home.m_leaving = false; }
+
     /// Decides on the next call to the store. Called every few hundred ms.
     /// @return the call, if one is due; there is never a second one open
     std::optional<ledger_call> step(state::time_point now);
--- a/packages/coordination/include/camphortide/coordination/request/connection_pool.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/connection_pool.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <camphortide/coordination/limits/connection_budget.hpp>
 #include <camphortide/state/clock.hpp>
 
 namespace camphortide::coordination
@@ -62,6 +63,16 @@
     /// are released.
     void set_budget(std::size_t connections);
 
+    /// Sets the share of the member's connections, and how sure it is. While
+    /// it is guarded, one connection is opened at a time, and only if the
+    /// member reports room.
+    void set_allowance(share_allowance allowance);
+
+    /// Takes in what the member reports: the connections of all its clients.
+    /// @param asked_at a time before the member was asked
+    void note_report(std::int64_t connections, std::int64_t limit,
+                     state::time_point asked_at);
+
     /// Sets how many requests wait for a connection, beyond the warm ones.
     void set_waiting(std::size_t requests);
 
@@ -107,7 +118,12 @@
     std::size_t closing() const { return m_closing; }
     /// @return all that the endpoint may count
     std::size_t held() const { return m_connections.size(); }
-    std::size_t budget() const { return m_budget; }
+    /// @return connections that callers could use now
+    std::size_t wanted() const;
+    std::size_t budget() const
+    {
+        return static_cast<std::size_t>(m_budget.amount());
+    }
 
 private:
     enum class phase
@@ -135,11 +151,12 @@
     void close(std::uint64_t generation);
     void shrink();
     void open_wanted(state::time_point now, actions& into);
+    void note_failure(state::time_point now);
     void leave(phase value);
     void move(connection& value, phase to);
 
     pool_limits m_limits;
-    std::size_t m_budget = 0;
+    connection_budget m_budget;
     std::size_t m_waiting = 0;
     std::uint64_t m_last_generation = 0;
     std::unordered_map<std::uint64_t, connection> m_connections;
--- a/packages/coordination/include/camphortide/coordination/request/freshness.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/freshness.hpp
@@ -43,6 +43,9 @@
     /// @param probe rises with each call
     void note_probe_sent(std::uint64_t probe, state::time_point now);
 
+    /// @return when a probe was sent; nothing if that is not known any more
+    std::optional<state::time_point> probe_sent(std::uint64_t probe) const;
+
     /// Takes the status of a member. One that answers no probe is ignored.
     /// @return true if a probe is now confirmed that was not before
     bool note_status(state::member_status const& status);
--- a/packages/coordination/src/fleet/membership.cpp
+++ b/packages/coordination/src/fleet/membership.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include <camphortide/coordination/fleet/membership.hpp>
 
@@ -219,12 +220,17 @@
 {
     std::set<std::string> leaving;
     m_candidates.clear();
+    auto& others = m_listed.emplace();
     for (auto const& listed : list)
     {
         if (listed.m_state == instance_state::leaving)
         {
             leaving.insert(listed.m_name);
         }
+        else if (listed.m_name != m_self.m_name)
+        {
+            others.insert(listed.m_name);
+        }
         auto const* known = m_table.find(listed.m_name);
         bool const is_live =
             known != nullptr && state::is_live(known->m_record.m_state);
@@ -255,6 +261,35 @@
     return out;
 }
 
+std::optional<time_point> membership::majority_heard(time_point now) const
+{
+    if (!m_listed)
+    {
+        return std::nullopt;
+    }
+    std::vector<time_point> heard;
+    for (auto const& name : *m_listed)
+    {
+        auto const found = m_table.all().find(name);
+        if (found != m_table.all().end() &&
+            found->second.m_heard != time_point{})
+        {
+            heard.push_back(found->second.m_heard);
+        }
+    }
+    auto const needed = (m_listed->size() + 1) / 2; // besides this one
+    if (needed == 0)
+    {
+        return now;
+    }
+    if (heard.size() < needed)
+    {
+        return std::nullopt;
+    }
+    std::ranges::sort(heard, std::greater<>());
+    return heard[needed - 1] - m_settings.m_interval;
+}
+
 bool membership::asked_to_leave() const
 {
     return m_platform_leaving.contains(m_self.m_name);
--- a/packages/coordination/src/limits/connection_budget.cpp
+++ b/packages/coordination/src/limits/connection_budget.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include <camphortide/coordination/limits/connection_budget.hpp>
 
 namespace camphortide::coordination
@@ -22,55 +20,37 @@
     }
 }
 
-bool connection_budget::may_open(state::time_point now) const
+bool connection_budget::may_open(std::int64_t opening, std::int64_t in_use,
+                                 state::time_point now) const
 {
     bool const paused = m_refused && now - *m_refused < pause_after_refusal;
-    if (in_use() >= m_allowance.m_amount || paused)
+    if (in_use >= m_allowance.m_amount || paused)
     {
         return false;
     }
-    return member_agrees(now);
-}
-
-void connection_budget::opening()
-{
-    m_opening += 1;
-}
-
-void connection_budget::opened(state::time_point now)
-{
-    m_opening -= 1;
-    m_open += 1;
-    m_changed = now;
+    return member_agrees(opening, now);
 }
 
 void connection_budget::refused(state::time_point now)
 {
-    m_opening -= 1;
     m_changed = now;
     m_refused = now;
 }
 
-void connection_budget::closed(state::time_point now)
-{
-    m_open -= 1;
-    m_changed = now;
-}
-
-std::int64_t connection_budget::excess() const
+bool connection_budget::heard(state::time_point now) const
 {
-    return std::max(in_use() - m_allowance.m_amount, std::int64_t{0});
+    return m_report && now - m_report->m_asked_at <= report_age;
 }
 
-bool connection_budget::member_agrees(state::time_point now) const
+bool connection_budget::member_agrees(std::int64_t opening,
+                                      state::time_point now) const
 {
-    bool const fresh = m_report && now - m_report->m_asked_at <= report_age;
-    bool const room = fresh && m_report->m_connections < m_report->m_limit;
+    bool const room = heard(now) && m_report->m_connections < m_report->m_limit;
     if (m_allowance.m_certainty == share_certainty::guarded)
     {
-        return room && m_opening == 0 && m_report->m_asked_at >= m_changed;
+        return room && opening == 0 && m_report->m_asked_at >= m_changed;
     }
-    bool const current = fresh && m_report->m_asked_at >= m_changed;
+    bool const current = heard(now) && m_report->m_asked_at >= m_changed;
     return room || !current;
 }
 
--- a/packages/coordination/src/request/connection_pool.cpp
+++ b/packages/coordination/src/request/connection_pool.cpp
@@ -17,7 +17,24 @@
 
 void connection_pool::set_budget(std::size_t connections)
 {
-    m_budget = connections;
+    set_allowance(
+        {static_cast<std::int64_t>(connections), share_certainty::firm});
+}
+
+void connection_pool::set_allowance(share_allowance allowance)
+{
+    m_budget.set_allowance(allowance);
+}
+
+void connection_pool::note_report(std::int64_t connections, std::int64_t limit,
+                                  state::time_point asked_at)
+{
+    m_budget.report(connections, limit, asked_at);
+}
+
+std::size_t connection_pool::wanted() const
+{
+    return m_busy + m_waiting + m_limits.m_warm;
 }
 
 void connection_pool::set_waiting(std::size_t requests)
@@ -52,7 +69,7 @@
     {
         return;
     }
-    bool const over_budget = held() - m_closing > m_budget;
+    bool const over_budget = held() - m_closing > budget();
     if (value->m_awaited != 0 || worn(*value, now) || over_budget)
     {
         abandon(id);
@@ -85,6 +102,7 @@
         return;
     }
     m_failures = 0;
+    m_budget.changed(now);
     value->m_opened = now;
     move(*value, phase::idle);
     m_idle.push_back(id.m_generation);
@@ -97,12 +115,10 @@
     {
         return;
     }
+    m_budget.changed(now);
     if (found->second.m_phase == phase::opening)
     {
-        auto const doublings = std::min(m_failures, max_doublings);
-        auto const pause = m_limits.m_retry_after * (1 << doublings);
-        m_not_before = now + std::min(pause, m_limits.m_max_retry_after);
-        ++m_failures;
+        note_failure(now);
     }
     std::erase(m_idle, id.m_generation);
     std::erase(m_to_close, id.m_generation);
@@ -110,6 +126,18 @@
     m_connections.erase(found);
 }
 
+void connection_pool::note_failure(state::time_point now)
+{
+    auto const doublings = std::min(m_failures, max_doublings);
+    auto const pause = m_limits.m_retry_after * (1 << doublings);
+    m_not_before = now + std::min(pause, m_limits.m_max_retry_after);
+    ++m_failures;
+    if (m_budget.heard(now))
+    {
+        m_budget.refused(now); // the member lives, and has no room
+    }
+}
+
 connection_pool::actions connection_pool::step(state::time_point now)
 {
     close_worn(now);
@@ -220,7 +248,7 @@
     auto const surplus = [&]
     {
         auto const kept = held() - m_closing;
-        return kept > m_budget ? kept - m_budget : 0;
+        return kept > budget() ? kept - budget() : 0;
     };
     auto const idle_surplus = std::min(surplus(), m_idle.size());
     for (std::size_t i = 0; i < idle_surplus; ++i)
@@ -249,7 +277,9 @@
         return;
     }
     auto const wanted = m_limits.m_warm + m_waiting;
-    while (held() < m_budget && lasting(now) + m_opening < wanted)
+    while (lasting(now) + m_opening < wanted &&
+           m_budget.may_open(static_cast<std::int64_t>(m_opening),
+                             static_cast<std::int64_t>(held()), now))
     {
         auto const generation = ++m_last_generation;
         m_connections.try_emplace(generation);
--- a/packages/coordination/src/request/freshness.cpp
+++ b/packages/coordination/src/request/freshness.cpp
@@ -119,6 +119,13 @@
     return *found;
 }
 
+std::optional<state::time_point>
+freshness::probe_sent(std::uint64_t probe) const
+{
+    auto const found = find_probe(probe);
+    return found ? std::optional(found->m_sent) : std::nullopt;
+}
+
 void freshness::note_primary(state::member_status const& status)
 {
     if (status.m_role != state::member_role::primary ||
--- a/packages/coordination/test/connections/connection_pool_test.cpp
+++ b/packages/coordination/test/connections/connection_pool_test.cpp
@@ -267,3 +267,53 @@
         REQUIRE(pool.closing() == closing.size());
     }
 }
+
+TEST_CASE("a guarded share opens one connection at a time, with the member's "
+          "consent")
+{
+    connection_pool pool(pool_limits{});
+    pool.set_allowance({4, share_certainty::guarded});
+    CHECK(pool.step(at(0)).empty());
+    pool.note_report(16, 16, at(10));
+    CHECK(pool.step(at(20)).empty());
+    pool.note_report(15, 16, at(30));
+    auto const first = pool.step(at(40));
+    REQUIRE(first.size() == 1);
+    pool.opened(first.front().m_connection, at(50));
+    CHECK(pool.step(at(60)).empty());
+    pool.note_report(15, 16, at(60));
+    CHECK(pool.step(at(70)).size() == 1);
+}
+
+TEST_CASE("a member that refuses is asked again after a pause")
+{
+    connection_pool pool(pool_limits{});
+    pool.set_budget(1);
+    pool.note_report(3, 16, at(0));
+    auto const first = pool.step(at(0));
+    REQUIRE(first.size() == 1);
+    pool.lost(first.front().m_connection, at(10));
+    pool.note_report(3, 16, at(200));
+    CHECK(pool.step(at(259)).empty());
+    CHECK(pool.step(at(260)).size() == 1);
+}
+
+TEST_CASE("a smaller share closes idle connections and counts them until lost")
+{
+    connection_pool pool(pool_limits{});
+    pool.set_budget(2);
+    for (auto const& action : pool.step(at(0)))
+    {
+        pool.opened(action.m_connection, at(10));
+    }
+    REQUIRE(pool.idle() == 2);
+    pool.set_allowance({0, share_certainty::firm});
+    auto const closing = pool.step(at(20));
+    CHECK(closing.size() == 2);
+    CHECK(pool.held() == 2);
+    for (auto const& action : closing)
+    {
+        pool.lost(action.m_connection, at(30));
+    }
+    CHECK(pool.held() == 0);
+}
--- /dev/null
+++ b/packages/coordination/test/group_shares/holder_watch_test.cpp
@@ -0,0 +1,97 @@
+#include <array>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/limits/holder_watch.hpp>
+
+using namespace camphortide::coordination;
+namespace state = camphortide::state;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+share_ledger ledger_of(std::vector<holder_id> const& holders)
+{
+    share_ledger ledger;
+    divided_limit limit;
+    for (auto const& holder : holders)
+    {
+        limit.m_shares.push_back({holder, 1, 1});
+    }
+    ledger.m_limits.push_back(limit);
+    return ledger;
+}
+
+state::instance_record record(std::uint64_t incarnation,
+                              state::instance_state value)
+{
+    state::instance_record result;
+    result.m_name = "b";
+    result.m_incarnation = incarnation;
+    result.m_state = value;
+    return result;
+}
+
+struct watch_case
+{
+    std::uint64_t m_incarnation; ///< in the view
+    state::instance_state m_state;
+    int m_after; ///< milliseconds in that state
+    bool m_gone; ///< the holder of incarnation 50000
+};
+
+} // namespace
+
+TEST_CASE("a holder is gone with its process, not by an objection")
+{
+    using state::instance_state;
+    std::array const cases{
+        watch_case{50000, instance_state::live, 99999, false},
+        watch_case{50003, instance_state::live, 99999, false},
+        watch_case{51000, instance_state::live, 0, true},
+        watch_case{50000, instance_state::suspected, 99999, false},
+        watch_case{50000, instance_state::gone, 0, true},
+        watch_case{50003, instance_state::gone, 0, true},
+        watch_case{40000, instance_state::gone, 99999, false},
+        watch_case{50000, instance_state::leaving, 19999, false},
+        watch_case{50000, instance_state::leaving, 20000, true},
+    };
+    int number = 0;
+    for (auto const& each : cases)
+    {
+        CAPTURE(++number);
+        holder_watch watch({"a", 60000}, state::duration(20000));
+        watch.set_view({record(each.m_incarnation, each.m_state)}, at(0));
+        auto const gone =
+            watch.gone(ledger_of({{"b", 50000}}), at(each.m_after));
+        CHECK((gone == std::vector<holder_id>{{"b", 50000}}) == each.m_gone);
+        CHECK(gone.empty() != each.m_gone);
+    }
+}
+
+TEST_CASE("earlier processes of a name are gone, the own ones too")
+{
+    holder_watch watch({"a", 60000}, state::duration(20000));
+    watch.set_view({record(50000, state::instance_state::live)}, at(0));
+    auto const ledger = ledger_of(
+        {{"a", 59999}, {"a", 60000}, {"a", 60001}, {"b", 49990}, {"b", 50000}});
+    CHECK(watch.gone(ledger, at(0)) ==
+          std::vector<holder_id>{{"a", 59999}, {"a", 60000}, {"b", 49990}});
+}
+
+TEST_CASE("an instance that a complete view lacks is gone after a while")
+{
+    holder_watch watch({"a", 60000}, state::duration(20000));
+    auto const ledger = ledger_of({{"c", 1}});
+    watch.set_view({}, at(0));
+    CHECK(watch.gone(ledger, at(99999)).empty());
+    watch.set_complete(true);
+    CHECK(watch.gone(ledger, at(120000)).empty());
+    CHECK(watch.gone(ledger, at(129999)).empty());
+    CHECK(watch.gone(ledger, at(130000)).size() == 1);
+}
--- a/packages/coordination/test/share_ledger/connection_budget_test.cpp
+++ b/packages/coordination/test/share_ledger/connection_budget_test.cpp
@@ -53,19 +53,16 @@
         CAPTURE(++number);
         connection_budget budget;
         budget.set_allowance({4, each.m_certainty});
-        for (int i = 0; i < each.m_open + each.m_opening; ++i)
+        if (each.m_open > 0)
         {
-            budget.opening();
-        }
-        for (int i = 0; i < each.m_open; ++i)
-        {
-            budget.opened(at(100));
+            budget.changed(at(100));
         }
         if (each.m_reported)
         {
             budget.report(*each.m_reported, 16, at(each.m_asked_at));
         }
-        CHECK(budget.may_open(at(500)) == each.m_may_open);
+        CHECK(budget.may_open(each.m_opening, each.m_open + each.m_opening,
+                              at(500)) == each.m_may_open);
     }
 }
 
@@ -74,25 +71,17 @@
     connection_budget budget;
     budget.set_allowance({4, share_certainty::guarded});
     budget.report(3, 16, at(100));
-    CHECK(budget.may_open(at(1100)));
-    CHECK_FALSE(budget.may_open(at(1101)));
+    CHECK(budget.may_open(0, 0, at(1100)));
+    CHECK_FALSE(budget.may_open(0, 0, at(1101)));
     budget.report(16, 16, at(50));
-    CHECK(budget.may_open(at(1100)));
+    CHECK(budget.may_open(0, 0, at(1100)));
 }
 
-TEST_CASE("a refusal is followed by a pause, a smaller share by an excess")
+TEST_CASE("a refusal is followed by a pause")
 {
     connection_budget budget;
     budget.set_allowance({2, share_certainty::firm});
-    budget.opening();
     budget.refused(at(100));
-    CHECK(budget.in_use() == 0);
-    CHECK_FALSE(budget.may_open(at(349)));
-    CHECK(budget.may_open(at(350)));
-    budget.opening();
-    budget.opened(at(360));
-    budget.set_allowance({0, share_certainty::firm});
-    CHECK(budget.excess() == 1);
-    budget.closed(at(370));
-    CHECK(budget.excess() == 0);
+    CHECK_FALSE(budget.may_open(0, 0, at(349)));
+    CHECK(budget.may_open(0, 0, at(350)));
 }
--- a/packages/coordination/test/share_ledger/share_world.hpp
+++ b/packages/coordination/test/share_ledger/share_world.hpp
@@ -53,6 +53,7 @@
     holder_id m_id;
     share_keeper m_keeper;
     connection_budget m_budget;
+    std::int64_t m_in_use = 0; ///< connections
     std::int64_t m_wanted = 16;
     bool m_dead = false;
     bool m_paused = false;
@@ -119,7 +120,7 @@
     void kill(home_model& home)
     {
         home.m_dead = true;
-        m_open -= home.m_budget.in_use();
+        m_open -= home.m_in_use;
     }
 
     std::int64_t firm(share_key const& key) const
@@ -212,7 +213,7 @@
             home.m_keeper.set_contact(m_now);
         }
         home.m_keeper.set_demand(connections_key,
-                                 {home.m_wanted, home.m_budget.in_use()});
+                                 {home.m_wanted, home.m_in_use});
         home.m_keeper.set_demand(rate_key, {home.m_wanted * 1000, 0});
     }
 
@@ -221,21 +222,23 @@
         auto& budget = home.m_budget;
         budget.set_allowance(home.m_keeper.allowance(connections_key, m_now));
         budget.report(m_open, connection_limit, m_now);
-        while (budget.excess() > 0)
+        while (home.m_in_use > budget.amount())
         {
-            budget.closed(m_now);
+            budget.changed(m_now);
+            home.m_in_use -= 1;
             m_open -= 1;
         }
-        if (budget.in_use() < home.m_wanted && budget.may_open(m_now))
+        if (home.m_in_use < home.m_wanted &&
+            budget.may_open(0, home.m_in_use, m_now))
         {
-            budget.opening();
             bool const full = m_open >= connection_limit;
-            full ? budget.refused(m_now) : budget.opened(m_now);
+            full ? budget.refused(m_now) : budget.changed(m_now);
+            home.m_in_use += full ? 0 : 1;
             m_open += full ? 0 : 1;
             m_refused += full ? 1 : 0;
         }
         home.m_keeper.set_demand(connections_key,
-                                 {home.m_wanted, budget.in_use()});
+                                 {home.m_wanted, home.m_in_use});
     }
 
     void call_store(home_model& home)
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -5,7 +5,6 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +16,7 @@
 #include <camphortide/transport/gateway/group_core.hpp>
 #include <camphortide/transport/gateway/member_link.hpp>
 #include <camphortide/transport/gateway/read_service.hpp>
+#include <camphortide/transport/gateway/share_control.hpp>
 #include <camphortide/transport/gateway/status_relay.hpp>
 #include <camphortide/transport/gateway/transaction_service.hpp>
 #include <camphortide/transport/gateway/write_service.hpp>
@@ -67,11 +67,8 @@
     /// handler runs any more. Must not be called by a handler.
     void close();
 
-    /// Sets how many connections to hold to each member.
-    void set_budget(std::size_t connections);
-
-    /// Sets the limits of the entries that use the group, for this home.
-    void set_entries(std::span<coordination::entry_limits const> entries);
+    /// Runs a function on this home's shares of the limits, under the lock.
+    void with_shares(std::function<void(share_control&)> const& function);
 
     /// Marks members as leaving: they get no new work.
     void set_leaving(std::vector<std::string> const& members);
@@ -126,7 +123,6 @@
     void arrive(group_operation& work);
     void start(group_operation& work);
     void note_status(std::size_t member, state::member_status const& status);
-    void set_capacity();
 
     state::group_description const m_group;
     status_handler const m_on_status;
@@ -135,9 +131,9 @@
     read_service m_reads;
     write_service m_writes;
     transaction_service m_transactions;
+    share_control m_shares;
     answer_dispatch m_answers;
     status_relay m_relay;
-    std::size_t m_budget = 0;
     std::uint64_t m_probe = 0;
     std::size_t m_active = 0; ///< threads with handlers to run
     std::condition_variable m_quiet;
--- a/packages/transport/include/camphortide/transport/gateway/member_link.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -70,8 +70,8 @@
     member_link(state::member_description const& description, std::size_t index,
                 std::weak_ptr<member_events> events);
 
-    /// Sets how many connections may be held.
-    void set_budget(std::size_t connections);
+    /// Sets the share of the member's connections.
+    void set_allowance(coordination::share_allowance allowance);
 
     /// Opens and closes what the pool wants, and the observation stream.
     void step(state::time_point now);
@@ -161,6 +161,7 @@
     std::unordered_map<std::uint64_t, awaited_answer> m_awaited;
     state::member_status m_status;
     std::size_t m_waiting = 0;
+    coordination::share_allowance m_allowance;
     bool m_changed = true;
     bool m_reachable = false;
 };
--- a/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
@@ -44,6 +44,9 @@
     /// Announces that this instance leaves.
     void leave() { m_membership.leave(); }
 
+    /// @return true if no group is at home here, and no share is held
+    bool left() const { return m_homes.left(); }
+
     /// Closes the gateways.
     void close() { m_homes.close(); }
 
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -12,6 +12,7 @@
 #include <camphortide/state/catalogue.hpp>
 #include <camphortide/transport/instance/group_control.hpp>
 #include <camphortide/transport/instance/home_registry.hpp>
+#include <camphortide/transport/instance/ledger_control.hpp>
 #include <camphortide/transport/instance/write_pause_control.hpp>
 
 namespace camphortide::transport
@@ -23,6 +24,7 @@
     std::string m_self;
     std::uint64_t m_incarnation = 0;
     std::size_t m_homes = coordination::home_table::all;
+    state::duration m_leave_time{}; ///< after which a leaving one has ended
     coordination::group_settings m_group;
 };
 
@@ -34,8 +36,10 @@
     /// @param settings of the instance
     /// @param registry is kept up to date for the traffic threads
     /// @param exchange reaches the other homes
+    /// @param platform the store; null if there is none
     home_control(home_settings settings, home_registry& registry,
-                 peer_exchange& exchange, std::shared_ptr<control_loop> loop);
+                 peer_exchange& exchange, platform_client* platform,
+                 std::shared_ptr<control_loop> loop);
 
     /// Takes a version of the catalogue.
     void on_catalogue(std::shared_ptr<state::catalogue const> catalogue);
@@ -43,6 +47,14 @@
     /// Takes a view of the instances.
     void on_view(std::vector<state::instance_record> const& view);
 
+    /// Takes in that a majority of the instances was heard from.
+    /// @param asked_at a time before they were asked; nothing if there was none
+    /// @param complete false while instances may be missing from the view
+    void set_contact(std::optional<state::time_point> asked_at, bool complete)
+    {
+        m_ledgers.set_contact(asked_at, complete);
+    }
+
     /// Does what is due.
     void tick(state::time_point now);
 
@@ -55,6 +67,9 @@
     /// @return true if no request is under way at a home here
     bool idle() const;
 
+    /// @return true if no group is at home here, and no share is held
+    bool left() const { return m_home.empty(); }
+
     /// Closes every gateway.
     void close();
 
@@ -72,6 +87,7 @@
         std::optional<state::time_point> m_retire_at;
         std::size_t m_homes = 0;
         state::time_point m_switch_asked{};
+        bool m_left = false; ///< holds no share any more
     };
 
     void reconcile();
@@ -80,6 +96,7 @@
     std::shared_ptr<group_control> make(state::group_description const& group);
     void set_limits(home& of, state::group_description const& group);
     void retire(std::string const& group, home& one, state::time_point now);
+    void step_shares(home& one, state::time_point now);
     bool is_over(home const& one, state::time_point now) const;
     void tick(std::string const& group, home& one, state::time_point now);
 
@@ -87,6 +104,7 @@
     home_registry& m_registry;
     std::shared_ptr<control_loop> m_loop;
     write_pause_control m_pauses;
+    ledger_control m_ledgers;
     std::shared_ptr<state::catalogue const> m_catalogue;
     coordination::home_table m_table;
     std::map<std::string, home, std::less<>> m_home;
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -72,6 +72,7 @@
 
     absl::Status open_exchange();
     absl::Status open_servers();
+    bool shares_returned();
     void on_forward(peer_route const& from, peer::v1::Envelope const& envelope);
     void set_catalogue(std::shared_ptr<state::catalogue const> value);
     void record(checked_request const& asked, group_reply const& reply,
--- a/packages/transport/include/camphortide/transport/instance/instance_router.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance_router.hpp
@@ -43,6 +43,7 @@
         reply_handler m_done;
         std::vector<std::string> m_tried;
         bool m_may_have_run = false;
+        bool m_asked_for_share = false; ///< a second home, for a limit's sake
         state::time_point m_retry_at;
         std::optional<state::time_point> m_forwarded; ///< at the last try
     };
@@ -52,6 +53,9 @@
     void forward(journey_ptr const& on, std::string const& home);
     void returned(journey_ptr const& on, std::string const& home,
                   forward_result result, group_reply reply);
+    /// @return true if a home that refused by a limit may be followed by
+    ///     another: that happens once for a request
+    bool may_ask_another(journey const& on, std::string const& home) const;
     void move_on(journey_ptr const& on);
     void end(journey_ptr const& on, state::outcome outcome, state::reason why);
     void wait(journey_ptr const& on);
--- a/packages/transport/include/camphortide/transport/instance/membership_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/membership_control.hpp
@@ -52,7 +52,8 @@
     std::uint64_t m_told_revision = 0;
     bool m_told = false;
     bool m_reading = false;
-    state::time_point m_next_read{};
+    state::duration m_list_interval{};
+    state::time_point m_list_read{};
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Requests sent to a member for each of its slots, so that the next one is
-/// there when a slot is free.
-constexpr std::uint32_t requests_per_slot = 2;
 constexpr state::duration drain_hint{100};
 
 bool goes_to_primary(group_request const& request,
@@ -38,6 +35,7 @@
       m_reads(m_core),
       m_writes(m_core),
       m_transactions(m_core),
+      m_shares(m_core, m_transactions, m_group.m_slots),
       m_answers(m_core, m_reads, m_writes, m_transactions),
       m_relay(m_group.m_members.size())
 {
@@ -88,30 +86,10 @@
     m_quiet.wait(lock, [this] { return m_active == 0; });
 }
 
-void group_gateway::set_budget(std::size_t connections)
+void group_gateway::with_shares(
+    std::function<void(share_control&)> const& function)
 {
-    locked(
-        [this, connections]
-        {
-            m_budget = connections;
-            for (auto const& member : m_core.m_members)
-            {
-                member->set_budget(connections);
-            }
-            m_transactions.set_most(std::max<std::size_t>(1, connections / 2));
-            set_capacity();
-        });
-}
-
-void group_gateway::set_entries(
-    std::span<coordination::entry_limits const> entries)
-{
-    locked(
-        [this, entries]
-        {
-            m_core.note_changes(
-                m_core.m_admission.set_entries(entries, m_core.m_now));
-        });
+    locked([this, &function] { function(m_shares); });
 }
 
 void group_gateway::set_leaving(std::vector<std::string> const& members)
@@ -131,7 +109,12 @@
 void group_gateway::set_primary(
     std::optional<coordination::group_primary> primary)
 {
-    locked([this, &primary] { m_core.m_primary = std::move(primary); });
+    locked(
+        [this, &primary]
+        {
+            m_core.m_primary = std::move(primary);
+            m_shares.set_capacity();
+        });
 }
 
 void group_gateway::pause_writes(bool paused)
@@ -184,6 +167,13 @@
     work.m_lane = goes_to_primary(request, work.m_needed)
                       ? coordination::lane::primary
                       : coordination::lane::replica;
+    m_shares.arrived(request.m_entry);
+    if (m_shares.lacks_share(request.m_entry, work.m_lane))
+    {
+        m_core.complete(work, failed_reply(state::outcome::not_executed,
+                                           state::reason::no_home, drain_hint));
+        return;
+    }
     auto const decision =
         m_core.m_admission.arrive({work.m_id, request.m_entry, work.m_lane,
                                    request.m_deadline, std::nullopt, false},
@@ -343,20 +333,6 @@
     return result;
 }
 
-void group_gateway::set_capacity()
-{
-    auto const slots = std::max<std::uint32_t>(1, m_group.m_slots);
-    auto const most = static_cast<std::uint32_t>(m_budget);
-    auto const each = std::min(most, slots * requests_per_slot);
-    auto const replicas =
-        static_cast<std::uint32_t>(m_group.m_members.size() - 1);
-    m_core.note_changes(m_core.m_admission.set_capacity(
-        coordination::lane::primary, each, m_core.m_now));
-    m_core.note_changes(m_core.m_admission.set_capacity(
-        coordination::lane::replica, each * std::max(1U, replicas),
-        m_core.m_now));
-}
-
 void group_gateway::settle()
 {
     m_writes.advance();
--- a/packages/transport/src/gateway/member_link.cpp
+++ b/packages/transport/src/gateway/member_link.cpp
@@ -19,10 +19,11 @@
     m_status.m_member = description.m_name;
 }
 
-void member_link::set_budget(std::size_t connections)
+void member_link::set_allowance(coordination::share_allowance allowance)
 {
-    m_pool.set_budget(connections);
-    m_changed = true;
+    m_changed = m_changed || allowance != m_allowance;
+    m_allowance = allowance;
+    m_pool.set_allowance(allowance);
 }
 
 void member_link::set_waiting(std::size_t requests)
@@ -168,6 +169,11 @@
         return false;
     }
     m_lag.note_applied(status.m_applied.m_index, samples, now);
+    if (auto const asked_at = samples.probe_sent(status.m_probe))
+    {
+        m_pool.note_report(status.m_connections, status.m_connection_limit,
+                           *asked_at);
+    }
     auto const probe = std::max(m_status.m_probe, status.m_probe);
     m_status = status;
     m_status.m_probe = probe;
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// How long an instance takes to end besides its drain.
+constexpr state::duration leave_margin{5000};
+
 home_settings homes_of(instance_settings const& settings,
                        std::uint64_t incarnation)
 {
@@ -20,6 +23,7 @@
     result.m_incarnation = incarnation;
     result.m_homes =
         settings.m_homes_per_group.value_or(coordination::home_table::all);
+    result.m_leave_time = settings.m_drain_time + leave_margin;
     result.m_group.m_probe_interval = settings.m_probe_interval;
     result.m_group.m_suspicion = settings.m_suspicion_timeout;
     return result;
@@ -61,7 +65,8 @@
     : m_self(settings.m_name),
       m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
-      m_homes(homes_of(settings, incarnation), registry, exchange, loop),
+      m_homes(homes_of(settings, incarnation), registry, exchange, platform,
+              loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
                   exchange, platform, *loop,
                   [this](std::shared_ptr<state::catalogue const> value)
@@ -89,6 +94,9 @@
         tell_stops(m_membership.decision().view());
     }
     m_stops.tick(now);
+    auto const& members = m_membership.decision();
+    m_homes.set_contact(members.majority_heard(now),
+                        members.joined() || members.listed_alone());
     m_homes.tick(now);
     follow_stops(now);
 }
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -22,12 +22,14 @@
 } // namespace
 
 home_control::home_control(home_settings settings, home_registry& registry,
-                           peer_exchange& exchange,
+                           peer_exchange& exchange, platform_client* platform,
                            std::shared_ptr<control_loop> loop)
     : m_settings(std::move(settings)),
       m_registry(registry),
       m_loop(std::move(loop)),
-      m_pauses(m_settings.m_self, registry, exchange)
+      m_pauses(m_settings.m_self, registry, exchange),
+      m_ledgers({m_settings.m_self, m_settings.m_incarnation},
+                m_settings.m_leave_time, platform, m_loop)
 {
 }
 
@@ -40,6 +42,7 @@
 
 void home_control::on_view(std::vector<state::instance_record> const& view)
 {
+    m_ledgers.on_view(view, state::clock::now());
     m_table = coordination::home_table(view, m_settings.m_homes);
     reconcile();
 }
@@ -148,6 +151,10 @@
                 });
         });
     gateway->start();
+    if (m_ledgers.shares())
+    {
+        m_ledgers.start(*gateway);
+    }
     m_registry.set(gateway);
     return std::make_shared<group_control>(
         gateway, *std::move(monitor), m_loop,
@@ -170,19 +177,26 @@
     {
         return;
     }
-    auto const& gateway = of.m_control->gateway();
-    auto const share = std::max<std::size_t>(1, of.m_homes);
-    gateway->set_budget(
-        std::max<std::size_t>(1, group.m_connection_limit / share));
+    // Without a store there is nobody to share with but by the own view.
+    auto const homes =
+        m_ledgers.shares() ? 1 : std::max<std::size_t>(1, of.m_homes);
+    auto const connections = group.m_connection_limit / homes;
     std::vector<coordination::entry_limits> limits;
     for (auto const& entry : m_catalogue->entries())
     {
         if (entry.m_group == group.m_name)
         {
-            limits.push_back(limits_of(entry, share));
+            limits.push_back(limits_of(entry, homes));
         }
     }
-    gateway->set_entries(limits);
+    of.m_control->gateway()->with_shares(
+        [&](share_control& shares)
+        {
+            m_ledgers.shares()
+                ? shares.set_group(m_catalogue->version(), connections, limits)
+                : shares.set_fixed(std::max<std::size_t>(1, connections),
+                                   limits);
+        });
 }
 
 void home_control::retire(std::string const& group, home& one,
@@ -203,6 +217,7 @@
     for (auto it = m_home.begin(); it != m_home.end();)
     {
         auto& one = it->second;
+        step_shares(one, now);
         if (one.m_retire_at && is_over(one, now))
         {
             it = m_home.erase(it);
@@ -217,6 +232,17 @@
     m_pauses.tick(now);
 }
 
+void home_control::step_shares(home& one, state::time_point now)
+{
+    if (!one.m_control)
+    {
+        return;
+    }
+    auto const& gateway = one.m_control->gateway();
+    bool const leaves = one.m_retire_at && gateway->idle();
+    one.m_left = m_ledgers.step(gateway, leaves, now) && leaves;
+}
+
 bool home_control::is_over(home const& one, state::time_point now) const
 {
     if (!one.m_control)
@@ -224,7 +250,7 @@
         return true;
     }
     auto const& gateway = one.m_control->gateway();
-    if (!gateway->idle() && now < *one.m_retire_at)
+    if ((!gateway->idle() || !one.m_left) && now < *one.m_retire_at)
     {
         return false;
     }
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <future>
 #include <thread>
 #include <utility>
 
@@ -19,6 +20,7 @@
 /// How long new requests are still taken after the leaving is announced.
 constexpr std::chrono::milliseconds announce_time{300};
 constexpr std::chrono::milliseconds drain_poll{5};
+constexpr std::chrono::milliseconds share_answer_time{100};
 
 std::uint64_t milliseconds_since_1970()
 {
@@ -231,10 +233,23 @@
         std::this_thread::sleep_for(drain_poll);
     }
     bool const clean = !busy();
+    while (!shares_returned() && state::clock::now() < end)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
     log_info(log_part::main, "The instance has drained.", {{"clean", clean}});
     return clean;
 }
 
+bool instance::shares_returned()
+{
+    auto const answer = std::make_shared<std::promise<bool>>();
+    auto result = answer->get_future();
+    m_loop->post([this, answer] { answer->set_value(m_fleet->left()); });
+    return result.wait_for(share_answer_time) == std::future_status::ready &&
+           result.get();
+}
+
 bool instance::leads_to(std::string const& group) const
 {
     auto const gateway = m_homes.find(group);
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -35,6 +35,14 @@
             reply.m_reason == state::reason::draining);
 }
 
+/// A home that says so has begun nothing; another may hold more of the limit.
+bool lacks_share(group_reply const& reply)
+{
+    return reply.m_outcome == state::outcome::not_executed &&
+           (reply.m_reason == state::reason::rate_limit ||
+            reply.m_reason == state::reason::concurrency_limit);
+}
+
 /// Counts the way from a home into the age of an answer.
 /// @param forwarded when the request was forwarded; nothing if it was not
 /// @return true if the answer is older now than the request allows
@@ -198,7 +206,10 @@
 {
     bool const outdated = result == forward_result::answered &&
                           add_way(reply, on->m_forwarded, on->m_request);
-    if (result == forward_result::answered && !is_no_home(reply) && !outdated)
+    bool const elsewhere = result == forward_result::answered &&
+                           lacks_share(reply) && may_ask_another(*on, home);
+    if (result == forward_result::answered && !is_no_home(reply) && !outdated &&
+        !elsewhere)
     {
         bool const barred = on->m_may_have_run &&
                             on->m_request.m_kind == request_kind::resolve &&
@@ -212,6 +223,7 @@
         return;
     }
     on->m_tried.push_back(home);
+    on->m_asked_for_share = on->m_asked_for_share || elsewhere;
     if (result != forward_result::silent || outdated)
     {
         move_on(on);
@@ -233,6 +245,15 @@
     move_on(on);
 }
 
+bool instance_router::may_ask_another(journey const& on,
+                                      std::string const& home) const
+{
+    auto homes = candidates(on);
+    std::erase(homes, home);
+    return !on.m_asked_for_share && !homes.empty() &&
+           !belongs_to_transaction(on.m_request.m_kind);
+}
+
 void instance_router::move_on(journey_ptr const& on)
 {
     if (on->m_request.m_deadline <= state::clock::now())
--- /dev/null
+++ b/packages/transport/src/instance/ledger_control.cpp
@@ -0,0 +1,169 @@
+#include <utility>
+
+#include <camphortide/coordination/fleet/rendezvous.hpp>
+#include <camphortide/protocol/share_conversion.hpp>
+#include <camphortide/transport/instance/ledger_control.hpp>
+#include <camphortide/transport/logging/log.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// What the names of the ledgers' objects begin with.
+constexpr std::string_view ledger_prefix = "limits/";
+
+using object_result = absl::StatusOr<platform_object>;
+
+std::string object_of(std::string const& group)
+{
+    return std::string(ledger_prefix) + group;
+}
+
+void take_read(coordination::share_keeper& keeper, std::uint64_t number,
+               object_result const& result, state::time_point now)
+{
+    if (failure_of(result.status()) == platform_failure::not_found)
+    {
+        keeper.read_done(number, {}, 0, now);
+        return;
+    }
+    auto const ledger = result.ok()
+                            ? protocol::decode_share_ledger(result->m_value)
+                            : std::nullopt;
+    if (!ledger)
+    {
+        if (result.ok())
+        {
+            log_error(log_part::limits, "A ledger of shares is damaged.",
+                      {{"object", result->m_name}});
+        }
+        keeper.call_failed(number, now);
+        return;
+    }
+    keeper.read_done(number, *ledger, result->m_version, now);
+}
+
+void take_write(coordination::share_keeper& keeper, std::uint64_t number,
+                object_result const& result, state::time_point now)
+{
+    if (result.ok())
+    {
+        keeper.write_done(number, result->m_version, now);
+        return;
+    }
+    if (failure_of(result.status()) == platform_failure::conflict)
+    {
+        keeper.write_conflict(number, now);
+        return;
+    }
+    keeper.call_failed(number, now);
+}
+
+/// Spreads the homes over [0, 1).
+double jitter_of(coordination::holder_id const& holder,
+                 std::string const& group)
+{
+    constexpr std::uint64_t parts = 1000;
+    auto const hash = coordination::hash_name(
+        holder.m_instance + "/" + std::to_string(holder.m_incarnation) + "/" +
+        group);
+    return static_cast<double>(hash % parts) / static_cast<double>(parts);
+}
+
+} // namespace
+
+ledger_control::ledger_control(coordination::holder_id self,
+                               state::duration leave_time,
+                               platform_client* platform,
+                               std::shared_ptr<control_loop> loop)
+    : m_self(self),
+      m_platform(platform),
+      m_loop(std::move(loop)),
+      m_watch(std::move(self), leave_time)
+{
+}
+
+void ledger_control::start(group_gateway& gateway)
+{
+    auto holder = m_self;
+    holder.m_incarnation += m_made[gateway.name()]++;
+    auto const jitter = jitter_of(holder, gateway.name());
+    gateway.with_shares([&](share_control& shares)
+                        { shares.set_holder(holder, jitter); });
+}
+
+bool ledger_control::step(std::shared_ptr<group_gateway> const& gateway,
+                          bool leaves, state::time_point now)
+{
+    if (m_platform == nullptr)
+    {
+        return true;
+    }
+    std::optional<coordination::ledger_call> next;
+    bool left = true;
+    gateway->with_shares(
+        [&](share_control& shares)
+        {
+            auto* const keeper = shares.keeper();
+            if (keeper == nullptr)
+            {
+                return;
+            }
+            leaves ? keeper->leave() : keeper->rejoin();
+            if (m_contact)
+            {
+                keeper->set_contact(*m_contact);
+            }
+            keeper->set_gone(m_watch.gone(keeper->ledger(), now));
+            next = shares.step();
+            left = keeper->left();
+        });
+    if (next)
+    {
+        call(gateway, *next);
+    }
+    return left;
+}
+
+void ledger_control::call(std::shared_ptr<group_gateway> const& gateway,
+                          coordination::ledger_call const& call)
+{
+    auto const done = [loop = m_loop,
+                       target = std::weak_ptr<group_gateway>(gateway),
+                       number = call.m_number,
+                       write = call.m_write](object_result const& result)
+    {
+        auto const now = state::clock::now();
+        loop->post(
+            [target, number, write, result, now]
+            {
+                auto const live = target.lock();
+                if (!live)
+                {
+                    return;
+                }
+                live->with_shares(
+                    [&](share_control& shares)
+                    {
+                        auto const take = write ? take_write : take_read;
+                        if (auto* const keeper = shares.keeper())
+                        {
+                            take(*keeper, number, result, now);
+                            shares.hasten();
+                        }
+                    });
+            });
+    };
+    auto const name = object_of(gateway->name());
+    if (call.m_write)
+    {
+        m_platform->put(name, call.m_if_version,
+                        protocol::encode(call.m_ledger), done);
+        return;
+    }
+    m_platform->get(name, done);
+}
+
+} // namespace camphortide::transport
--- a/packages/transport/src/instance/membership_control.cpp
+++ b/packages/transport/src/instance/membership_control.cpp
@@ -12,6 +12,8 @@
 
 /// Between two reads of the platform's list.
 constexpr state::duration list_interval{5000};
+/// Between two reads by those that need it only to count a majority.
+constexpr state::duration slow_list_interval{30000};
 /// Between two reads until a peer has answered.
 constexpr state::duration first_list_interval{500};
 
@@ -44,10 +46,15 @@
 void membership_control::tick(state::time_point now, bool reads_list)
 {
     send(m_membership.tick(now));
-    if (reads_list || !m_membership.joined())
+    if (!m_membership.joined())
     {
-        read_list(now);
+        m_list_interval = first_list_interval;
     }
+    else
+    {
+        m_list_interval = reads_list ? list_interval : slow_list_interval;
+    }
+    read_list(now);
     tell_view();
 }
 
@@ -75,7 +82,8 @@
 
 void membership_control::read_list(state::time_point now)
 {
-    if (m_platform == nullptr || m_reading || now < m_next_read)
+    if (m_platform == nullptr || m_reading ||
+        now < m_list_read + m_list_interval)
     {
         return;
     }
@@ -88,9 +96,7 @@
                 {
                     auto const time = state::clock::now();
                     m_reading = false;
-                    m_next_read =
-                        time + (m_membership.joined() ? list_interval
-                                                      : first_list_interval);
+                    m_list_read = time;
                     if (!list.ok())
                     {
                         return;
--- a/tests/test/path/gateway_test.cpp
+++ b/tests/test/path/gateway_test.cpp
@@ -33,11 +33,11 @@
         m_gateway =
             std::make_shared<transport::group_gateway>(description, nullptr);
         m_gateway->start();
-        m_gateway->set_budget(4);
         coordination::entry_limits limits;
         limits.m_name = "desk";
         limits.m_owner = "library";
-        m_gateway->set_entries({&limits, 1});
+        m_gateway->with_shares([&limits](transport::share_control& shares)
+                               { shares.set_fixed(4, {limits}); });
         m_gateway->set_primary(coordination::group_primary{
             "a", state::term(std::uint64_t{1} << state::term::tag_bits), {}});
     }
