load: send transactions and check their promises

Cause: the traffic's transactions were left out, so no run proved anything about them. Change: a caller's transaction runs on its own stream; one in twenty is rolled back by its caller. The checker holds records against whole transactions, finds parts, mixtures and strays, and checks the results and reads inside. A header of the transport includes what it uses.

--- a/packages/load/include/camphortide/load/checker/promise_break.hpp
+++ b/packages/load/include/camphortide/load/checker/promise_break.hpp
@@ -22,6 +22,7 @@
     age_of_answers,
     own_answers,
     unmixed_transactions,
+    whole_transactions,
     no_work_for_leavers,
     stops_interrupt_nothing,
     catalogue_in_force
--- a/packages/load/include/camphortide/load/driver/caller_client.hpp
+++ b/packages/load/include/camphortide/load/driver/caller_client.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include <camphortide/load/driver/call_answer.hpp>
 #include <camphortide/load/history/request_record.hpp>
 #include <camphortide/v1/access.grpc.pb.h>
 
@@ -21,21 +22,6 @@
                             caller_address const&) = default;
 };
 
-/// What came back from one call.
-struct call_answer
-{
-    state::outcome m_outcome = state::outcome::unknown;
-    state::reason m_reason = state::reason::none;
-    std::string m_result;
-    std::string m_token; ///< empty: none came back
-    std::string m_member;
-    bool m_from_replica = false;
-    bool m_replayed = false;
-    bool m_from_instance = false; ///< false: the call itself failed
-    state::duration m_age{0};
-    state::duration m_retry_after{0};
-};
-
 /// What one call carries besides the request.
 struct call_context
 {
@@ -53,7 +39,7 @@
 
     /// Sends an attempt.
     /// @param context where to and who asks
-    /// @param attempt a read or a write
+    /// @param attempt a read, a write or a transaction
     /// @param done is called once, on any thread
     void send(call_context const& context, request_record const& attempt,
               answered done);
@@ -66,6 +52,8 @@
                      answered done);
 
 private:
+    void transact(call_context const& context, request_record const& attempt,
+                  answered done);
     v1::Access::Stub& stub(std::string const& address);
 
     std::map<std::string, std::unique_ptr<v1::Access::Stub>> m_stubs;
--- /dev/null
+++ b/packages/load/include/camphortide/load/driver/transaction_call.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <camphortide/load/driver/call_answer.hpp>
+#include <camphortide/load/history/request_record.hpp>
+#include <camphortide/transport/client_stream.hpp>
+#include <camphortide/v1/access.pb.h>
+
+namespace camphortide::load
+{
+
+/// One caller's transaction on a stream of its own: begins, sends the
+/// statements one after another, then commits or rolls back.
+class transaction_call final
+    : public transport::client_stream<v1::TransactionStep, v1::TransactionReply>
+{
+public:
+    using answered = std::function<void(call_answer)>;
+
+    /// Made by make_shared, then started, then begun.
+    /// @param begin the first step
+    /// @param request gives the statements, and whether to roll back
+    /// @param done is called once, on any thread
+    transaction_call(v1::Request begin, planned_request const& request,
+                     answered done);
+
+    /// Sends the first step.
+    void begin();
+
+private:
+    enum class phase
+    {
+        open,
+        committing,
+        rolling_back,
+        ended
+    };
+
+    void handle(v1::TransactionReply const& reply) override;
+    void on_closed(grpc::Status const& status) override;
+    void next();
+    void end(call_answer answer);
+
+    v1::Request const m_begin;
+    std::vector<std::string> const m_statements;
+    bool const m_rolls_back;
+    answered const m_done;
+    std::mutex m_mutex; ///< guards m_phase
+    phase m_phase = phase::open;
+    std::size_t m_sent = 0; ///< statements
+    std::vector<std::string> m_results;
+};
+
+} // namespace camphortide::load
--- a/packages/load/include/camphortide/load/history/request_record.hpp
+++ b/packages/load/include/camphortide/load/history/request_record.hpp
@@ -31,7 +31,8 @@
     transport::traffic_kind m_kind = transport::traffic_kind::read;
     std::vector<std::string> m_statements;
     bool m_idempotent = false;
-    bool m_moves = false; ///< the session changes the instance first
+    bool m_moves = false;      ///< the session changes the instance first
+    bool m_rolls_back = false; ///< a transaction that its caller gives up
     std::optional<state::duration> m_age_allowed;
     state::duration m_deadline{0};
     run_time m_intended{0};
@@ -52,6 +53,7 @@
     state::outcome m_outcome = state::outcome::unknown; ///< in the end
     state::reason m_reason = state::reason::none;
     std::string m_result;
+    std::vector<std::string> m_results; ///< of a transaction's statements
     bool m_from_replica = false;
     bool m_replayed = false;
     bool m_last = true; ///< the caller made no further attempt
@@ -68,6 +70,9 @@
                             request_record const&) = default;
 };
 
+/// @return true if the caller's own wish rolled the transaction back
+bool is_rolled_back(request_record const& value);
+
 /// All attempts of a run.
 using history = std::vector<request_record>;
 
--- a/packages/load/include/camphortide/load/report/run_summary.hpp
+++ b/packages/load/include/camphortide/load/report/run_summary.hpp
@@ -34,8 +34,9 @@
     std::uint64_t m_executed = 0;
     std::uint64_t m_not_executed = 0;
     std::uint64_t m_unknown = 0;
-    std::uint64_t m_repeats = 0; ///< attempts beyond the first
-    std::uint64_t m_reads = 0;   ///< executed
+    std::uint64_t m_rolled_back = 0; ///< by their callers' wish
+    std::uint64_t m_repeats = 0;     ///< attempts beyond the first
+    std::uint64_t m_reads = 0;       ///< executed
     std::uint64_t m_from_replica = 0;
     std::uint64_t m_permitted = 0; ///< reads that a replica might answer
     quantiles m_latency;           ///< from the intended time
--- a/packages/load/src/checker/promise_break.cpp
+++ b/packages/load/src/checker/promise_break.cpp
@@ -23,6 +23,8 @@
         return "own answers";
     case promise::unmixed_transactions:
         return "unmixed transactions";
+    case promise::whole_transactions:
+        return "whole transactions";
     case promise::no_work_for_leavers:
         return "no work for leavers";
     case promise::stops_interrupt_nothing:
--- a/packages/load/src/checker/read_checks.cpp
+++ b/packages/load/src/checker/read_checks.cpp
@@ -55,6 +55,7 @@
                 check_read(*attempt, *truth);
                 continue;
             }
+            check_reads_within(*attempt, *truth);
             note_own_write(*attempt, *truth);
         }
     }
@@ -91,11 +92,34 @@
         }
     }
 
+    /// Checks the reads of a transaction that was committed.
+    void check_reads_within(request_record const& attempt,
+                            group_truth const& truth)
+    {
+        auto const& statements = attempt.m_request.m_statements;
+        auto const count =
+            std::min(statements.size(), attempt.m_results.size());
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            if (statements[at].starts_with("get "))
+            {
+                check_value(attempt, truth, statements[at],
+                            attempt.m_results[at]);
+            }
+        }
+    }
+
     void check_read(request_record const& attempt, group_truth const& truth)
     {
-        auto const row =
-            standin::statement_key(attempt.m_request.m_statements.front());
-        auto const span = truth.find(row, attempt.m_result);
+        check_value(attempt, truth, attempt.m_request.m_statements.front(),
+                    attempt.m_result);
+    }
+
+    void check_value(request_record const& attempt, group_truth const& truth,
+                     std::string const& statement, std::string const& value)
+    {
+        auto const row = standin::statement_key(statement);
+        auto const span = truth.find(row, value);
         auto& seen = view(attempt);
         if (!span)
         {
@@ -125,9 +149,14 @@
     }
 
     /// The age that the promises allow the read's data: none without an age
-    /// in the request, unless the session's token names the group.
+    /// in the request, unless the session's token names the group. A
+    /// transaction reads from the primary.
     static std::optional<run_time> allowed_age(request_record const& attempt)
     {
+        if (attempt.m_request.m_kind == transport::traffic_kind::transaction)
+        {
+            return run_time{0};
+        }
         if (attempt.m_request.m_age_allowed)
         {
             return *attempt.m_request.m_age_allowed;
@@ -153,7 +182,9 @@
         // after the request was sent: a lower bound of the age.
         run_time const age = attempt.m_sent - writer->second->m_answered;
         auto const allowed = allowed_age(attempt);
-        bool const stated = attempt.m_request.m_age_allowed.has_value();
+        bool const stated =
+            attempt.m_request.m_kind == transport::traffic_kind::read &&
+            attempt.m_request.m_age_allowed.has_value();
         if (allowed && age > *allowed)
         {
             report(promise::age_of_answers,
--- a/packages/load/src/checker/write_checks.cpp
+++ b/packages/load/src/checker/write_checks.cpp
@@ -19,17 +19,26 @@
            !attempt.m_key.empty();
 }
 
-/// @return a statement that only this request sends; empty if there is none
+/// @return true if only one request sends the statement, and an executed
+///     one has to have its own value as its result
+bool is_unique(std::string const& statement)
+{
+    return statement.starts_with("claim ") || statement.starts_with("set ");
+}
+
+/// @return the first statement that only this request sends; empty if there
+///     is none
 std::string unique_statement(request_record const& attempt)
 {
-    for (auto const& statement : attempt.m_request.m_statements)
-    {
-        if (statement.starts_with("claim ") || statement.starts_with("set "))
-        {
-            return statement;
-        }
-    }
-    return {};
+    auto const& all = attempt.m_request.m_statements;
+    auto const found = std::ranges::find_if(all, is_unique);
+    return found == all.end() ? std::string() : *found;
+}
+
+bool was_told_not_executed(request_record const& attempt)
+{
+    return attempt.m_outcome == state::outcome::not_executed ||
+           attempt.m_told == state::outcome::not_executed;
 }
 
 void check_outcome(request_record const& attempt, group_truth const& truth,
@@ -42,9 +51,7 @@
                        "the write was told executed and is not in the log",
                        {attempt}});
     }
-    bool const told_not = attempt.m_outcome == state::outcome::not_executed ||
-                          attempt.m_told == state::outcome::not_executed;
-    if (told_not && ran)
+    if (was_told_not_executed(attempt) && ran)
     {
         out.push_back({promise::not_executed_is_true,
                        "the write was told not executed and is in the log",
@@ -61,8 +68,18 @@
         auto const& effects = truth.effects(logged_key(attempt));
         records.insert(effects.begin(), effects.end());
     }
+    bool const ran_by_key = !records.empty();
     auto const& same = truth.records_with(unique_statement(attempts.front()));
     records.insert(same.begin(), same.end());
+    bool const all_refused =
+        std::ranges::all_of(attempts, &was_told_not_executed);
+    if (all_refused && !ran_by_key && !same.empty())
+    {
+        out.push_back({promise::not_executed_is_true,
+                       "a statement of a request that was told not executed "
+                       "is in the log",
+                       attempts});
+    }
     if (records.size() > 1)
     {
         out.push_back({promise::at_most_once,
@@ -73,30 +90,126 @@
 }
 
 using attempts_by_key = std::map<std::string, request_record const*>;
+using attempts_by_statement = std::map<std::string, request_record const*>;
+
+/// @return true if the record holds some statements of the attempt, in their
+///     order, and no others
+bool is_part(standin::record const& record, request_record const& attempt)
+{
+    auto next = attempt.m_request.m_statements.begin();
+    auto const end = attempt.m_request.m_statements.end();
+    for (auto const& statement : record.m_statements)
+    {
+        next = std::find(next, end, statement);
+        if (next == end)
+        {
+            return false;
+        }
+        ++next;
+    }
+    return record.m_statements.size() < attempt.m_request.m_statements.size();
+}
+
+void check_record(standin::record const& record, request_record const& attempt,
+                  std::vector<promise_break>& out)
+{
+    if (record.m_statements == attempt.m_request.m_statements)
+    {
+        return;
+    }
+    auto const count = std::to_string(record.m_statements.size());
+    if (is_part(record, attempt))
+    {
+        out.push_back(
+            {promise::whole_transactions,
+             "the record of the key holds only " + count + " of the statements",
+             {attempt}});
+        return;
+    }
+    out.push_back(
+        {promise::unmixed_transactions,
+         "the record of the key holds other statements, " + count + " of them",
+         {attempt}});
+}
+
+/// Finds statements of a request in a record of no request at all.
+void check_stray(standin::record const& record,
+                 attempts_by_statement const& senders,
+                 std::vector<promise_break>& out)
+{
+    for (auto const& statement : record.m_statements)
+    {
+        auto const sender = senders.find(statement);
+        if (sender != senders.end())
+        {
+            out.push_back({promise::unmixed_transactions,
+                           "a statement is in a record of another key, \"" +
+                               record.m_key + '"',
+                           {*sender->second}});
+        }
+    }
+}
+
+attempts_by_statement senders_of(attempts_by_key const& attempts)
+{
+    attempts_by_statement result;
+    for (auto const& [key, attempt] : attempts)
+    {
+        for (auto const& statement : attempt->m_request.m_statements)
+        {
+            if (is_unique(statement))
+            {
+                result[statement] = attempt;
+            }
+        }
+    }
+    return result;
+}
 
 void check_records(group_truth const& truth, attempts_by_key const& attempts,
                    std::vector<promise_break>& out)
 {
+    auto const senders = senders_of(attempts);
     for (auto const& record : truth.log())
     {
         auto const found = attempts.find(record.m_key);
-        bool const ours = !record.m_barrier && found != attempts.end();
-        if (ours &&
-            record.m_statements != found->second->m_request.m_statements)
+        if (record.m_barrier)
         {
-            out.push_back({promise::unmixed_transactions,
-                           "the record of the key holds other statements, " +
-                               std::to_string(record.m_statements.size()) +
-                               " of them",
-                           {*found->second}});
+            continue;
         }
+        if (found == attempts.end())
+        {
+            check_stray(record, senders, out);
+            continue;
+        }
+        check_record(record, *found->second, out);
     }
 }
 
-/// @return true if an executed write's own value has to be its result
-bool states_value(std::string const& statement)
+/// A statement and what its caller was told that it gave.
+struct told_result
 {
-    return statement.starts_with("claim ") || statement.starts_with("set ");
+    std::string m_statement;
+    std::string m_result;
+};
+
+/// @return what an executed request's caller was told; nothing about a
+///     transaction whose results were lost
+std::vector<told_result> told_results(request_record const& attempt)
+{
+    auto const& statements = attempt.m_request.m_statements;
+    std::vector<told_result> result;
+    if (attempt.m_request.m_kind != transport::traffic_kind::transaction)
+    {
+        result.push_back({statements.front(), attempt.m_result});
+        return result;
+    }
+    auto const count = std::min(statements.size(), attempt.m_results.size());
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        result.push_back({statements[at], attempt.m_results[at]});
+    }
+    return result;
 }
 
 std::string value_of(std::string const& statement)
@@ -106,6 +219,21 @@
     return at < statement.size() ? statement.substr(at + 1) : std::string();
 }
 
+using rows_by_value = std::map<std::string, std::string>;
+
+/// @return true if a result can't be that of the statement
+bool is_foreign(told_result const& told, rows_by_value const& rows)
+{
+    if (is_unique(told.m_statement) &&
+        told.m_result != value_of(told.m_statement))
+    {
+        return true;
+    }
+    auto const writer = rows.find(told.m_result);
+    return writer != rows.end() &&
+           writer->second != standin::statement_key(told.m_statement);
+}
+
 } // namespace
 
 group_truth const* truth_of(run_facts const& facts, std::string const& group)
@@ -148,34 +276,28 @@
 
 void check_answers(run_facts const& facts, std::vector<promise_break>& out)
 {
-    std::map<std::string, std::string> rows_of_values;
+    rows_by_value rows;
     for (auto const& attempt : facts.m_history)
     {
         for (auto const& statement : attempt.m_request.m_statements)
         {
-            if (states_value(statement))
+            if (is_unique(statement))
             {
-                rows_of_values[value_of(statement)] =
-                    standin::statement_key(statement);
+                rows[value_of(statement)] = standin::statement_key(statement);
             }
         }
     }
     for (auto const& attempt : facts.m_history)
     {
-        auto const& statements = attempt.m_request.m_statements;
-        if (attempt.m_outcome != state::outcome::executed ||
-            statements.size() != 1)
+        if (attempt.m_outcome != state::outcome::executed)
         {
             continue;
         }
-        bool const wrong_write =
-            states_value(statements.front()) &&
-            attempt.m_result != value_of(statements.front());
-        auto const writer = rows_of_values.find(attempt.m_result);
-        bool const wrong_read =
-            writer != rows_of_values.end() &&
-            writer->second != standin::statement_key(statements.front());
-        if (wrong_write || wrong_read)
+        auto const told = told_results(attempt);
+        bool const wrong =
+            std::ranges::any_of(told, [&rows](told_result const& each)
+                                { return is_foreign(each, rows); });
+        if (wrong)
         {
             out.push_back({promise::own_answers,
                            "the answer is not to the caller's own request",
--- a/packages/load/src/driver/caller_client.cpp
+++ b/packages/load/src/driver/caller_client.cpp
@@ -4,6 +4,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <camphortide/load/driver/caller_client.hpp>
+#include <camphortide/load/driver/transaction_call.hpp>
 #include <camphortide/transport/access/outcome_conversion.hpp>
 
 namespace camphortide::load
@@ -81,18 +82,31 @@
     return result;
 }
 
+/// @return the request without its statement
+v1::Request head_of(call_context const& context, request_record const& attempt)
+{
+    v1::Request result;
+    result.set_entry(attempt.m_request.m_entry);
+    result.set_request_key(attempt.m_key);
+    result.set_idempotent(attempt.m_request.m_idempotent);
+    result.set_session_token(context.m_token);
+    return result;
+}
+
 } // namespace
 
 void caller_client::send(call_context const& context,
                          request_record const& attempt, answered done)
 {
+    if (attempt.m_request.m_kind == transport::traffic_kind::transaction)
+    {
+        transact(context, attempt, std::move(done));
+        return;
+    }
     auto const one = std::make_shared<call<v1::Request, v1::Reply>>();
     prepare(one->m_context, context, attempt.m_request.m_deadline);
-    one->m_request.set_entry(attempt.m_request.m_entry);
+    one->m_request = head_of(context, attempt);
     one->m_request.set_statement(attempt.m_request.m_statements.front());
-    one->m_request.set_request_key(attempt.m_key);
-    one->m_request.set_idempotent(attempt.m_request.m_idempotent);
-    one->m_request.set_session_token(context.m_token);
     auto ended = [one, done = std::move(done)](grpc::Status const& status)
     {
         done(answer_of(status, one->m_reply));
@@ -124,6 +138,21 @@
                      { done(answer_of(status, one->m_reply)); });
 }
 
+void caller_client::transact(call_context const& context,
+                             request_record const& attempt, answered done)
+{
+    auto const one = std::make_shared<transaction_call>(
+        head_of(context, attempt), attempt.m_request, std::move(done));
+    auto* const calls = stub(context.m_address).async();
+    one->start(
+        [&](grpc::ClientContext* to, auto* reactor)
+        {
+            prepare(*to, context, attempt.m_request.m_deadline);
+            calls->Transact(to, reactor);
+        });
+    one->begin();
+}
+
 v1::Access::Stub& caller_client::stub(std::string const& address)
 {
     auto& place = m_stubs[address];
--- a/packages/load/src/driver/load_driver.cpp
+++ b/packages/load/src/driver/load_driver.cpp
@@ -127,17 +127,13 @@
 
 void load_driver::arrive()
 {
-    // Transactions wait for their stream; they are left out till then.
-    if (m_next->m_kind != transport::traffic_kind::transaction)
+    ++m_arrived;
+    ++m_open;
+    auto& of = m_sessions[m_next->m_session];
+    of.m_waiting.push_back(*std::move(m_next));
+    if (!of.m_active)
     {
-        ++m_arrived;
-        ++m_open;
-        auto& of = m_sessions[m_next->m_session];
-        of.m_waiting.push_back(*std::move(m_next));
-        if (!of.m_active)
-        {
-            start_next(of);
-        }
+        start_next(of);
     }
     schedule_arrival();
 }
@@ -215,6 +211,7 @@
     attempt.m_outcome = answer.m_outcome;
     attempt.m_reason = answer.m_reason;
     attempt.m_result = answer.m_result;
+    attempt.m_results = answer.m_results;
     attempt.m_member = answer.m_member;
     attempt.m_from_replica = answer.m_from_replica;
     attempt.m_replayed = answer.m_replayed;
@@ -277,11 +274,12 @@
 {
     auto& attempt = *of.m_active;
     bool const executed = attempt.m_outcome == state::outcome::executed;
-    ++(executed ? m_executed : m_failed);
+    ++(executed || is_rolled_back(attempt) ? m_executed : m_failed);
     bool const unknown_write =
         attempt.m_outcome == state::outcome::unknown &&
         attempt.m_request.m_kind != transport::traffic_kind::read;
     bool const again = !executed && !unknown_write && !give_up() &&
+                       !is_rolled_back(attempt) &&
                        may_be_repeated(attempt.m_reason) &&
                        attempt.m_attempt < m_options.m_most_attempts;
     attempt.m_last = !again;
--- a/packages/load/src/driver/request_source.cpp
+++ b/packages/load/src/driver/request_source.cpp
@@ -16,6 +16,8 @@
 constexpr double same_row_share = 0.3;
 /// Rows are drawn as the uniform number raised to this.
 constexpr double row_skew = 2.0;
+/// Of the transactions, so many are given up by their callers.
+constexpr std::uint64_t roll_back_percent = 5;
 
 void replace_all(std::string& text, std::string_view name,
                  std::string const& value)
@@ -78,6 +80,9 @@
     result.m_kind = traffic.m_kind;
     result.m_idempotent = traffic.m_idempotent;
     result.m_moves = from.m_random() % 100 < traffic.m_move_percent;
+    result.m_rolls_back =
+        traffic.m_kind == transport::traffic_kind::transaction &&
+        from.m_random() % 100 < roll_back_percent;
     result.m_age_allowed = from.m_entry.m_limits.m_age;
     result.m_deadline = from.m_entry.m_limits.m_deadline;
     result.m_intended = from.m_next;
--- a/packages/load/src/history/request_record.cpp
+++ b/packages/load/src/history/request_record.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+bool is_rolled_back(request_record const& value)
+{
+    return value.m_request.m_rolls_back &&
+           value.m_outcome == state::outcome::not_executed &&
+           value.m_reason == state::reason::none;
+}
+
 std::string to_line(request_record const& value)
 {
     std::ostringstream out;
@@ -41,6 +48,10 @@
     {
         out << " statement=\"" << statement << '"';
     }
+    for (auto const& result : value.m_results)
+    {
+        out << " step_result=\"" << result << '"';
+    }
     if (!value.m_key.empty())
     {
         out << " key=" << value.m_key;
--- a/packages/load/src/report/report_json.cpp
+++ b/packages/load/src/report/report_json.cpp
@@ -31,6 +31,7 @@
     to["executed"] = value.m_executed;
     to["not_executed"] = value.m_not_executed;
     to["unknown"] = value.m_unknown;
+    to["rolled_back"] = value.m_rolled_back;
     to["repeats"] = value.m_repeats;
     to["reads"] = value.m_reads;
     to["replica_share"] = share(value.m_from_replica, value.m_reads);
@@ -52,6 +53,7 @@
     {"age_breaks", promise::age_of_answers},
     {"crossed", promise::own_answers},
     {"mixed", promise::unmixed_transactions},
+    {"partial_transactions", promise::whole_transactions},
     {"work_for_leavers", promise::no_work_for_leavers},
     {"interrupted_by_stops", promise::stops_interrupt_nothing},
     {"catalogue_breaks", promise::catalogue_in_force}};
--- a/packages/load/src/report/report_text.cpp
+++ b/packages/load/src/report/report_text.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t most_breaks_shown = 20;
 constexpr int name_width = 32;
-constexpr int width = 9;
+constexpr int width = 10;
 
 std::string percent(std::uint64_t part, std::uint64_t whole)
 {
@@ -34,8 +34,9 @@
         << std::setw(width) << one.m_requests << std::setw(width)
         << one.m_executed << std::setw(width) << one.m_not_executed
         << std::setw(width) << one.m_unknown << std::setw(width)
-        << one.m_repeats << std::setw(width) << one.m_latency.m_half
-        << std::setw(width) << one.m_latency.m_hundredth << std::setw(width)
+        << one.m_rolled_back << std::setw(width) << one.m_repeats
+        << std::setw(width) << one.m_latency.m_half << std::setw(width)
+        << one.m_latency.m_hundredth << std::setw(width)
         << one.m_latency.m_thousandth << std::setw(width)
         << percent(one.m_from_replica, one.m_reads) << std::setw(width)
         << percent(one.m_permitted, one.m_reads) << std::setw(width)
@@ -46,8 +47,9 @@
 void append_classes(std::ostringstream& out, run_summary const& summary)
 {
     constexpr char const* heads[] = {
-        "requests", "executed", "not ex.", "unknown", "repeats", "p50 ms",
-        "p99 ms",   "p99.9 ms", "replica", "allowed", "age p50", "age p99"};
+        "requests", "executed", "not ex.", "unknown",  "rolled b.",
+        "repeats",  "p50 ms",   "p99 ms",  "p99.9 ms", "replica",
+        "allowed",  "age p50",  "age p99"};
     out << std::left << std::setw(name_width) << "owner/class" << std::right;
     for (auto const* const head : heads)
     {
--- a/packages/load/src/report/run_summary.cpp
+++ b/packages/load/src/report/run_summary.cpp
@@ -47,6 +47,11 @@
 void count_outcome(request_record const& attempt, class_summary& to)
 {
     ++to.m_requests;
+    if (is_rolled_back(attempt))
+    {
+        ++to.m_rolled_back;
+        return;
+    }
     switch (attempt.m_outcome)
     {
     case state::outcome::executed:
--- /dev/null
+++ b/packages/load/test/checker/transaction_check_test.cpp
@@ -0,0 +1,252 @@
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/request/key_registry.hpp>
+#include <camphortide/load/checker/checker.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace load = camphortide::load;
+namespace standin = camphortide::standin;
+namespace state = camphortide::state;
+namespace transport = camphortide::transport;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using promises = std::vector<load::promise>;
+
+standin::record record_of(std::string const& key,
+                          std::vector<std::string> statements)
+{
+    standin::record result;
+    result.m_term = state::term(1);
+    result.m_key = key.empty() ? key : coordination::scoped_key("dealers", key);
+    result.m_statements = std::move(statements);
+    return result;
+}
+
+load::request_record attempt_of(std::uint64_t number, milliseconds sent)
+{
+    load::request_record result;
+    result.m_request.m_number = number;
+    result.m_request.m_owner = "dealers";
+    result.m_request.m_session = "dealers-" + std::to_string(number);
+    result.m_request.m_group = "members";
+    result.m_key = "k" + std::to_string(number);
+    result.m_sent = sent;
+    result.m_answered = sent + milliseconds(1);
+    result.m_told = state::outcome::executed;
+    result.m_outcome = state::outcome::executed;
+    return result;
+}
+
+std::vector<std::string> deposit(std::string const& number)
+{
+    return {"get unit:1", "claim deposit:" + number + " d" + number,
+            "add ledger:1 1"};
+}
+
+/// An appraisal, then a committed deposit that reads it, one that was rolled
+/// back and one whose outcome stayed unknown.
+load::history good_history()
+{
+    auto appraisal = attempt_of(1, milliseconds(0));
+    appraisal.m_request.m_kind = transport::traffic_kind::write;
+    appraisal.m_request.m_statements = {"set unit:1 a1"};
+    appraisal.m_result = "a1";
+    load::history result{appraisal};
+    for (auto const number : {2U, 3U, 4U})
+    {
+        auto one = attempt_of(number, milliseconds(10 * number));
+        one.m_request.m_kind = transport::traffic_kind::transaction;
+        one.m_request.m_statements = deposit(std::to_string(number));
+        one.m_results = {"a1", "d" + std::to_string(number), "1"};
+        result.push_back(one);
+    }
+    result[2].m_outcome = result[2].m_told = state::outcome::not_executed;
+    result[3].m_outcome = result[3].m_told = state::outcome::unknown;
+    return result;
+}
+
+std::vector<standin::record> good_log()
+{
+    return {record_of("k1", {"set unit:1 a1"}), record_of("k2", deposit("2"))};
+}
+
+promises broken_by(load::history const& attempts,
+                   std::vector<standin::record> const& log)
+{
+    load::run_facts facts;
+    facts.m_history = attempts;
+    facts.m_truths = {load::group_truth("members", log)};
+    promises result;
+    for (auto const& each : load::check_promises(facts))
+    {
+        result.push_back(each.m_promise);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("transactions that are whole or absent break nothing")
+{
+    auto log = good_log();
+    SUBCASE("the unknown one left nothing") {}
+    SUBCASE("the unknown one is whole")
+    {
+        log.push_back(record_of("k4", deposit("4")));
+    }
+    CHECK(broken_by(good_history(), log).empty());
+}
+
+TEST_CASE("a committed transaction that is not whole is caught")
+{
+    auto log = good_log();
+    SUBCASE("without its last statement")
+    {
+        log[1].m_statements.pop_back();
+    }
+    SUBCASE("without its first statement")
+    {
+        log[1].m_statements.erase(log[1].m_statements.begin());
+    }
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::whole_transactions});
+}
+
+TEST_CASE("an unknown transaction that is there in part is caught")
+{
+    auto log = good_log();
+    log.push_back(record_of("k4", {"get unit:1", "claim deposit:4 d4"}));
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::whole_transactions});
+}
+
+TEST_CASE("a committed transaction that is gone is caught")
+{
+    auto log = good_log();
+    log.pop_back();
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::acknowledged_writes_stay});
+}
+
+TEST_CASE("statements of two transactions in one record are caught")
+{
+    auto log = good_log();
+    SUBCASE("one more")
+    {
+        log[1].m_statements.push_back("add ledger:9 1");
+    }
+    SUBCASE("one instead of another")
+    {
+        log[1].m_statements[2] = "add ledger:9 1";
+    }
+    SUBCASE("in another order")
+    {
+        std::swap(log[1].m_statements[0], log[1].m_statements[2]);
+    }
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::unmixed_transactions});
+}
+
+TEST_CASE("a statement under another transaction's key is caught")
+{
+    auto log = good_log();
+    log[1].m_statements.push_back("claim deposit:4 d4");
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::unmixed_transactions});
+}
+
+TEST_CASE("a statement of an unknown transaction under no key is caught")
+{
+    auto log = good_log();
+    log.push_back(record_of("", {"claim deposit:4 d4"}));
+    CHECK(broken_by(good_history(), log) ==
+          promises{load::promise::unmixed_transactions});
+}
+
+TEST_CASE("a transaction that was told not executed and left something is "
+          "caught")
+{
+    auto log = good_log();
+    SUBCASE("the whole")
+    {
+        log.push_back(record_of("k3", deposit("3")));
+        CHECK(broken_by(good_history(), log) ==
+              promises{load::promise::not_executed_is_true});
+    }
+    SUBCASE("a part")
+    {
+        log.push_back(record_of("k3", {"claim deposit:3 d3"}));
+        CHECK(broken_by(good_history(), log) ==
+              promises{load::promise::not_executed_is_true,
+                       load::promise::whole_transactions});
+    }
+    SUBCASE("a statement under no key")
+    {
+        log.push_back(record_of("", {"claim deposit:3 d3"}));
+        CHECK(broken_by(good_history(), log) ==
+              promises{load::promise::not_executed_is_true,
+                       load::promise::unmixed_transactions});
+    }
+}
+
+TEST_CASE("a transaction that ran twice is caught")
+{
+    auto log = good_log();
+    auto attempts = good_history();
+    SUBCASE("under one key")
+    {
+        log.push_back(record_of("k2", deposit("2")));
+    }
+    SUBCASE("under the keys of two attempts")
+    {
+        auto again = attempts[1];
+        again.m_key = "k2b";
+        again.m_attempt = 2;
+        attempts.push_back(again);
+        log.push_back(record_of("k2b", deposit("2")));
+    }
+    CHECK(broken_by(attempts, log) == promises{load::promise::at_most_once});
+}
+
+TEST_CASE("results of a transaction that belong to others are caught")
+{
+    auto attempts = good_history();
+    SUBCASE("of its write")
+    {
+        attempts[1].m_results[1] = "d3";
+        CHECK(broken_by(attempts, good_log()) ==
+              promises{load::promise::own_answers});
+    }
+    SUBCASE("of its read")
+    {
+        attempts[1].m_results[0] = "d3";
+        CHECK(broken_by(attempts, good_log()) ==
+              promises{load::promise::own_answers,
+                       load::promise::monotonic_reads});
+    }
+}
+
+TEST_CASE("a committed transaction that read old data is caught")
+{
+    auto attempts = good_history();
+    attempts[1].m_results[0] = "";
+    SUBCASE("of its own session")
+    {
+        attempts[1].m_request.m_session = attempts[0].m_request.m_session;
+        CHECK(broken_by(attempts, good_log()) ==
+              promises{load::promise::read_your_writes,
+                       load::promise::age_of_answers});
+    }
+    SUBCASE("of another session")
+    {
+        CHECK(broken_by(attempts, good_log()) ==
+              promises{load::promise::age_of_answers});
+    }
+}
--- a/packages/transport/include/camphortide/transport/client_stream.hpp
+++ b/packages/transport/include/camphortide/transport/client_stream.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <grpcpp/grpcpp.h>
+#include <grpcpp/support/client_callback.h>
 
 namespace camphortide::transport
 {
