demo: baselines, soak, rolling replacement; stops by the system's own objects

Cause: the system was not compared with simpler policies, and a planned stop was an in-process call. Members and instances that are lost already are not killed again. replica-lag begins at 50 ms.

--- a/apps/camphortide/src/demo_command.cpp
+++ b/apps/camphortide/src/demo_command.cpp
@@ -1,11 +1,12 @@
 #include "commands.hpp"
 #include "option_parser.hpp"
+#include "run_options.hpp"
 #include "run_output.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <sstream>
 
+#include <camphortide/load/demo/baseline.hpp>
 #include <camphortide/load/demo/demo_run.hpp>
 #include <camphortide/transport/logging/log.hpp>
 #include <camphortide/transport/settings/deployment_file.hpp>
@@ -23,23 +24,12 @@
     "and of the database groups, and real instances that talk over loopback.\n"
     "Callers send the deployment's traffic; faults come when asked for. Ends\n"
     "with a report and a check of every promise.";
-constexpr double us_per_s = 1e6;
-
-load::run_time seconds(double value)
-{
-    return load::run_time(std::llround(value * us_per_s));
-}
+constexpr double s_per_minute = 60;
 
 void add_options(option_parser& parser)
 {
+    add_run_options(parser);
     auto add = parser.add();
-    add("deployment",
-        options::value<std::string>()->default_value("caxias-serrana"),
-        "caxias-serrana, bajio or the path of a deployment file");
-    add("seconds", options::value<double>()->default_value(20),
-        "how long requests arrive");
-    add("seed", options::value<std::uint64_t>()->default_value(1),
-        "of every choice");
     add("fault", options::value<std::string>(),
         "faults to switch on together: NAME[,NAME]");
     add("at", options::value<double>()->default_value(7),
@@ -48,12 +38,12 @@
         "seconds until the fault is lifted");
     add("every", options::value<double>()->default_value(0),
         "seconds between repeats of the fault; 0: once");
+    add("soak", options::value<double>(),
+        "minutes of random pairs of faults, one after another");
+    add("baseline", options::value<std::string>()->default_value("default"),
+        "a simpler policy to compare with");
     add("list-faults", "print the names of the faults");
-    add("json", "print the figures as JSON");
-    add("report", options::value<std::string>(),
-        "write a page of HTML to this file");
-    add("history", options::value<std::string>(),
-        "write every attempt to this file, one a line");
+    add("list-baselines", "print the names of the baselines");
     add("verbose", "keep the logs of the instances");
 }
 
@@ -77,16 +67,36 @@
     return exit_code::done;
 }
 
+exit_code list_baselines(console const& to)
+{
+    for (auto const& each : load::baselines())
+    {
+        to.m_out << each.m_name << ": " << each.m_summary << '\n';
+    }
+    return exit_code::done;
+}
+
+/// Says so where the run may break a promise on purpose.
+void warn_of_baseline(std::string const& name, console const& to)
+{
+    if (load::find_baseline(name)->m_breaks_promises)
+    {
+        to.m_error << "camphortide: the baseline \"" << name
+                   << "\" breaks promises on purpose; broken ones below are "
+                      "its own\n";
+    }
+}
+
 /// @return the options; nothing after a message about what is wrong
 std::optional<load::demo_options> read_options(option_parser const& parser,
                                                console const& to)
 {
     load::demo_options result;
-    result.m_duration = seconds(parser.get<double>("seconds"));
+    result.m_duration = to_run_time(parser.get<double>("seconds"));
     result.m_seed = parser.get<std::uint64_t>("seed");
-    result.m_fault_at = seconds(parser.get<double>("at"));
-    result.m_fault_hold = seconds(parser.get<double>("hold"));
-    result.m_fault_every = seconds(parser.get<double>("every"));
+    result.m_fault_at = to_run_time(parser.get<double>("at"));
+    result.m_fault_hold = to_run_time(parser.get<double>("hold"));
+    result.m_fault_every = to_run_time(parser.get<double>("every"));
     if (parser.has("fault"))
     {
         result.m_faults = split(parser.get<std::string>("fault"));
@@ -100,6 +110,19 @@
             return std::nullopt;
         }
     }
+    result.m_baseline = parser.get<std::string>("baseline");
+    if (load::find_baseline(result.m_baseline) == nullptr)
+    {
+        to.m_error << "camphortide: there is no baseline \""
+                   << result.m_baseline << "\"; see demo --list-baselines\n";
+        return std::nullopt;
+    }
+    if (parser.has("soak"))
+    {
+        result.m_soak = true;
+        result.m_duration =
+            to_run_time(parser.get<double>("soak") * s_per_minute);
+    }
     bool const sane =
         result.m_duration.count() > 0 && result.m_fault_at.count() >= 0 &&
         result.m_fault_hold.count() > 0 && result.m_fault_every.count() >= 0;
@@ -126,6 +149,10 @@
     {
         return list_faults(to);
     }
+    if (parser.has("list-baselines"))
+    {
+        return list_baselines(to);
+    }
     auto const wanted = read_options(parser, to);
     auto const deployment =
         read_deployment(parser.get<std::string>("deployment"), to);
@@ -133,6 +160,7 @@
     {
         return exit_code::usage;
     }
+    warn_of_baseline(wanted->m_baseline, to);
     transport::start_logging("camphortide", {},
                              parser.has("verbose")
                                  ? transport::log_level::info
--- a/apps/camphortide/src/load_command.cpp
+++ b/apps/camphortide/src/load_command.cpp
@@ -1,9 +1,9 @@
 #include "commands.hpp"
 #include "option_parser.hpp"
+#include "run_options.hpp"
 #include "run_output.hpp"
 
 #include <chrono>
-#include <cmath>
 #include <vector>
 
 #include <camphortide/load/demo/load_run.hpp>
@@ -21,33 +21,14 @@
     "Plays the callers of a deployment against instances that run already.\n"
     "ADDRESS is where an instance serves callers, HOST:PORT. The promises are\n"
     "checked as far as answers show them; `demo` checks all.";
-constexpr double us_per_s = 1e6;
-
 void add_options(option_parser& parser)
 {
-    auto add = parser.add();
-    add("deployment",
-        options::value<std::string>()->default_value("caxias-serrana"),
-        "caxias-serrana, bajio or the path of a deployment file");
-    add("seconds", options::value<double>()->default_value(20),
-        "how long requests arrive");
-    add("warm-up", options::value<double>()->default_value(1),
-        "seconds at the start that the figures leave out");
-    add("seed", options::value<std::uint64_t>()->default_value(1),
-        "of every choice");
-    add("json", "print the figures as JSON");
-    add("report", options::value<std::string>(),
-        "write a page of HTML to this file");
-    add("history", options::value<std::string>(),
-        "write every attempt to this file, one a line");
+    add_run_options(parser);
+    parser.add()("warm-up", options::value<double>()->default_value(1),
+                 "seconds at the start that the figures leave out");
     parser.positional("address", -1);
 }
 
-load::run_time seconds(double value)
-{
-    return load::run_time(std::llround(value * us_per_s));
-}
-
 /// @return a name that no other run has had
 std::string run_name(std::uint64_t seed)
 {
@@ -65,8 +46,8 @@
     {
         result.m_instances.push_back({address, address});
     }
-    result.m_duration = seconds(parser.get<double>("seconds"));
-    result.m_warm_up = seconds(parser.get<double>("warm-up"));
+    result.m_duration = to_run_time(parser.get<double>("seconds"));
+    result.m_warm_up = to_run_time(parser.get<double>("warm-up"));
     result.m_seed = parser.get<std::uint64_t>("seed");
     result.m_run = run_name(result.m_seed);
     return result;
--- a/apps/camphortide/test/demo/demo_test.cpp
+++ b/apps/camphortide/test/demo/demo_test.cpp
@@ -34,15 +34,30 @@
     for (auto const* const name :
          {"primary-partition", "primary-kill", "replica-lag", "instance-kill",
           "instance-pause", "store-down", "store-slow", "store-lost-reply",
-          "data-centre-loss", "planned-stop", "catalogue-edit-race"})
+          "data-centre-loss", "planned-stop", "catalogue-edit-race",
+          "rolling-replacement"})
     {
         CHECK(result.m_out.find(name) != std::string::npos);
     }
 }
 
+TEST_CASE("demo lists its baselines and says which one breaks promises")
+{
+    auto const result = run({"demo", "--list-baselines"});
+    CHECK(result.m_code == exit_code::done);
+    for (auto const* const name : {"default", "primary-reads", "random-replica",
+                                   "all-homes", "primary-word"})
+    {
+        CHECK(result.m_out.find(name) != std::string::npos);
+    }
+    CHECK(result.m_out.find("may lose writes") != std::string::npos);
+}
+
 TEST_CASE("demo and load refuse what they can't do")
 {
     CHECK(run({"demo", "--fault", "nothing"}).m_code == exit_code::usage);
+    CHECK(run({"demo", "--baseline", "nothing"}).m_code == exit_code::usage);
+    CHECK(run({"demo", "--soak", "-1"}).m_code == exit_code::usage);
     CHECK(run({"demo", "--seconds", "-1"}).m_code == exit_code::usage);
     CHECK(run({"demo", "--deployment", "./nothing.jsonc"}).m_code ==
           exit_code::usage);
--- /dev/null
+++ b/packages/load/include/camphortide/load/demo/baseline.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+#include <camphortide/transport/gateway/gateway_policy.hpp>
+#include <camphortide/transport/settings/deployment.hpp>
+
+namespace camphortide::load
+{
+
+/// A simpler policy that the system is compared with, in the demonstration
+/// only.
+struct baseline
+{
+    std::string_view m_name;
+    std::string_view m_summary; ///< one line
+    transport::gateway_policy m_policy;
+    bool m_every_instance_home = false;
+    bool m_breaks_promises = false; ///< on purpose
+};
+
+/// @return all baselines; the first is the system as it ships
+std::span<baseline const> baselines();
+
+/// @return the baseline of that name; null if there is none
+baseline const* find_baseline(std::string_view name);
+
+/// @return the deployment as the baseline runs it
+transport::deployment adapted(transport::deployment value, baseline const& how);
+
+} // namespace camphortide::load
--- a/packages/load/include/camphortide/load/demo/demo_run.hpp
+++ b/packages/load/include/camphortide/load/demo/demo_run.hpp
@@ -6,6 +6,7 @@
 
 #include <camphortide/load/checker/checker.hpp>
 #include <camphortide/load/demo/fault_injector.hpp>
+#include <camphortide/load/demo/memory_sample.hpp>
 #include <camphortide/load/driver/load_driver.hpp>
 #include <camphortide/load/report/run_summary.hpp>
 
@@ -22,6 +23,8 @@
     run_time m_fault_at{7'000'000};
     run_time m_fault_hold{6'000'000}; ///< until the fault is lifted
     run_time m_fault_every{0};        ///< 0: once
+    bool m_soak = false; ///< random pairs of faults instead of the named
+    std::string m_baseline = "default"; ///< a known name
 };
 
 /// What came of a demonstration or of a load.
@@ -32,7 +35,9 @@
     std::vector<promise_break> m_breaks;
     /// Groups without a primary after the run; their writes are not judged.
     std::vector<std::string> m_without_truth;
-    history m_history; ///< every attempt
+    std::vector<memory_sample> m_memory; ///< of a demonstration, by time
+    std::uint64_t m_kept_bytes = 0;      ///< by the run itself, at its end
+    history m_history;                   ///< every attempt
 };
 
 /// Told once a second how the run goes.
--- a/packages/load/include/camphortide/load/demo/fault_injector.hpp
+++ b/packages/load/include/camphortide/load/demo/fault_injector.hpp
@@ -5,9 +5,11 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -80,11 +82,16 @@
     void data_centre_loss();
     void planned_stop();
     void catalogue_edit_race();
+    void rolling_replacement();
 
     std::string const& next_group() const;
     std::string const& next_instance() const;
     std::string lose_primary(std::string const& group);
     void kill_instance(std::string const& name);
+    void stop_instance(std::string const& name);
+    void replace_all();
+    bool wait_asked_to_drain(std::string const& name) const;
+    void join_workers();
     void kill_member(std::string const& group, std::string const& member);
     void plan_leaver(std::string const& group, std::string const& member);
     void disturb_catalogue();
@@ -97,8 +104,11 @@
     std::mt19937_64 m_random;
     std::uint64_t m_round = 0;
     std::uint64_t m_edits = 0;
+    std::uint64_t m_stops = 0; ///< planned so far; guarded by m_mutex
     std::vector<std::function<void()>> m_undo;
-    mutable std::mutex m_mutex; ///< guards m_noted and m_losses
+    std::vector<std::thread> m_workers; ///< joined before a fault is lifted
+    std::set<std::string> m_killed;     ///< members that are not running
+    mutable std::mutex m_mutex;         ///< guards m_noted and m_losses
     run_facts m_noted;
     std::vector<primary_loss> m_losses;
     /// Times in which the catalogue could not reach every instance.
--- a/packages/load/include/camphortide/load/report/run_summary.hpp
+++ b/packages/load/include/camphortide/load/report/run_summary.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -61,9 +62,13 @@
 {
     std::vector<class_summary> m_classes; ///< by owner and class
     class_summary m_all;                  ///< all classes together
-    std::vector<double> m_failover_gaps;  ///< ms, one for each loss
-    std::uint64_t m_unhealed = 0;         ///< losses without a later write
-    std::vector<double> m_in_force;       ///< ms, one for each change
+    /// Attempts that were not executed, or unknown, by reason. Rolled back
+    /// ones are left out.
+    std::map<state::reason, std::uint64_t> m_refusals;
+    std::uint64_t m_planned_stops = 0; ///< of instances, that were carried out
+    std::vector<double> m_failover_gaps; ///< ms, one for each loss
+    std::uint64_t m_unhealed = 0;        ///< losses without a later write
+    std::vector<double> m_in_force;      ///< ms, one for each change
     /// Acknowledged writes in each second of the run.
     std::vector<std::uint64_t> m_writes_by_second;
 };
--- a/packages/load/src/demo/demo_run.cpp
+++ b/packages/load/src/demo/demo_run.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <random>
 #include <thread>
 #include <utility>
 
+#include <camphortide/load/demo/baseline.hpp>
 #include <camphortide/load/demo/demo_run.hpp>
 #include <camphortide/load/demo/fleet_watch.hpp>
 #include <camphortide/standin/deployment/running_deployment.hpp>
@@ -19,6 +21,9 @@
 constexpr std::chrono::milliseconds settling{1500};
 constexpr std::chrono::milliseconds step{20};
 constexpr run_time between_progress{1'000'000};
+constexpr run_time between_pairs{10'000'000};
+constexpr run_time first_pair{3'000'000};
+constexpr run_time hold_of_pairs{5'000'000};
 
 /// Something to do at a time of the run.
 struct appointment
@@ -58,6 +63,31 @@
     }
 }
 
+/// Two different faults at a time, drawn from the seed.
+void add_random_pairs(timetable& to, demo_options const& options,
+                      fault_injector& faults)
+{
+    std::mt19937_64 random(options.m_seed);
+    auto const all = fault_injector::faults();
+    for (auto at = first_pair; at + hold_of_pairs < options.m_duration;
+         at += between_pairs)
+    {
+        auto const first = random() % all.size();
+        auto const apart = 1 + random() % (all.size() - 1);
+        auto const second = (first + apart) % all.size();
+        to.push_back({at, [&faults, one = &all[first], other = &all[second]]
+                      {
+                          faults.apply(*one);
+                          faults.apply(*other);
+                          faults.edit_catalogue();
+                      }});
+        to.push_back({at + hold_of_pairs, [&faults]
+                      {
+                          faults.lift();
+                      }});
+    }
+}
+
 /// Changes of the catalogue: one early, one while a fault is on.
 void add_edits(timetable& to, demo_options const& options,
                fault_injector& faults)
@@ -72,9 +102,11 @@
     }
 }
 
-void keep(timetable appointments, load_driver const& driver, run_time duration,
-          progress_handler const& on_progress)
+std::vector<memory_sample> keep(timetable appointments,
+                                load_driver const& driver, run_time duration,
+                                progress_handler const& on_progress)
 {
+    std::vector<memory_sample> memory;
     std::ranges::stable_sort(appointments, {}, &appointment::m_at);
     auto next = appointments.begin();
     auto report = between_progress;
@@ -86,11 +118,15 @@
         }
         if (driver.now() >= report)
         {
-            on_progress(driver.now(), driver.progress());
+            auto const progress = driver.progress();
+            on_progress(driver.now(), progress);
+            memory.push_back({driver.now(), resident_bytes(),
+                              progress.m_executed + progress.m_failed});
             report += between_progress;
         }
         std::this_thread::sleep_for(step);
     }
+    return memory;
 }
 
 std::vector<caller_address>
@@ -108,6 +144,11 @@
     return result;
 }
 
+std::uint64_t members_of_a_group(transport::deployment const& value)
+{
+    return value.m_groups.empty() ? 0 : value.m_groups.front().m_members.size();
+}
+
 void take_truths(standin::running_deployment& running, run_result& result,
                  run_facts& facts)
 {
@@ -131,7 +172,9 @@
                     progress_handler const& on_progress)
 {
     std::string const token_key(token_key_digits, 'd');
-    standin::running_deployment running(value, token_key);
+    auto const& how = *find_baseline(options.m_baseline);
+    standin::running_deployment running(adapted(value, how), token_key,
+                                        how.m_policy);
     run_result result;
     result.m_started = running.wait_ready(most_until_ready);
     if (!result.m_started)
@@ -147,11 +190,19 @@
     };
     fault_injector faults(running, now, options.m_seed);
     timetable appointments;
-    add_faults(appointments, options, faults);
-    add_edits(appointments, options, faults);
+    if (options.m_soak)
+    {
+        add_random_pairs(appointments, options, faults);
+    }
+    else
+    {
+        add_faults(appointments, options, faults);
+        add_edits(appointments, options, faults);
+    }
     driver.start();
     fleet_watch watch(running, now);
-    keep(std::move(appointments), driver, options.m_duration, on_progress);
+    result.m_memory =
+        keep(std::move(appointments), driver, options.m_duration, on_progress);
 
     run_facts facts;
     faults.finish(facts);
@@ -163,6 +214,7 @@
     take_truths(running, result, facts);
     result.m_breaks = check_promises(facts);
     result.m_summary = summarise(facts, faults.losses(), options.m_warm_up);
+    result.m_kept_bytes = kept_bytes(facts, members_of_a_group(value));
     result.m_history = std::move(facts.m_history);
     return result;
 }
--- a/packages/load/src/demo/fault_injector.cpp
+++ b/packages/load/src/demo/fault_injector.cpp
@@ -2,8 +2,11 @@
 #include <chrono>
 #include <thread>
 #include <utility>
+#include <variant>
 
+#include <camphortide/coordination/fleet/stop_planner.hpp>
 #include <camphortide/load/demo/fault_injector.hpp>
+#include <camphortide/protocol/stop_conversion.hpp>
 #include <camphortide/standin/deployment/catalogue_publisher.hpp>
 
 namespace camphortide::load
@@ -20,7 +23,37 @@
 constexpr state::duration slow_store{2000};
 constexpr std::uint32_t lost_replies = 10;
 constexpr milliseconds most_apply_lag{2000};
-constexpr milliseconds least_apply_lag{200};
+constexpr milliseconds least_apply_lag{50};
+/// A stop that no instance has learnt of by then is carried out by hand.
+constexpr milliseconds most_until_asked{3000};
+constexpr milliseconds most_until_ready{5000};
+constexpr milliseconds poll{10};
+
+std::string stop_object(std::string const& id)
+{
+    return std::string(coordination::stop_prefix) + id;
+}
+
+/// Writes a stop as cancelled unless it is done, past the store's faults.
+void cancel_stop(standin::platform_standin& platform, std::string const& id)
+{
+    while (auto const object = platform.get(stop_object(id)))
+    {
+        auto stop =
+            protocol::decode_stop_object(object->m_value, object->m_version);
+        if (!stop || !state::is_in_force(*stop))
+        {
+            return;
+        }
+        stop->m_state = state::stop_state::cancelled;
+        auto const written = platform.put(stop_object(id), object->m_version,
+                                          protocol::encode_stop_object(*stop));
+        if (std::holds_alternative<standin::object_change>(written))
+        {
+            return;
+        }
+    }
+}
 
 } // namespace
 
@@ -31,7 +64,7 @@
          &fault_injector::primary_partition},
         {"primary-kill", "a primary ends and comes back later",
          &fault_injector::primary_kill},
-        {"replica-lag", "replicas apply 200 ms to 2 s late",
+        {"replica-lag", "replicas apply 50 ms to 2 s late",
          &fault_injector::replica_lag},
         {"instance-kill", "an instance ends at once",
          &fault_injector::instance_kill},
@@ -49,6 +82,8 @@
          &fault_injector::planned_stop},
         {"catalogue-edit-race", "two operators edit one entry at a time",
          &fault_injector::catalogue_edit_race},
+        {"rolling-replacement", "every instance is replaced, one by one",
+         &fault_injector::rolling_replacement},
     };
     return all;
 }
@@ -70,9 +105,18 @@
 
 fault_injector::~fault_injector()
 {
+    join_workers();
     m_timers.stop();
 }
 
+void fault_injector::join_workers()
+{
+    for (auto& worker : std::exchange(m_workers, {}))
+    {
+        worker.join();
+    }
+}
+
 void fault_injector::apply(fault const& value)
 {
     (this->*value.m_apply)();
@@ -81,6 +125,7 @@
 
 void fault_injector::lift()
 {
+    join_workers();
     auto const undo = std::exchange(m_undo, {});
     for (auto const& each : undo)
     {
@@ -147,13 +192,26 @@
 void fault_injector::kill_member(std::string const& group,
                                  std::string const& member)
 {
+    if (!m_killed.insert(member).second)
+    {
+        return;
+    }
     auto& server = m_running.group(group);
     server.kill(member);
-    m_undo.emplace_back([&server, member] { server.restart(member); });
+    m_undo.emplace_back(
+        [this, &server, member]
+        {
+            server.restart(member);
+            m_killed.erase(member);
+        });
 }
 
 void fault_injector::kill_instance(std::string const& name)
 {
+    if (!m_running.instance(name))
+    {
+        return;
+    }
     m_running.kill_instance(name);
     m_undo.emplace_back([this, name] { m_running.start_instance(name); });
 }
@@ -317,10 +375,83 @@
         plan_leaver(group.m_name, replica->m_name);
     }
     auto const name = next_instance();
-    bool const clean = m_running.drain_instance(name);
+    if (!m_running.instance(name))
+    {
+        return;
+    }
+    m_workers.emplace_back([this, name] { stop_instance(name); });
     m_undo.emplace_back([this, name] { m_running.start_instance(name); });
-    std::scoped_lock const lock(m_mutex);
-    m_noted.m_drains.push_back({name, clean});
+}
+
+/// Plans the stop of an instance as an operator does, and ends it once it
+/// has drained.
+void fault_injector::stop_instance(std::string const& name)
+{
+    state::planned_stop stop;
+    {
+        std::scoped_lock const lock(m_mutex);
+        stop.m_id = "stop-" + std::to_string(++m_stops);
+    }
+    stop.m_kind = state::stop_kind::instance;
+    stop.m_target = name;
+    stop.m_operator = "operator";
+    auto& platform = m_running.platform();
+    platform.put(stop_object(stop.m_id), 0, protocol::encode_stop_object(stop));
+    if (wait_asked_to_drain(name))
+    {
+        bool const clean = m_running.drain_instance(name);
+        std::scoped_lock const lock(m_mutex);
+        m_noted.m_drains.push_back({name, clean});
+    }
+    cancel_stop(platform, stop.m_id);
+}
+
+/// @return false if the instance was lost meanwhile
+bool fault_injector::wait_asked_to_drain(std::string const& name) const
+{
+    auto const end = std::chrono::steady_clock::now() + most_until_asked;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        auto const instance = m_running.instance(name);
+        if (!instance)
+        {
+            return false;
+        }
+        if (instance->asked_to_drain())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(poll);
+    }
+    return m_running.instance(name) != nullptr;
+}
+
+void fault_injector::rolling_replacement()
+{
+    m_workers.emplace_back([this] { replace_all(); });
+}
+
+void fault_injector::replace_all()
+{
+    for (auto const& described : m_running.description().m_instances)
+    {
+        if (!m_running.instance(described.m_name))
+        {
+            continue;
+        }
+        stop_instance(described.m_name);
+        m_running.start_instance(described.m_name);
+        auto const end = std::chrono::steady_clock::now() + most_until_ready;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            auto const started = m_running.instance(described.m_name);
+            if (started && started->ready())
+            {
+                break;
+            }
+            std::this_thread::sleep_for(poll);
+        }
+    }
 }
 
 void fault_injector::catalogue_edit_race()
--- /dev/null
+++ b/packages/load/src/demo/memory_sample.cpp
@@ -0,0 +1,78 @@
+#include <fstream>
+#include <string>
+
+#include <unistd.h>
+
+#include <camphortide/load/demo/memory_sample.hpp>
+
+namespace camphortide::load
+{
+
+namespace
+{
+
+/// Strings up to this size lie inside their objects.
+constexpr std::size_t short_string = 15;
+
+std::uint64_t bytes_of(std::string const& value)
+{
+    return value.capacity() > short_string ? value.capacity() + 1 : 0;
+}
+
+std::uint64_t bytes_of(std::vector<std::string> const& values)
+{
+    std::uint64_t sum = values.capacity() * sizeof(std::string);
+    for (auto const& value : values)
+    {
+        sum += bytes_of(value);
+    }
+    return sum;
+}
+
+std::uint64_t bytes_of(request_record const& value)
+{
+    auto const& request = value.m_request;
+    return sizeof(value) + bytes_of(request.m_traffic) +
+           bytes_of(request.m_owner) + bytes_of(request.m_class_name) +
+           bytes_of(request.m_entry) + bytes_of(request.m_group) +
+           bytes_of(request.m_session) + bytes_of(request.m_statements) +
+           bytes_of(value.m_key) + bytes_of(value.m_result) +
+           bytes_of(value.m_results) + bytes_of(value.m_member) +
+           bytes_of(value.m_instance);
+}
+
+std::uint64_t bytes_of(standin::record const& value)
+{
+    return sizeof(value) + bytes_of(value.m_key) +
+           bytes_of(value.m_statements) + bytes_of(value.m_result);
+}
+
+} // namespace
+
+std::uint64_t resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t all = 0;
+    std::uint64_t resident = 0;
+    file >> all >> resident;
+    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::uint64_t kept_bytes(run_facts const& facts, std::uint64_t members)
+{
+    std::uint64_t sum = 0;
+    for (auto const& attempt : facts.m_history)
+    {
+        sum += bytes_of(attempt);
+    }
+    for (auto const& truth : facts.m_truths)
+    {
+        for (auto const& record : truth.log())
+        {
+            sum += members * bytes_of(record);
+        }
+    }
+    return sum;
+}
+
+} // namespace camphortide::load
--- a/packages/load/src/report/report_json.cpp
+++ b/packages/load/src/report/report_json.cpp
@@ -25,6 +25,12 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+double in_mib(std::uint64_t bytes)
+{
+    constexpr double bytes_per_mib = 1024.0 * 1024.0;
+    return static_cast<double>(bytes) / bytes_per_mib;
+}
+
 void add_counts(json& to, class_summary const& value)
 {
     to["requests"] = value.m_requests;
@@ -90,10 +96,25 @@
     value["kept"] = kept(result);
     add_counts(value, result.m_summary.m_all);
     add_breaks(value, result.m_breaks);
+    value["refused_attempts"] = json::object();
+    for (auto const& [reason, count] : result.m_summary.m_refusals)
+    {
+        value["refused_attempts"][std::string(to_string(reason))] = count;
+    }
+    value["planned_stops"] = result.m_summary.m_planned_stops;
     value["failover_gap_ms"] = result.m_summary.m_failover_gaps;
     value["losses_not_healed"] = result.m_summary.m_unhealed;
     value["catalogue_in_force_ms"] = result.m_summary.m_in_force;
     value["groups_without_primary"] = result.m_without_truth;
+    value["kept_by_run_mib"] = in_mib(result.m_kept_bytes);
+    value["memory"] = json::array();
+    for (auto const& sample : result.m_memory)
+    {
+        value["memory"].push_back(
+            {{"at_s", std::chrono::duration<double>(sample.m_at).count()},
+             {"resident_mib", in_mib(sample.m_resident)},
+             {"attempts", sample.m_attempts}});
+    }
     value["classes"] = json::array();
     for (auto const& one : result.m_summary.m_classes)
     {
--- a/packages/load/src/report/report_text.cpp
+++ b/packages/load/src/report/report_text.cpp
@@ -79,6 +79,34 @@
         << " ms, max " << values.back() << " ms over " << values.size() << '\n';
 }
 
+void append_refusals(std::ostringstream& out, run_summary const& summary)
+{
+    for (auto const& [reason, count] : summary.m_refusals)
+    {
+        out << "attempts refused, " << to_string(reason) << ": " << count
+            << '\n';
+    }
+    if (summary.m_planned_stops > 0)
+    {
+        out << "planned stops of instances: " << summary.m_planned_stops
+            << '\n';
+    }
+}
+
+void append_memory(std::ostringstream& out, run_result const& result)
+{
+    if (result.m_memory.empty())
+    {
+        return;
+    }
+    constexpr std::uint64_t bytes_per_mib = 1024U * 1024U;
+    out << "memory: " << result.m_memory.front().m_resident / bytes_per_mib
+        << " MiB at first, "
+        << result.m_memory.back().m_resident / bytes_per_mib
+        << " MiB at last; the run's own history and logs "
+        << result.m_kept_bytes / bytes_per_mib << " MiB\n";
+}
+
 void append_breaks(std::ostringstream& out,
                    std::vector<promise_break> const& breaks)
 {
@@ -107,6 +135,7 @@
     out << title.m_deployment << "\n\n";
     append_classes(out, result.m_summary);
     out << '\n';
+    append_refusals(out, result.m_summary);
     append_spread(out, "failover gap", result.m_summary.m_failover_gaps);
     if (result.m_summary.m_unhealed > 0)
     {
@@ -120,6 +149,7 @@
         out << "group " << group << " has no primary; its writes are not "
             << "judged\n";
     }
+    append_memory(out, result);
     append_breaks(out, result.m_breaks);
     out << (kept(result) ? "no broken promise was found\n"
                          : "promises were broken\n");
--- a/packages/load/src/report/run_summary.cpp
+++ b/packages/load/src/report/run_summary.cpp
@@ -205,11 +205,18 @@
         one.m_summary.m_class_name = request.m_class_name;
         add(attempt, one);
         add(attempt, all);
+        bool const refused = attempt.m_outcome != state::outcome::executed &&
+                             !is_rolled_back(attempt);
+        if (refused)
+        {
+            ++result.m_refusals[attempt.m_reason];
+        }
     }
     for (auto& [name, one] : classes)
     {
         result.m_classes.push_back(finished(std::move(one)));
     }
+    result.m_planned_stops = facts.m_drains.size();
     result.m_all = finished(std::move(all));
     for (auto const& loss : losses)
     {
--- a/packages/load/test/report/run_summary_test.cpp
+++ b/packages/load/test/report/run_summary_test.cpp
@@ -85,3 +85,22 @@
     auto const page = load::to_html({"<test>", "demo"}, result);
     CHECK(page.find("&lt;test&gt;") != std::string::npos);
 }
+
+TEST_CASE("what a caller rolled back is counted apart from what was refused")
+{
+    auto refused = write_by("a", milliseconds(90));
+    refused.m_outcome = state::outcome::not_executed;
+    refused.m_reason = state::reason::queue_full;
+    auto given_up = write_by("a", milliseconds(95));
+    given_up.m_request.m_kind = transport::traffic_kind::transaction;
+    given_up.m_request.m_rolls_back = true;
+    given_up.m_outcome = state::outcome::not_executed;
+    load::run_facts facts;
+    facts.m_history = {refused, given_up};
+    auto const summary = load::summarise(facts, {}, load::run_time{0});
+    CHECK(summary.m_all.m_requests == 2);
+    CHECK(summary.m_all.m_rolled_back == 1);
+    CHECK(summary.m_all.m_not_executed == 1);
+    CHECK(summary.m_refusals.size() == 1);
+    CHECK(summary.m_refusals.at(state::reason::queue_full) == 1);
+}
--- a/packages/standin/include/camphortide/standin/deployment/running_deployment.hpp
+++ b/packages/standin/include/camphortide/standin/deployment/running_deployment.hpp
@@ -23,7 +23,9 @@
     /// Starts the stand-ins and all instances.
     /// @param value the deployment
     /// @param token_key of all instances, in hexadecimal digits
-    running_deployment(transport::deployment value, std::string token_key);
+    /// @param policy of all instances' gateways
+    running_deployment(transport::deployment value, std::string token_key,
+                       transport::gateway_policy const& policy = {});
     ~running_deployment();
     running_deployment(running_deployment const&) = delete;
     running_deployment& operator=(running_deployment const&) = delete;
@@ -69,6 +71,7 @@
 
     transport::deployment const m_deployment;
     std::string const m_token_key;
+    transport::gateway_policy const m_policy;
     platform_standin m_platform;
     std::string m_platform_address;
     std::map<std::string, std::unique_ptr<group_server>> m_groups;
--- a/packages/standin/src/deployment/running_deployment.cpp
+++ b/packages/standin/src/deployment/running_deployment.cpp
@@ -36,9 +36,11 @@
 } // namespace
 
 running_deployment::running_deployment(transport::deployment value,
-                                       std::string token_key)
+                                       std::string token_key,
+                                       transport::gateway_policy const& policy)
     : m_deployment(std::move(value)),
-      m_token_key(std::move(token_key))
+      m_token_key(std::move(token_key)),
+      m_policy(policy)
 {
     m_platform_address =
         m_platform.listen("127.0.0.1:0").value_or(std::string());
@@ -179,7 +181,7 @@
     settings.m_platform_address = m_platform_address;
     settings.m_homes_per_group = m_deployment.m_homes_per_group;
     settings.m_token_key = m_token_key;
-    auto started = transport::instance::start(settings);
+    auto started = transport::instance::start(settings, m_policy);
     if (!started.ok())
     {
         return false;
--- /dev/null
+++ b/packages/transport/include/camphortide/transport/gateway/gateway_policy.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <memory>
+
+#include <camphortide/coordination/request/read_strategy.hpp>
+
+namespace camphortide::transport
+{
+
+/// How gateways serve requests. No setting reaches it: other policies than
+/// the default are for measurements inside one process.
+struct gateway_policy
+{
+    using strategy_maker = std::unique_ptr<coordination::read_strategy> (*)();
+
+    strategy_maker m_reads = coordination::make_covering_replica;
+    /// Acknowledges writes on the primary's word alone. Breaks the promise
+    /// that acknowledged writes stay.
+    bool m_primary_acknowledges = false;
+
+    friend bool operator==(gateway_policy const&,
+                           gateway_policy const&) = default;
+};
+
+} // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/gateway/group_core.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_core.hpp
@@ -24,9 +24,11 @@
 public:
     using completion = std::function<void()>;
 
-    explicit group_core(std::size_t members)
+    /// @param members the size of the group
+    /// @param voters so many members make a record safe by majority
+    group_core(std::size_t members, std::size_t voters)
         : m_freshness(members),
-          m_log(members)
+          m_log(voters)
     {
     }
 
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -14,6 +14,7 @@
 #include <camphortide/endpoint/v1/member.pb.h>
 #include <camphortide/state/group_description.hpp>
 #include <camphortide/transport/gateway/answer_dispatch.hpp>
+#include <camphortide/transport/gateway/gateway_policy.hpp>
 #include <camphortide/transport/gateway/group_core.hpp>
 #include <camphortide/transport/gateway/member_link.hpp>
 #include <camphortide/transport/gateway/read_service.hpp>
@@ -55,7 +56,9 @@
     /// @param group describes the members
     /// @param on_status is told of each change that matters to the change of
     ///     primary, on any thread
-    group_gateway(state::group_description group, status_handler on_status);
+    /// @param policy the default but for measurements
+    group_gateway(state::group_description group, status_handler on_status,
+                  gateway_policy const& policy = {});
     ~group_gateway() override;
     group_gateway(group_gateway const&) = delete;
     group_gateway& operator=(group_gateway const&) = delete;
--- a/packages/transport/include/camphortide/transport/gateway/read_service.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/read_service.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -18,7 +19,9 @@
 {
 public:
     /// @param core outlives this
-    explicit read_service(group_core& core);
+    /// @param strategy chooses the members
+    read_service(group_core& core,
+                 std::unique_ptr<coordination::read_strategy> strategy);
 
     /// Routes an admitted read.
     void start(group_operation& work);
--- a/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
@@ -30,7 +30,9 @@
 
     /// @param settings of the instance
     /// @param incarnation differs from that of earlier runs, and is higher
-    fleet_control(instance_settings const& settings, std::uint64_t incarnation,
+    /// @param policy of the gateways
+    fleet_control(instance_settings const& settings,
+                  gateway_policy const& policy, std::uint64_t incarnation,
                   home_registry& registry, peer_exchange& exchange,
                   platform_client* platform,
                   std::shared_ptr<control_loop> const& loop, handlers calls);
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -25,10 +25,11 @@
 public:
     /// Starts an instance. The platform need not be reachable.
     /// @param settings checked
+    /// @param policy of the gateways; the default but for measurements
     /// @return UNAVAILABLE if an address is taken, INVALID_ARGUMENT for keys
     ///     or files that cannot be used
     static absl::StatusOr<std::unique_ptr<instance>>
-    start(instance_settings const& settings);
+    start(instance_settings const& settings, gateway_policy const& policy = {});
 
     /// Ends at once.
     ~instance();
@@ -68,7 +69,7 @@
     std::shared_ptr<state::catalogue const> catalogue() const;
 
 private:
-    explicit instance(instance_settings settings);
+    instance(instance_settings settings, gateway_policy const& policy);
 
     absl::Status open_exchange();
     absl::Status open_servers();
@@ -80,6 +81,7 @@
     void tick();
 
     instance_settings m_settings;
+    gateway_policy const m_policy;
     std::uint64_t const m_incarnation;
     protocol::token_codec const m_codec;
     request_check m_check;
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -31,11 +31,13 @@
 } // namespace
 
 group_gateway::group_gateway(state::group_description group,
-                             status_handler on_status)
+                             status_handler on_status,
+                             gateway_policy const& policy)
     : m_group(std::move(group)),
       m_on_status(std::move(on_status)),
-      m_core(m_group.m_members.size()),
-      m_reads(m_core),
+      m_core(m_group.m_members.size(),
+             policy.m_primary_acknowledges ? 1 : m_group.m_members.size()),
+      m_reads(m_core, policy.m_reads()),
       m_writes(m_core),
       m_transactions(m_core),
       m_answers(m_core, m_reads, m_writes, m_transactions),
--- a/packages/transport/src/gateway/read_service.cpp
+++ b/packages/transport/src/gateway/read_service.cpp
@@ -14,9 +14,10 @@
 
 } // namespace
 
-read_service::read_service(group_core& core)
+read_service::read_service(
+    group_core& core, std::unique_ptr<coordination::read_strategy> strategy)
     : m_core(core),
-      m_router(coordination::make_covering_replica()),
+      m_router(std::move(strategy)),
       m_retries(coordination::retry_limits{})
 {
 }
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -13,7 +13,7 @@
 {
 
 home_settings homes_of(instance_settings const& settings,
-                       std::uint64_t incarnation)
+                       gateway_policy const& policy, std::uint64_t incarnation)
 {
     home_settings result;
     result.m_self = settings.m_name;
@@ -22,6 +22,7 @@
         settings.m_homes_per_group.value_or(coordination::home_table::all);
     result.m_group.m_probe_interval = settings.m_probe_interval;
     result.m_group.m_suspicion = settings.m_suspicion_timeout;
+    result.m_policy = policy;
     return result;
 }
 
@@ -54,6 +55,7 @@
 } // namespace
 
 fleet_control::fleet_control(instance_settings const& settings,
+                             gateway_policy const& policy,
                              std::uint64_t incarnation, home_registry& registry,
                              peer_exchange& exchange, platform_client* platform,
                              std::shared_ptr<control_loop> const& loop,
@@ -61,7 +63,8 @@
     : m_self(settings.m_name),
       m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
-      m_homes(homes_of(settings, incarnation), registry, exchange, loop),
+      m_homes(homes_of(settings, policy, incarnation), registry, exchange,
+              loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
                   exchange, platform, *loop,
                   [this](std::shared_ptr<state::catalogue const> value)
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -146,7 +146,8 @@
                         found->second.m_control->status_received(status);
                     }
                 });
-        });
+        },
+        m_settings.m_policy);
     gateway->start();
     m_registry.set(gateway);
     return std::make_shared<group_control>(
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -50,9 +50,9 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<instance>>
-instance::start(instance_settings const& settings)
+instance::start(instance_settings const& settings, gateway_policy const& policy)
 {
-    std::unique_ptr<instance> result(new instance(settings));
+    std::unique_ptr<instance> result(new instance(settings, policy));
     if (auto const status = result->open_exchange(); !status.ok())
     {
         return status;
@@ -68,8 +68,9 @@
     return result;
 }
 
-instance::instance(instance_settings settings)
+instance::instance(instance_settings settings, gateway_policy const& policy)
     : m_settings(std::move(settings)),
+      m_policy(policy),
       m_incarnation(milliseconds_since_1970()),
       m_codec({token_key(m_settings)}),
       m_check(m_codec, m_settings.m_max_message_bytes, m_settings.m_name),
@@ -161,7 +162,7 @@
         [this]
         {
             m_fleet = std::make_unique<fleet_control>(
-                m_settings, m_incarnation, m_homes, *m_exchange,
+                m_settings, m_policy, m_incarnation, m_homes, *m_exchange,
                 m_platform.get(), m_loop,
                 fleet_control::handlers{
                     [this](auto value) { set_catalogue(std::move(value)); },
