--- a/packages/load/src/report/report_text.cpp
+++ b/packages/load/src/report/report_text.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t most_breaks_shown = 20;
 constexpr int name_width = 32;
-constexpr int width = 9;
+constexpr int width = 10;
 
 std::string percent(std::uint64_t part, std::uint64_t whole)
 {
@@ -34,8 +34,9 @@
         << std::setw(width) << one.m_requests << std::setw(width)
         << one.m_executed << std::setw(width) << one.m_not_executed
         << std::setw(width) << one.m_unknown << std::setw(width)
-        << one.m_repeats << std::setw(width) << one.m_latency.m_half
-        << std::setw(width) << one.m_latency.m_hundredth << std::setw(width)
+        << one.m_rolled_back << std::setw(width) << one.m_repeats
+        << std::setw(width) << one.m_latency.m_half << std::setw(width)
+        << one.m_latency.m_hundredth << std::setw(width)
         << one.m_latency.m_thousandth << std::setw(width)
         << percent(one.m_from_replica, one.m_reads) << std::setw(width)
         << percent(one.m_permitted, one.m_reads) << std::setw(width)
@@ -46,8 +47,9 @@
 void append_classes(std::ostringstream& out, run_summary const& summary)
 {
     constexpr char const* heads[] = {
-        "requests", "executed", "not ex.", "unknown", "repeats", "p50 ms",
-        "p99 ms",   "p99.9 ms", "replica", "allowed", "age p50", "age p99"};
+        "requests", "executed", "not ex.", "unknown",  "rolled b.",
+        "repeats",  "p50 ms",   "p99 ms",  "p99.9 ms", "replica",
+        "allowed",  "age p50",  "age p99"};
     out << std::left << std::setw(name_width) << "owner/class" << std::right;
     for (auto const* const head : heads)
     {
@@ -77,6 +79,34 @@
         << " ms, max " << values.back() << " ms over " << values.size() << '\n';
 }
 
+void append_refusals(std::ostringstream& out, run_summary const& summary)
+{
+    for (auto const& [reason, count] : summary.m_refusals)
+    {
+        out << "attempts refused, " << to_string(reason) << ": " << count
+            << '\n';
+    }
+    if (summary.m_planned_stops > 0)
+    {
+        out << "planned stops of instances: " << summary.m_planned_stops
+            << '\n';
+    }
+}
+
+void append_memory(std::ostringstream& out, run_result const& result)
+{
+    if (result.m_memory.empty())
+    {
+        return;
+    }
+    constexpr std::uint64_t bytes_per_mib = 1024U * 1024U;
+    out << "memory: " << result.m_memory.front().m_resident / bytes_per_mib
+        << " MiB at first, "
+        << result.m_memory.back().m_resident / bytes_per_mib
+        << " MiB at last; the run's own history and logs "
+        << result.m_kept_bytes / bytes_per_mib << " MiB\n";
+}
+
 void append_breaks(std::ostringstream& out,
                    std::vector<promise_break> const& breaks)
 {
@@ -105,6 +135,7 @@
     out << title.m_deployment << "\n\n";
     append_classes(out, result.m_summary);
     out << '\n';
+    append_refusals(out, result.m_summary);
     append_spread(out, "failover gap", result.m_summary.m_failover_gaps);
     if (result.m_summary.m_unhealed > 0)
     {
@@ -118,6 +149,7 @@
         out << "group " << group << " has no primary; its writes are not "
             << "judged\n";
     }
+    append_memory(out, result);
     append_breaks(out, result.m_breaks);
     out << (kept(result) ? "no broken promise was found\n"
                          : "promises were broken\n");
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -26,6 +26,7 @@
     std::size_t m_homes = coordination::home_table::all;
     state::duration m_leave_time{}; ///< after which a leaving one has ended
     coordination::group_settings m_group;
+    gateway_policy m_policy;
 };
 
 /// Keeps the gateways of the groups that this instance is a home of, on the
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -16,7 +16,7 @@
 constexpr state::duration leave_margin{5000};
 
 home_settings homes_of(instance_settings const& settings,
-                       std::uint64_t incarnation)
+                       gateway_policy const& policy, std::uint64_t incarnation)
 {
     home_settings result;
     result.m_self = settings.m_name;
@@ -26,6 +26,7 @@
     result.m_leave_time = settings.m_drain_time + leave_margin;
     result.m_group.m_probe_interval = settings.m_probe_interval;
     result.m_group.m_suspicion = settings.m_suspicion_timeout;
+    result.m_policy = policy;
     return result;
 }
 
@@ -58,6 +59,7 @@
 } // namespace
 
 fleet_control::fleet_control(instance_settings const& settings,
+                             gateway_policy const& policy,
                              std::uint64_t incarnation, home_registry& registry,
                              peer_exchange& exchange, platform_client* platform,
                              std::shared_ptr<control_loop> const& loop,
@@ -65,8 +67,8 @@
     : m_self(settings.m_name),
       m_watchers(settings.m_catalogue_watchers),
       m_calls(std::move(calls)),
-      m_homes(homes_of(settings, incarnation), registry, exchange, platform,
-              loop),
+      m_homes(homes_of(settings, policy, incarnation), registry, exchange,
+              platform, loop),
       m_catalogue(catalogue_settings(settings), settings.m_name, incarnation,
                   exchange, platform, *loop,
                   [this](std::shared_ptr<state::catalogue const> value)
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -149,7 +149,8 @@
                         found->second.m_control->status_received(status);
                     }
                 });
-        });
+        },
+        m_settings.m_policy);
     gateway->start();
     if (m_ledgers.shares())
     {
