group: a broken connection to the primary shortens the wait for the members' word

group_monitor::member_unreachable was never called: a refused or broken observation stream changed nothing in the running system. The gateway now reports it and group_control hands it to the monitor.

Once the connection to the primary broke here, a majority of the members must not have heard it for 150 ms (m_broken_suspicion) in place of 500 ms. The members still decide: an instance that is cut off, or whose connections break, deposes nobody, and a stalled primary keeps its connections, so that the 500 ms hold for it.

A recorded trace without the new setting is read with its suspicion_ms, as it was recorded.

--- a/packages/coordination/include/camphortide/coordination/group/failure_detector.hpp
+++ b/packages/coordination/include/camphortide/coordination/group/failure_detector.hpp
@@ -46,6 +46,9 @@
 private:
     bool has_majority_silence(group_view const& view, state::time_point now,
                               state::duration timeout) const;
+    /// @return how long the members must not have heard the primary
+    state::duration timeout_for(group_view const& view, std::size_t primary,
+                                state::time_point now) const;
     bool has_no_leader(group_view const& view, state::time_point now) const;
     void remember_primary(group_view const& view);
 
--- a/packages/coordination/include/camphortide/coordination/group/group_settings.hpp
+++ b/packages/coordination/include/camphortide/coordination/group/group_settings.hpp
@@ -19,6 +19,9 @@
     /// Silence of the primary, here and at a majority of the members, after
     /// which it is deposed.
     state::duration m_suspicion{500};
+    /// The same once the connection to the primary broke here; at most
+    /// m_suspicion counts.
+    state::duration m_broken_suspicion{150};
     /// Silence at a majority of the members after which a primary is deposed
     /// although it answers this instance; at least m_suspicion.
     state::duration m_isolation{1500};
--- a/packages/coordination/src/group/failure_detector.cpp
+++ b/packages/coordination/src/group/failure_detector.cpp
@@ -24,17 +24,15 @@
                    ? primary_verdict::gone
                    : primary_verdict::suspect;
     }
-    bool const late = view.contact(*primary).m_broken ||
-                      view.silence(*primary, now) >= m_settings.m_suspicion;
-    auto const timeout = late ? m_settings.m_suspicion : m_settings.m_isolation;
-    if (has_majority_silence(view, now, timeout))
+    if (has_majority_silence(view, now, timeout_for(view, *primary, now)))
     {
         return primary_verdict::gone;
     }
-    bool const answered =
-        view.silence(*primary, now) <= m_settings.m_probe_interval * 2;
-    return late || !answered ? primary_verdict::suspect
-                             : primary_verdict::alive;
+    auto const silence = view.silence(*primary, now);
+    bool const answered = !view.contact(*primary).m_broken &&
+                          silence < m_settings.m_suspicion &&
+                          silence <= m_settings.m_probe_interval * 2;
+    return answered ? primary_verdict::alive : primary_verdict::suspect;
 }
 
 bool failure_detector::should_promote(group_view const& view,
@@ -74,6 +72,18 @@
     m_next_backoff = m_settings.m_backoff;
 }
 
+state::duration failure_detector::timeout_for(group_view const& view,
+                                              std::size_t primary,
+                                              state::time_point now) const
+{
+    if (view.contact(primary).m_broken)
+    {
+        return std::min(m_settings.m_broken_suspicion, m_settings.m_suspicion);
+    }
+    bool const late = view.silence(primary, now) >= m_settings.m_suspicion;
+    return late ? m_settings.m_suspicion : m_settings.m_isolation;
+}
+
 bool failure_detector::has_majority_silence(group_view const& view,
                                             state::time_point now,
                                             state::duration timeout) const
--- a/packages/coordination/src/group/group_monitor_builder.cpp
+++ b/packages/coordination/src/group/group_monitor_builder.cpp
@@ -19,10 +19,10 @@
 bool are_usable(group_settings const& settings)
 {
     state::duration const intervals[] = {
-        settings.m_probe_interval,   settings.m_fast_probe_interval,
-        settings.m_suspicion,        settings.m_freshness,
-        settings.m_pause_limit,      settings.m_retry_interval,
-        settings.m_promotion_timeout};
+        settings.m_probe_interval, settings.m_fast_probe_interval,
+        settings.m_suspicion,      settings.m_broken_suspicion,
+        settings.m_freshness,      settings.m_pause_limit,
+        settings.m_retry_interval, settings.m_promotion_timeout};
     return std::ranges::min(intervals) > state::duration(0);
 }
 
--- a/packages/coordination/test/group/group_monitor_builder_test.cpp
+++ b/packages/coordination/test/group/group_monitor_builder_test.cpp
@@ -27,10 +27,13 @@
     no_interval.m_probe_interval = state::duration(0);
     group_settings no_timeout;
     no_timeout.m_suspicion = state::duration(0);
+    group_settings no_wait;
+    no_wait.m_broken_suspicion = state::duration(0);
     group_monitor_builder const rows[] = {
         usable().proposer(""),          usable().members({}),
         usable().members({"a", "a"}),   usable().members({"a", ""}),
-        usable().settings(no_interval), usable().settings(no_timeout)};
+        usable().settings(no_interval), usable().settings(no_timeout),
+        usable().settings(no_wait)};
     for (auto const& row : rows)
     {
         CHECK(absl::IsInvalidArgument(row.build().status()));
--- a/packages/load/src/trace/trace_codec.cpp
+++ b/packages/load/src/trace/trace_codec.cpp
@@ -1,4 +1,6 @@
 #include <array>
+#include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 
@@ -25,6 +27,7 @@
     setting{"probe_interval_ms", &group_settings::m_probe_interval},
     setting{"fast_probe_interval_ms", &group_settings::m_fast_probe_interval},
     setting{"suspicion_ms", &group_settings::m_suspicion},
+    setting{"broken_suspicion_ms", &group_settings::m_broken_suspicion},
     setting{"isolation_ms", &group_settings::m_isolation},
     setting{"freshness_ms", &group_settings::m_freshness},
     setting{"settle_ms", &group_settings::m_settle},
@@ -39,6 +42,14 @@
     setting{"switchover_interval_ms", &group_settings::m_switchover_interval},
     setting{"repair_delay_ms", &group_settings::m_repair_delay}};
 
+/// Finds the time that applied before a setting was there: a connection that
+/// breaks did not make the detection faster.
+json const& substitute(json const& held, std::string_view name)
+{
+    return held.at(name == "broken_suspicion_ms" ? "suspicion_ms"
+                                                 : std::string(name));
+}
+
 constexpr std::array role_names{"unknown", "primary", "replica", "fenced"};
 
 json position_json(state::log_position const& value)
@@ -332,10 +343,14 @@
     result.m_tag = value.at("tag");
     result.m_seed = value.at("seed");
     result.m_members = value.at("members").get<std::vector<std::string>>();
+    auto const& held = value.at("settings");
     for (auto const& each : settings)
     {
-        result.m_settings.*each.m_field = state::duration(
-            value.at("settings").at(each.m_name).get<state::clock::rep>());
+        auto const found = held.find(each.m_name);
+        auto const& time =
+            found != held.end() ? *found : substitute(held, each.m_name);
+        result.m_settings.*each.m_field =
+            state::duration(time.get<state::clock::rep>());
     }
     return result;
 }
--- a/packages/standin/include/camphortide/standin/model/manual_group.hpp
+++ b/packages/standin/include/camphortide/standin/model/manual_group.hpp
@@ -38,6 +38,8 @@
     void kill(std::size_t member, bool silent = false);
     /// Starts a stopped member again, fenced.
     void start(std::size_t member);
+    /// Tells a monitor that its connection to a member broke.
+    void break_connection(std::size_t monitor, std::size_t member);
     /// Cuts or heals all links between a monitor and a member.
     void cut_monitor(std::size_t monitor, std::size_t member, bool cut);
     /// Cuts or heals the replication links between two members.
--- a/packages/standin/src/model/manual_group.cpp
+++ b/packages/standin/src/model/manual_group.cpp
@@ -74,15 +74,20 @@
     }
     for (std::size_t monitor = 0; monitor < m_monitors.size(); ++monitor)
     {
-        deliver(monitor,
-                [this, monitor, member]
-                {
-                    apply(monitor, m_monitors[monitor].member_unreachable(
-                                       member_name(member), m_now));
-                });
+        break_connection(monitor, member);
     }
 }
 
+void manual_group::break_connection(std::size_t monitor, std::size_t member)
+{
+    deliver(monitor,
+            [this, monitor, member]
+            {
+                apply(monitor, m_monitors[monitor].member_unreachable(
+                                   member_name(member), m_now));
+            });
+}
+
 void manual_group::start(std::size_t member)
 {
     m_members[member].restart();
--- a/packages/standin/test/promotion/no_promotion_test.cpp
+++ b/packages/standin/test/promotion/no_promotion_test.cpp
@@ -39,6 +39,44 @@
     group.run(span);
 }
 
+void break_connections(manual_group& group, std::size_t leader)
+{
+    for (int round = 0; round < 500; ++round)
+    {
+        for (std::size_t monitor = 0; monitor < monitors; ++monitor)
+        {
+            group.cut_monitor(monitor, leader, true);
+            group.break_connection(monitor, leader);
+        }
+        group.run(state::duration(20));
+    }
+}
+
+void break_with_one_replica(manual_group& group, std::size_t leader)
+{
+    group.cut_members(leader, (leader + 1) % members, true);
+    break_connections(group, leader);
+}
+
+void break_in_a_stall(manual_group& group, std::size_t leader)
+{
+    for (int round = 0; round < 20; ++round)
+    {
+        for (std::size_t member = 1; member < members; ++member)
+        {
+            group.cut_members(leader, (leader + member) % members, true);
+        }
+        group.run(state::duration(60));
+        group.break_connection(0, leader);
+        group.run(state::duration(60));
+        for (std::size_t member = 1; member < members; ++member)
+        {
+            group.cut_members(leader, (leader + member) % members, false);
+        }
+        group.run(state::duration(300));
+    }
+}
+
 void pause_again_and_again(manual_group& group, std::size_t)
 {
     for (int round = 0; round < 10; ++round)
@@ -97,6 +135,9 @@
         {"instance cut from all members", cut_from_all},
         {"all instances cut from the primary", cut_from_primary},
         {"instance with one replica, both cut off", cut_with_one_replica},
+        {"all connections to the primary broken", break_connections},
+        {"and one replica does not hear it", break_with_one_replica},
+        {"short stalls with a broken connection", break_in_a_stall},
         {"instances paused again and again", pause_again_and_again},
         {"slow messages", slow_messages},
         {"messages slow by turns", slow_by_turns},
--- a/packages/standin/test/promotion/promotion_test.cpp
+++ b/packages/standin/test/promotion/promotion_test.cpp
@@ -111,6 +111,31 @@
         state::duration(300)));
 }
 
+TEST_CASE("a connection that breaks brings the change of primary forward")
+{
+    struct row
+    {
+        bool m_silent;
+        state::duration m_least;
+        state::duration m_most;
+    };
+    constexpr row rows[] = {{false, state::duration(120), state::duration(400)},
+                            {true, state::duration(450), state::duration(700)}};
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_silent);
+        manual_group group(3, 2);
+        auto const old = settle(group);
+        group.kill(old, row.m_silent);
+        auto const lost_at = group.now();
+        REQUIRE(replaced(group, old));
+        auto const gap = group.now() - lost_at;
+        CAPTURE(gap.count());
+        CHECK(gap >= row.m_least);
+        CHECK(gap <= row.m_most);
+    }
+}
+
 TEST_CASE("competing promoters agree, also without jitter")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -50,12 +50,16 @@
 {
 public:
     using status_handler = std::function<void(state::member_status const&)>;
+    using member_handler = std::function<void(std::string const& member)>;
 
     /// Made by make_shared, then started, and closed before it is let go.
     /// @param group describes the members
     /// @param on_status is told of each change that matters to the change of
     ///     primary, on any thread
-    group_gateway(state::group_description group, status_handler on_status);
+    /// @param on_unreachable is told of each member whose observation stream
+    ///     broke or could not be opened, on any thread
+    group_gateway(state::group_description group, status_handler on_status,
+                  member_handler on_unreachable = {});
     ~group_gateway() override;
     group_gateway(group_gateway const&) = delete;
     group_gateway& operator=(group_gateway const&) = delete;
@@ -130,6 +134,7 @@
 
     state::group_description const m_group;
     status_handler const m_on_status;
+    member_handler const m_on_unreachable;
     mutable std::mutex m_mutex;
     group_core m_core;
     read_service m_reads;
--- a/packages/transport/include/camphortide/transport/instance/group_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/group_control.hpp
@@ -40,6 +40,9 @@
     /// Takes a member's status.
     void status_received(state::member_status const& status);
 
+    /// Takes the news that the connection to a member broke.
+    void member_unreachable(std::string const& member);
+
     /// Starts a planned change of primary.
     /// @param target the member to promote; empty for any
     void request_switchover(std::string const& target);
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -78,6 +79,9 @@
     void update(state::group_description const& group,
                 std::vector<std::string> const& homes);
     std::shared_ptr<group_control> make(state::group_description const& group);
+    /// Runs a function on the control thread, if this is a home by then.
+    void post_to(std::string const& group,
+                 std::function<void(group_control&)> run);
     void set_limits(home& of, state::group_description const& group);
     void retire(std::string const& group, home& one, state::time_point now);
     bool is_over(home const& one, state::time_point now) const;
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -31,9 +31,11 @@
 } // namespace
 
 group_gateway::group_gateway(state::group_description group,
-                             status_handler on_status)
+                             status_handler on_status,
+                             member_handler on_unreachable)
     : m_group(std::move(group)),
       m_on_status(std::move(on_status)),
+      m_on_unreachable(std::move(on_unreachable)),
       m_core(m_group.m_members.size()),
       m_reads(m_core),
       m_writes(m_core),
@@ -258,7 +260,17 @@
 
 void group_gateway::on_observation_closed(std::size_t member)
 {
-    locked([&] { m_core.m_members[member]->observation_lost(); });
+    locked(
+        [&]
+        {
+            m_core.m_members[member]->observation_lost();
+            if (m_on_unreachable && !m_closed)
+            {
+                m_core.m_completions.emplace_back(
+                    [this, &name = m_group.m_members[member].m_name]
+                    { m_on_unreachable(name); });
+            }
+        });
 }
 
 void group_gateway::note_status(std::size_t member,
--- a/packages/transport/src/instance/group_control.cpp
+++ b/packages/transport/src/instance/group_control.cpp
@@ -52,6 +52,11 @@
     perform(m_monitor.status_received(status, state::clock::now()));
 }
 
+void group_control::member_unreachable(std::string const& member)
+{
+    perform(m_monitor.member_unreachable(member, state::clock::now()));
+}
+
 void group_control::request_switchover(std::string const& target)
 {
     perform(m_monitor.request_switchover(target, state::clock::now()));
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -105,6 +105,21 @@
     set_limits(one, group);
 }
 
+void home_control::post_to(std::string const& group,
+                           std::function<void(group_control&)> run)
+{
+    m_loop->post(
+        [this, group, run = std::move(run)]
+        {
+            auto const found = m_home.find(group);
+            if (found != m_home.end() && found->second.m_control &&
+                !found->second.m_retire_at)
+            {
+                run(*found->second.m_control);
+            }
+        });
+}
+
 std::shared_ptr<group_control>
 home_control::make(state::group_description const& group)
 {
@@ -136,16 +151,13 @@
         group,
         [this, name](state::member_status const& status)
         {
-            m_loop->post(
-                [this, name, status]
-                {
-                    auto const found = m_home.find(name);
-                    if (found != m_home.end() && found->second.m_control &&
-                        !found->second.m_retire_at)
-                    {
-                        found->second.m_control->status_received(status);
-                    }
-                });
+            post_to(name, [status](group_control& control)
+                    { control.status_received(status); });
+        },
+        [this, name](std::string const& member)
+        {
+            post_to(name, [member](group_control& control)
+                    { control.member_unreachable(member); });
         });
     gateway->start();
     m_registry.set(gateway);
