--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -52,13 +52,17 @@
 {
 public:
     using status_handler = std::function<void(state::member_status const&)>;
+    using member_handler = std::function<void(std::string const& member)>;
 
     /// Made by make_shared, then started, and closed before it is let go.
     /// @param group describes the members
     /// @param on_status is told of each change that matters to the change of
     ///     primary, on any thread
+    /// @param on_unreachable is told of each member whose observation stream
+    ///     broke or could not be opened, on any thread
     /// @param policy the default but for measurements
     group_gateway(state::group_description group, status_handler on_status,
+                  member_handler on_unreachable = {},
                   gateway_policy const& policy = {});
     ~group_gateway() override;
     group_gateway(group_gateway const&) = delete;
@@ -135,6 +139,7 @@
 
     state::group_description const m_group;
     status_handler const m_on_status;
+    member_handler const m_on_unreachable;
     mutable std::mutex m_mutex;
     group_core m_core;
     read_service m_reads;
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -29,9 +29,11 @@
 
 group_gateway::group_gateway(state::group_description group,
                              status_handler on_status,
+                             member_handler on_unreachable,
                              gateway_policy const& policy)
     : m_group(std::move(group)),
       m_on_status(std::move(on_status)),
+      m_on_unreachable(std::move(on_unreachable)),
       m_core(m_group.m_members.size(),
              policy.m_primary_acknowledges ? 1 : m_group.m_members.size()),
       m_reads(m_core, policy.m_reads()),
@@ -254,7 +256,17 @@
 
 void group_gateway::on_observation_closed(std::size_t member)
 {
-    locked([&] { m_core.m_members[member]->observation_lost(); });
+    locked(
+        [&]
+        {
+            m_core.m_members[member]->observation_lost();
+            if (m_on_unreachable && !m_closed)
+            {
+                m_core.m_completions.emplace_back(
+                    [this, &name = m_group.m_members[member].m_name]
+                    { m_on_unreachable(name); });
+            }
+        });
 }
 
 void group_gateway::note_status(std::size_t member,
