limits: a home keeps half an even part; a change of homes is followed closely; tests over sockets and on a manual clock

Cause: the first home took a member's connections whole and the second had none until the first read the ledger again (4 s); a kill in between left no service for the takeover time. A home without demand held next to nothing. Change: every home asks for half an even part at least; for 5 s after a change of the homes the ledger is read each 500 ms. The member stand-in counts its connections and refusals.

--- a/packages/coordination/include/camphortide/coordination/limits/group_shares.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/group_shares.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,10 +36,13 @@
     /// @see share_keeper
     group_shares(holder_id self, share_timing timing, double jitter);
 
-    /// Takes in the catalogue. Demand seen of an entry is kept.
+    /// Takes in the catalogue. Demand seen of an entry is kept. A home asks
+    /// for half an even part of each limit at least, to go on with at once
+    /// when another one is lost.
     /// @param version of the catalogue
+    /// @param homes of the group in this home's view
     /// @param entries the group's entries, with limits for the whole system
-    void set_group(std::uint64_t version,
+    void set_group(std::uint64_t version, std::size_t homes,
                    std::span<member_connections const> members,
                    std::span<entry_limits const> entries);
 
@@ -69,7 +73,10 @@
     share_keeper const& keeper() const { return m_keeper; }
 
 private:
+    void set_demand(share_key const& key, share_demand demand);
+
     share_keeper m_keeper;
+    std::map<share_key, std::int64_t> m_least; ///< to ask for
     std::map<std::string, limit_share, std::less<>> m_entries;
 };
 
--- a/packages/coordination/src/limits/group_shares.cpp
+++ b/packages/coordination/src/limits/group_shares.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <camphortide/coordination/limits/group_shares.hpp>
@@ -5,12 +6,20 @@
 namespace camphortide::coordination
 {
 
+namespace
+{
+
+/// A home asks for this part of an even part of a limit at least.
+constexpr std::int64_t least_divisor = 2;
+
+} // namespace
+
 group_shares::group_shares(holder_id self, share_timing timing, double jitter)
     : m_keeper(std::move(self), timing, jitter)
 {
 }
 
-void group_shares::set_group(std::uint64_t version,
+void group_shares::set_group(std::uint64_t version, std::size_t homes,
                              std::span<member_connections const> members,
                              std::span<entry_limits const> entries)
 {
@@ -31,6 +40,13 @@
         kept.emplace(entry.m_name, std::move(share));
     }
     m_entries = std::move(kept);
+    m_least.clear();
+    auto const parts = least_divisor * static_cast<std::int64_t>(
+                                           std::max<std::size_t>(1, homes));
+    for (auto const& limit : limits)
+    {
+        m_least[limit.m_key] = limit.m_limit / parts;
+    }
     m_keeper.set_limits(version, std::move(limits));
 }
 
@@ -53,15 +69,25 @@
     }
     auto& share = found->second;
     share.observe(load, now);
-    m_keeper.set_demand(share.rate_key(), share.rate_demand());
-    m_keeper.set_demand(share.concurrency_key(), share.concurrency_demand());
+    set_demand(share.rate_key(), share.rate_demand());
+    set_demand(share.concurrency_key(), share.concurrency_demand());
 }
 
 void group_shares::observe_member(std::string_view member, std::int64_t wanted,
                                   std::int64_t in_use)
 {
-    m_keeper.set_demand({share_kind::connections, std::string(member)},
-                        {wanted, in_use});
+    set_demand({share_kind::connections, std::string(member)},
+               {wanted, in_use});
+}
+
+void group_shares::set_demand(share_key const& key, share_demand demand)
+{
+    auto const least = m_least.find(key);
+    if (least != m_least.end())
+    {
+        demand.m_wanted = std::max(demand.m_wanted, least->second);
+    }
+    m_keeper.set_demand(key, demand);
 }
 
 std::vector<entry_limits>
--- /dev/null
+++ b/packages/coordination/test/group_shares/entry_rate_test.cpp
@@ -0,0 +1,189 @@
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/limits/admission.hpp>
+#include <camphortide/coordination/limits/group_shares.hpp>
+
+using namespace camphortide::coordination;
+namespace state = camphortide::state;
+
+namespace
+{
+
+constexpr state::duration step_time{50};
+constexpr int rate = 100;           ///< a second, over all homes
+constexpr int offered_per_step = 8; ///< at each home
+constexpr std::uint32_t slots = 1000;
+
+/// One home: its shares, its admission and the calls on their way.
+struct rate_home
+{
+    explicit rate_home(holder_id self)
+        : m_id(self),
+          m_shares(self, share_timing{}, 0.3)
+    {
+        m_admission.set_capacity(lane::primary, slots, state::time_point{});
+    }
+
+    holder_id m_id;
+    group_shares m_shares;
+    admission m_admission;
+};
+
+/// Homes that are offered more than the limit, on a manual clock. Their store
+/// answers in the next step, or loses calls while it is down.
+class rate_world
+{
+public:
+    rate_home& add(std::string const& name)
+    {
+        m_homes.push_back(
+            std::make_unique<rate_home>(holder_id{name, ++m_lives}));
+        entry_limits limits;
+        limits.m_name = "e";
+        limits.m_rate = rate;
+        limits.m_queue_length = 0;
+        m_homes.back()->m_shares.set_group(1, 2, {}, {&limits, 1});
+        return *m_homes.back();
+    }
+
+    void kill(std::size_t at)
+    {
+        m_gone.push_back(m_homes[at]->m_id);
+        m_homes.erase(m_homes.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+
+    /// @return admitted requests
+    std::size_t run(int ms)
+    {
+        std::size_t admitted = 0;
+        for (auto const end = m_now + state::duration(ms); m_now < end;)
+        {
+            m_now += step_time;
+            std::size_t now_admitted = 0;
+            for (auto const& home : m_homes)
+            {
+                now_admitted += step(*home);
+            }
+            admitted += now_admitted;
+            note(now_admitted);
+        }
+        return admitted;
+    }
+
+    bool m_store_down = false;
+
+private:
+    std::size_t step(rate_home& home)
+    {
+        auto& keeper = home.m_shares.keeper();
+        keeper.set_contact(m_now);
+        keeper.set_gone(m_gone);
+        home.m_shares.observe("e", home.m_admission.load("e"), m_now);
+        if (auto const call = keeper.step(m_now))
+        {
+            serve(keeper, *call);
+        }
+        auto const local = home.m_shares.local_entries(m_now);
+        home.m_admission.set_entries(local, m_now);
+        std::size_t admitted = 0;
+        for (int i = 0; i < offered_per_step; ++i)
+        {
+            home.m_shares.arrived("e");
+            auto const id = ++m_last_id;
+            auto const decision = home.m_admission.arrive(
+                {id, "e", lane::primary, m_now + state::duration(1000),
+                 std::nullopt, false},
+                m_now);
+            if (decision.m_verdict == verdict::admitted)
+            {
+                admitted += 1;
+                home.m_admission.finished(id, work(1), m_now);
+            }
+        }
+        return admitted;
+    }
+
+    void serve(share_keeper& keeper, ledger_call const& call)
+    {
+        if (m_store_down)
+        {
+            keeper.call_failed(call.m_number, m_now);
+        }
+        else if (!call.m_write)
+        {
+            keeper.read_done(call.m_number, m_ledger, m_version, m_now);
+        }
+        else if (call.m_if_version != m_version)
+        {
+            keeper.write_conflict(call.m_number, m_now);
+        }
+        else
+        {
+            m_ledger = call.m_ledger;
+            m_version += 1;
+            keeper.write_done(call.m_number, m_version, m_now);
+        }
+    }
+
+    /// Of any ten seconds no more is admitted than the limit, one second of
+    /// saved tokens, and one request for each home that started.
+    void note(std::size_t admitted)
+    {
+        constexpr std::size_t window = 10000 / step_time.count();
+        m_recent.push_back(admitted);
+        m_sum += admitted;
+        if (m_recent.size() > window)
+        {
+            m_sum -= m_recent.front();
+            m_recent.pop_front();
+        }
+        CHECK(m_sum <= 11 * rate + m_lives);
+    }
+
+    state::time_point m_now{};
+    std::vector<std::unique_ptr<rate_home>> m_homes;
+    std::vector<holder_id> m_gone;
+    share_ledger m_ledger;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_last_id = 0;
+    std::deque<std::size_t> m_recent;
+    std::size_t m_sum = 0;
+};
+
+} // namespace
+
+TEST_CASE("the rate of an entry holds while a home is killed and replaced")
+{
+    rate_world world;
+    world.add("a");
+    world.add("b");
+    world.run(20000);
+    CHECK(world.run(10000) >= 95 * rate / 10);
+    world.kill(0);
+    world.add("c");
+    CHECK(world.run(10000) >= 4 * rate); // the survivor goes on with its part
+    world.run(20000);
+    CHECK(world.run(10000) >= 95 * rate / 10);
+}
+
+TEST_CASE("the rate of an entry holds while the store is down")
+{
+    rate_world world;
+    world.add("a");
+    world.add("b");
+    world.run(20000);
+    world.m_store_down = true;
+    CHECK(world.run(30000) >= 285 * rate / 10);
+    world.kill(1);
+    world.add("c");
+    CHECK(world.run(30000) >= 12 * rate);
+    world.m_store_down = false;
+    world.run(30000);
+    CHECK(world.run(10000) >= 95 * rate / 10);
+}
--- a/packages/coordination/test/group_shares/group_shares_test.cpp
+++ b/packages/coordination/test/group_shares/group_shares_test.cpp
@@ -59,7 +59,7 @@
     {
         for (auto* const home : {&m_a, &m_b})
         {
-            home->set_group(1, m_members, m_entries);
+            home->set_group(1, 2, m_members, m_entries);
         }
     }
 
@@ -120,7 +120,7 @@
     auto const a = homes.m_a.local_entries(homes.m_now).front();
     auto const b = homes.m_b.local_entries(homes.m_now).front();
     CHECK(*a.m_rate > *b.m_rate);
-    CHECK(*b.m_rate >= 15);
+    CHECK(*b.m_rate >= 25); // half an even part
     CHECK(*a.m_rate + *b.m_rate == doctest::Approx(100));
     CHECK(*a.m_concurrency + *b.m_concurrency == 10);
     CHECK(homes.m_a.connections("m1", homes.m_now).m_amount +
@@ -138,8 +138,8 @@
     auto wider = entry("e");
     wider.m_rate = 300.0;
     std::vector const entries{wider, unlimited};
-    homes.m_a.set_group(2, homes.m_members, entries);
-    homes.m_b.set_group(2, homes.m_members, entries);
+    homes.m_a.set_group(2, 2, homes.m_members, entries);
+    homes.m_b.set_group(2, 2, homes.m_members, entries);
     homes.run(30, 80, 10);
     auto const a = homes.m_a.local_entries(homes.m_now);
     auto const b = homes.m_b.local_entries(homes.m_now);
@@ -149,3 +149,11 @@
     CHECK_FALSE(a[1].m_rate);
     CHECK_FALSE(a[1].m_concurrency);
 }
+
+TEST_CASE("a home without demand keeps half an even part")
+{
+    two_homes homes;
+    homes.run(60, 200, 0);
+    auto const b = homes.m_b.local_entries(homes.m_now).front();
+    CHECK(*b.m_rate == doctest::Approx(25));
+}
--- a/packages/standin/include/camphortide/standin/group/group_server.hpp
+++ b/packages/standin/include/camphortide/standin/group/group_server.hpp
@@ -63,6 +63,9 @@
     /// @return a copy of a member's table
     table rows(std::string const& member) const;
 
+    /// @return what a member counted of its connections
+    connection_counts connections(std::string const& member) const;
+
     /// @return statements that a member was sent on new work since the start
     std::uint64_t statements(std::string const& member) const;
 
--- a/packages/standin/include/camphortide/standin/group/member_server.hpp
+++ b/packages/standin/include/camphortide/standin/group/member_server.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -21,6 +22,17 @@
 class connection_stream;
 class observe_stream;
 
+/// The connections of a member since its start.
+struct connection_counts
+{
+    std::size_t m_open = 0;      ///< now
+    std::size_t m_most = 0;      ///< at a time
+    std::uint64_t m_refused = 0; ///< for want of a free one
+
+    friend auto operator<=>(connection_counts const&,
+                            connection_counts const&) = default;
+};
+
 /// One member of a stand-in group: its model behind a gRPC server. All state
 /// is guarded by the group's mutex.
 class member_server final : public endpoint::v1::Member::CallbackService
@@ -92,6 +104,7 @@
 
     /// Replicates what the member wrote and tells its observers.
     void written();
+    connection_counts connections() const;
     void count_statement() { ++m_statements; }
     void forget(std::shared_ptr<connection_stream> const& stream);
     void forget(std::shared_ptr<observe_stream> const& stream);
@@ -110,6 +123,7 @@
     bool m_leaving = false;
     std::uint64_t m_generation = 0; ///< rises with every stop
     std::uint64_t m_statements = 0;
+    connection_counts m_counted; ///< but for m_open
     std::chrono::microseconds m_receive_lag{0};
     std::chrono::microseconds m_apply_lag{0};
     std::chrono::microseconds m_statement_time{0};
--- a/packages/standin/src/group/group_server.cpp
+++ b/packages/standin/src/group/group_server.cpp
@@ -149,6 +149,12 @@
     return find(member).m_model.rows();
 }
 
+connection_counts group_server::connections(std::string const& member) const
+{
+    std::scoped_lock const lock(m_mutex);
+    return find(member).connections();
+}
+
 std::uint64_t group_server::statements(std::string const& member) const
 {
     std::scoped_lock const lock(m_mutex);
--- a/packages/standin/src/group/member_server.cpp
+++ b/packages/standin/src/group/member_server.cpp
@@ -1,6 +1,7 @@
 #include "connection_stream.hpp"
 #include "observe_stream.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <grpcpp/grpcpp.h>
@@ -113,8 +114,10 @@
 member_server::Connect(grpc::CallbackServerContext*)
 {
     std::scoped_lock const lock(m_group.m_mutex);
-    if (!m_running ||
-        m_connections.size() >= m_group.m_options.m_connection_limit)
+    bool const full =
+        m_connections.size() >= m_group.m_options.m_connection_limit;
+    m_counted.m_refused += m_running && full ? 1 : 0;
+    if (!m_running || full)
     {
         return new refused_stream<endpoint::v1::Statement,
                                   endpoint::v1::StatementReply>(
@@ -122,12 +125,20 @@
     }
     auto const stream = std::make_shared<connection_stream>(*this);
     m_connections.insert(stream);
+    m_counted.m_most = std::max(m_counted.m_most, m_connections.size());
     stream->start();
     m_group.m_timers.after(m_group.m_options.m_open_delay, [stream, this]
                            { when_answering([stream] { stream->opened(); }); });
     return stream.get();
 }
 
+connection_counts member_server::connections() const
+{
+    auto result = m_counted;
+    result.m_open = m_connections.size();
+    return result;
+}
+
 grpc::ServerBidiReactor<endpoint::v1::Probe, endpoint::v1::MemberStatus>*
 member_server::Observe(grpc::CallbackServerContext*)
 {
--- a/packages/transport/include/camphortide/transport/gateway/share_control.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/share_control.hpp
@@ -35,8 +35,10 @@
 
     /// Takes in the limits for the whole system.
     /// @param version of the catalogue
+    /// @param homes of the group, in this home's view
     /// @param connections that each member takes
-    void set_group(std::uint64_t version, std::size_t connections,
+    void set_group(std::uint64_t version, std::size_t homes,
+                   std::size_t connections,
                    std::vector<coordination::entry_limits> entries);
 
     /// Takes in that a request arrives. Limits that were not looked at lately
@@ -54,6 +56,10 @@
     /// @return the call, if one is due
     std::optional<coordination::ledger_call> step();
 
+    /// Takes in that the homes of the group changed: their shares will, so
+    /// the ledger is read more often for a while.
+    void homes_changed();
+
     /// Makes the next step look at the ledger without waiting.
     void hasten() { m_hastened = true; }
 
@@ -63,6 +69,7 @@
 
 private:
     void observe();
+    void follow_change();
     void apply();
     void apply_entries(std::vector<coordination::entry_limits> entries);
     bool lacks_connections(coordination::lane which) const;
@@ -77,6 +84,8 @@
     state::time_point m_next_observation;
     state::time_point m_applied;
     bool m_hastened = true;
+    state::time_point m_follow_until; ///< a change of the homes
+    state::time_point m_next_look;    ///< at the ledger, until then
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -85,7 +85,7 @@
     {
         std::shared_ptr<group_control> m_control;
         std::optional<state::time_point> m_retire_at;
-        std::size_t m_homes = 0;
+        std::vector<std::string> m_homes;
         state::time_point m_switch_asked{};
         bool m_left = false; ///< holds no share any more
     };
--- a/packages/transport/src/gateway/share_control.cpp
+++ b/packages/transport/src/gateway/share_control.cpp
@@ -13,6 +13,10 @@
 /// there when a slot is free.
 constexpr std::uint32_t requests_per_slot = 2;
 constexpr state::duration observe_interval{250};
+/// How long the shares move after the homes changed.
+constexpr state::duration follow_time{5000};
+/// Between two reads of the ledger meanwhile.
+constexpr state::duration look_interval{500};
 /// After this long requests look at the shares themselves.
 constexpr state::duration most_applied_age{500};
 
@@ -52,7 +56,8 @@
     m_shares.emplace(std::move(self), coordination::share_timing{}, jitter);
 }
 
-void share_control::set_group(std::uint64_t version, std::size_t connections,
+void share_control::set_group(std::uint64_t version, std::size_t homes,
+                              std::size_t connections,
                               std::vector<coordination::entry_limits> entries)
 {
     if (!m_shares)
@@ -66,7 +71,7 @@
         members.push_back({member->description().m_name,
                            static_cast<std::int64_t>(connections)});
     }
-    m_shares->set_group(version, members, entries);
+    m_shares->set_group(version, homes, members, entries);
     m_whole.clear();
     for (auto& entry : entries)
     {
@@ -170,6 +175,7 @@
     {
         m_next_observation = m_core.m_now + observe_interval;
         observe();
+        follow_change();
     }
     auto call = m_shares->keeper().step(m_core.m_now);
     apply();
@@ -181,6 +187,24 @@
     return m_shares ? &m_shares->keeper() : nullptr;
 }
 
+void share_control::homes_changed()
+{
+    m_follow_until = m_core.m_now + follow_time;
+    hasten();
+}
+
+void share_control::follow_change()
+{
+    if (m_core.m_now >= m_follow_until || m_core.m_now < m_next_look)
+    {
+        return;
+    }
+    m_next_look = m_core.m_now + look_interval;
+    auto& keeper = m_shares->keeper();
+    // There may be a newer version: that makes the keeper read it.
+    keeper.confirmed(keeper.version() + 1, m_core.m_now);
+}
+
 void share_control::observe()
 {
     for (auto const& [name, limits] : m_whole)
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -104,8 +104,13 @@
     {
         m_registry.set(one.m_control->gateway());
     }
-    one.m_homes = homes.size();
+    bool const moved = std::exchange(one.m_homes, homes) != homes;
     set_limits(one, group);
+    if (moved && one.m_control)
+    {
+        one.m_control->gateway()->with_shares([](share_control& shares)
+                                              { shares.homes_changed(); });
+    }
 }
 
 std::shared_ptr<group_control>
@@ -178,22 +183,23 @@
         return;
     }
     // Without a store there is nobody to share with but by the own view.
-    auto const homes =
-        m_ledgers.shares() ? 1 : std::max<std::size_t>(1, of.m_homes);
-    auto const connections = group.m_connection_limit / homes;
+    auto const homes = std::max<std::size_t>(1, of.m_homes.size());
+    auto const parts = m_ledgers.shares() ? 1 : homes;
+    auto const connections = group.m_connection_limit / parts;
     std::vector<coordination::entry_limits> limits;
     for (auto const& entry : m_catalogue->entries())
     {
         if (entry.m_group == group.m_name)
         {
-            limits.push_back(limits_of(entry, homes));
+            limits.push_back(limits_of(entry, parts));
         }
     }
     of.m_control->gateway()->with_shares(
         [&](share_control& shares)
         {
             m_ledgers.shares()
-                ? shares.set_group(m_catalogue->version(), connections, limits)
+                ? shares.set_group(m_catalogue->version(), homes, connections,
+                                   limits)
                 : shares.set_fixed(std::max<std::size_t>(1, connections),
                                    limits);
         });
--- /dev/null
+++ b/tests/test/limits/connection_limit_test.cpp
@@ -0,0 +1,166 @@
+#include "small_deployment.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace standin = camphortide::standin;
+namespace tests = camphortide::tests;
+namespace v1 = camphortide::v1;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::milliseconds settled{2500};
+/// Longer than membership takes to call a silent instance gone.
+constexpr std::chrono::milliseconds replaced{6500};
+constexpr std::uint32_t connections = 6;
+constexpr int callers = 10;
+
+/// Callers that read and write at one instance until they are told to stop.
+class traffic
+{
+public:
+    explicit traffic(std::string const& address)
+    {
+        for (int i = 0; i < callers; ++i)
+        {
+            m_threads.emplace_back([this, address, i] { run(address, i); });
+        }
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        for (auto& each : m_threads)
+        {
+            each.join();
+        }
+        m_threads.clear();
+    }
+
+    ~traffic() { stop(); }
+
+    std::atomic<int> m_done{0};
+    std::atomic<int> m_refused{0}; ///< by a limit, or for want of a home
+
+private:
+    void run(std::string const& address, int number)
+    {
+        tests::session caller(address);
+        auto const name = "caller-" + std::to_string(number);
+        for (int i = 0; !m_stopped; ++i)
+        {
+            auto const status =
+                i % 2 == 0 ? caller.read("get count")
+                           : caller.write("add count 1",
+                                          name + "-" + std::to_string(i));
+            m_done += status.ok() ? 1 : 0;
+            auto const why = tests::failure_of(status).reason();
+            bool const refused = why == v1::REASON_NO_HOME ||
+                                 why == v1::REASON_RATE_LIMIT ||
+                                 why == v1::REASON_CONCURRENCY_LIMIT;
+            m_refused += !status.ok() && refused ? 1 : 0;
+        }
+    }
+
+    std::atomic<bool> m_stopped{false};
+    std::vector<std::thread> m_threads;
+};
+
+camphortide::transport::deployment scarce_deployment()
+{
+    auto result = tests::small_deployment(4, 2);
+    result.m_groups[0].m_connections = connections;
+    result.m_entries[0].m_limits.m_connections = connections;
+    result.m_groups[0].m_statement_time = std::chrono::milliseconds(2);
+    return result;
+}
+
+/// The homes of the group among the instances that run.
+std::vector<std::string> homes_of(standin::running_deployment const& running)
+{
+    std::vector<std::string> homes;
+    for (auto const& name : running.running())
+    {
+        if (running.instance(name)->leads_to("loans"))
+        {
+            homes.push_back(name);
+        }
+    }
+    return homes;
+}
+
+std::string no_home_of(standin::running_deployment const& running)
+{
+    auto const homes = homes_of(running);
+    for (auto const& name : running.running())
+    {
+        if (std::ranges::count(homes, name) == 0)
+        {
+            return name;
+        }
+    }
+    return {};
+}
+
+void check_members(standin::running_deployment& running)
+{
+    for (auto const* const member : {"a", "b", "c"})
+    {
+        CAPTURE(member);
+        auto const counts = running.group("loans").connections(member);
+        CHECK(counts.m_refused == 0);
+        CHECK(counts.m_most <= connections);
+    }
+}
+
+void wait(std::chrono::milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+} // namespace
+
+TEST_CASE("members never have to refuse a connection while homes change")
+{
+    standin::running_deployment running(scarce_deployment(), tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    wait(settled);
+    auto const entry = no_home_of(running);
+    REQUIRE_FALSE(entry.empty());
+    traffic callers(running.caller_address(entry));
+    wait(settled);
+    auto const before = callers.m_done.load();
+    CHECK(before > 0);
+    auto const lost = homes_of(running).front();
+
+    SUBCASE("one is killed, replaced and started again")
+    {
+        running.kill_instance(lost);
+        wait(replaced);
+        CHECK(running.start_instance(lost));
+        wait(settled);
+    }
+    SUBCASE("one is killed while the store is down")
+    {
+        running.platform().set_outage(true);
+        running.kill_instance(lost);
+        wait(replaced);
+        running.platform().set_outage(false);
+        wait(settled);
+    }
+    SUBCASE("one is drained")
+    {
+        CHECK(running.drain_instance(lost));
+        wait(settled);
+    }
+    CHECK(callers.m_done.load() > before);
+    callers.stop();
+    CHECK(callers.m_refused.load() == 0);
+    check_members(running);
+}
