--- a/packages/standin/src/group/group_server.cpp
+++ b/packages/standin/src/group/group_server.cpp
@@ -155,6 +155,12 @@
     return find(member).m_probes;
 }
 
+connection_counts group_server::connections(std::string const& member) const
+{
+    std::scoped_lock const lock(m_mutex);
+    return find(member).connections();
+}
+
 std::uint64_t group_server::statements(std::string const& member) const
 {
     std::scoped_lock const lock(m_mutex);
