load: a transaction that a planned stop ends breaks a promise

Cause: a drain is judged by the instance's own word, and an open transaction was lost in a rolling replacement that was told clean. Change: in a run where nothing but planned stops happens, a transaction that is lost around a stop is a break.

--- a/packages/load/include/camphortide/load/checker/run_facts.hpp
+++ b/packages/load/include/camphortide/load/checker/run_facts.hpp
@@ -59,7 +59,9 @@
 struct planned_drain
 {
     std::string m_instance;
-    bool m_clean = true; ///< nothing in flight was interrupted
+    bool m_clean = true; ///< by the instance's own word
+    run_time m_from{0};  ///< when the stop was planned
+    run_time m_until{0}; ///< when the instance had ended
 
     friend auto operator<=>(planned_drain const&,
                             planned_drain const&) = default;
@@ -86,6 +88,8 @@
     std::vector<accepted_change> m_changes;
     std::vector<edit_race> m_races;
     run_time m_end{0};
+    /// Nothing was lost or disturbed but by planned stops.
+    bool m_only_planned = false;
 };
 
 } // namespace camphortide::load
--- a/packages/load/include/camphortide/load/demo/fault_injector.hpp
+++ b/packages/load/include/camphortide/load/demo/fault_injector.hpp
@@ -30,6 +30,7 @@
     std::string_view m_name;
     std::string_view m_summary; ///< one line
     void (fault_injector::*m_apply)();
+    bool m_planned = false; ///< interrupts nothing, by the promises
 };
 
 /// Switches faults of a deployment on and off, and notes what the checks
@@ -104,7 +105,8 @@
     std::mt19937_64 m_random;
     std::uint64_t m_round = 0;
     std::uint64_t m_edits = 0;
-    std::uint64_t m_stops = 0; ///< planned so far; guarded by m_mutex
+    bool m_only_planned = true; ///< of the faults so far
+    std::uint64_t m_stops = 0;  ///< planned so far; guarded by m_mutex
     std::vector<std::function<void()>> m_undo;
     std::vector<std::thread> m_workers; ///< joined before a fault is lifted
     std::set<std::string> m_killed;     ///< members that are not running
--- a/packages/load/src/checker/fleet_checks.cpp
+++ b/packages/load/src/checker/fleet_checks.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Until then the other instances know that an instance has ended.
+constexpr run_time time_until_known{1'000'000};
+
 void check_leavers(run_facts const& facts, std::vector<promise_break>& out)
 {
     for (auto const& leaver : facts.m_leavers)
@@ -38,6 +41,36 @@
     }
 }
 
+bool is_during(request_record const& attempt, planned_drain const& drain)
+{
+    return attempt.m_sent <= drain.m_until + time_until_known &&
+           attempt.m_answered >= drain.m_from;
+}
+
+/// Finds transactions that ended because a planned stop took their home away.
+void check_cut_transactions(run_facts const& facts,
+                            std::vector<promise_break>& out)
+{
+    if (!facts.m_only_planned)
+    {
+        return;
+    }
+    for (auto const& attempt : facts.m_history)
+    {
+        bool const cut =
+            attempt.m_reason == state::reason::transaction_lost &&
+            std::ranges::any_of(facts.m_drains,
+                                [&attempt](planned_drain const& drain)
+                                { return is_during(attempt, drain); });
+        if (cut)
+        {
+            out.push_back({promise::stops_interrupt_nothing,
+                           "a planned stop ended an open transaction",
+                           {attempt}});
+        }
+    }
+}
+
 void check_no_revert(run_facts const& facts, std::vector<promise_break>& out)
 {
     std::map<std::string, std::uint64_t> last;
@@ -112,6 +145,7 @@
 {
     check_leavers(facts, out);
     check_drains(facts, out);
+    check_cut_transactions(facts, out);
     check_no_revert(facts, out);
     check_in_time(facts, out);
     check_races(facts, out);
--- a/packages/load/src/demo/fault_injector.cpp
+++ b/packages/load/src/demo/fault_injector.cpp
@@ -79,11 +79,11 @@
         {"data-centre-loss", "all members and instances of a data centre end",
          &fault_injector::data_centre_loss},
         {"planned-stop", "an instance drains and a replica leaves",
-         &fault_injector::planned_stop},
+         &fault_injector::planned_stop, true},
         {"catalogue-edit-race", "two operators edit one entry at a time",
          &fault_injector::catalogue_edit_race},
         {"rolling-replacement", "every instance is replaced, one by one",
-         &fault_injector::rolling_replacement},
+         &fault_injector::rolling_replacement, true},
     };
     return all;
 }
@@ -119,6 +119,7 @@
 
 void fault_injector::apply(fault const& value)
 {
+    m_only_planned = m_only_planned && value.m_planned;
     (this->*value.m_apply)();
     ++m_round;
 }
@@ -142,6 +143,7 @@
 {
     lift();
     std::scoped_lock const lock(m_mutex);
+    to.m_only_planned = m_only_planned;
     to.m_leavers = m_noted.m_leavers;
     to.m_drains = m_noted.m_drains;
     to.m_races = m_noted.m_races;
@@ -387,6 +389,7 @@
 /// has drained.
 void fault_injector::stop_instance(std::string const& name)
 {
+    auto const from = m_now();
     state::planned_stop stop;
     {
         std::scoped_lock const lock(m_mutex);
@@ -401,7 +404,7 @@
     {
         bool const clean = m_running.drain_instance(name);
         std::scoped_lock const lock(m_mutex);
-        m_noted.m_drains.push_back({name, clean});
+        m_noted.m_drains.push_back({name, clean, from, m_now()});
     }
     cancel_stop(platform, stop.m_id);
 }
--- a/packages/load/test/checker/transaction_check_test.cpp
+++ b/packages/load/test/checker/transaction_check_test.cpp
@@ -250,3 +250,31 @@
               promises{load::promise::age_of_answers});
     }
 }
+
+TEST_CASE("a transaction that a planned stop ended is caught")
+{
+    load::run_facts facts;
+    facts.m_history = good_history();
+    facts.m_truths = {load::group_truth("members", good_log())};
+    facts.m_history[2].m_reason = state::reason::transaction_lost;
+    facts.m_drains = {{"entry-1", true, milliseconds(20), milliseconds(29)}};
+    SUBCASE("where nothing else went wrong")
+    {
+        facts.m_only_planned = true;
+        auto const breaks = load::check_promises(facts);
+        REQUIRE(breaks.size() == 1);
+        CHECK(breaks.front().m_promise ==
+              load::promise::stops_interrupt_nothing);
+    }
+    SUBCASE("but not where something was lost besides")
+    {
+        CHECK(load::check_promises(facts).empty());
+    }
+    SUBCASE("but not long before the stop")
+    {
+        facts.m_only_planned = true;
+        facts.m_drains.front().m_from = milliseconds(5000);
+        facts.m_drains.front().m_until = milliseconds(6000);
+        CHECK(load::check_promises(facts).empty());
+    }
+}
