membership: the versions of the catalogue that peers hold

Each instance reported its own version only, so an operator who waited for a change had to name every instance's address. Heartbeats carry the version already; membership now keeps it for each peer, and on an operator's question probes the live peers that are not known to hold the own version, at most 32 in each interval. A higher incarnation starts at no version.

--- a/packages/coordination/include/camphortide/coordination/fleet/instance_table.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/instance_table.hpp
@@ -22,6 +22,8 @@
     state::time_point m_observed{}; ///< since when it is observed
     state::time_point m_changed{};  ///< of the state
     bool m_is_observed = false;
+    /// Of the catalogue, as its own heartbeats tell; 0 until one came.
+    std::uint64_t m_catalogue = 0;
 };
 
 /// The records of all instances but the own, with the rule that merges a
--- a/packages/coordination/include/camphortide/coordination/fleet/membership.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/membership.hpp
@@ -55,6 +55,11 @@
     void on_platform_list(std::span<state::instance_record const> list,
                           state::time_point now);
 
+    /// Asks peers that are not known to hold the own version of the catalogue,
+    /// for an operator who waits for it. Bounded in each interval.
+    /// @return what to send
+    std::vector<heartbeat_to> ask_versions();
+
     /// Announces that this instance leaves. No timeout or report undoes it.
     /// @param now the time
     /// @return what to send at once
@@ -67,6 +72,11 @@
     ///     leaving marks applied
     std::vector<state::instance_record> view() const;
 
+    /// @param name of another instance
+    /// @return what is known of it; null if nothing is. Valid until the next
+    ///     call that is not const
+    known_instance const* find(std::string const& name) const;
+
     /// @return rises whenever `view` changes
     std::uint64_t revision() const
     {
@@ -90,6 +100,7 @@
 private:
     using actions = std::vector<heartbeat_to>;
 
+    void hear(heartbeat const& message, state::time_point now);
     void learn(state::instance_record const& report, state::time_point now);
     void object_to(state::instance_record const& report);
     void excuse_pause(state::time_point now);
@@ -121,11 +132,13 @@
     std::vector<std::string> m_observed;
     held_versions m_held;
     std::string m_slice_after; ///< last name of the latest slice
+    std::string m_asked_last;  ///< last name that was asked for its version
     std::uint64_t m_sequence = 0;
     std::uint64_t m_own_changes = 0;
     std::uint64_t m_observed_revision = 0;
     std::size_t m_slices_left = 0;
     std::size_t m_welcomes_left = 0;
+    std::size_t m_asks_left = 0;
     state::time_point m_last_tick;
     state::time_point m_next_interval;
     state::time_point m_next_push;
--- a/packages/coordination/include/camphortide/coordination/fleet/membership_settings.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/membership_settings.hpp
@@ -16,11 +16,12 @@
     state::duration m_pause{1000};        ///< gap between ticks that is a pause
     state::duration m_push_interval{250}; ///< between urgent messages
     state::duration m_retention{600'000}; ///< how long a gone one is kept
-    std::size_t m_observed = 3;        ///< instances that one instance observes
-    std::size_t m_push_peers = 4;      ///< receivers of an urgent message
-    std::size_t m_news = 8;            ///< records in a heartbeat
-    std::size_t m_slice = 24;          ///< records when views differ
-    std::size_t m_welcomes = 4;        ///< whole views sent in an interval
+    std::size_t m_observed = 3;   ///< instances that one instance observes
+    std::size_t m_push_peers = 4; ///< receivers of an urgent message
+    std::size_t m_news = 8;       ///< records in a heartbeat
+    std::size_t m_slice = 24;     ///< records when views differ
+    std::size_t m_welcomes = 4;   ///< whole views sent in an interval
+    std::size_t m_asks = 32;      ///< probes for versions sent in an interval
     std::size_t m_most_records = 4096; ///< instances kept
 };
 
--- a/packages/coordination/src/fleet/instance_table.cpp
+++ b/packages/coordination/src/fleet/instance_table.cpp
@@ -67,6 +67,10 @@
         return false;
     }
     toggle(known);
+    if (report.m_incarnation > record.m_incarnation)
+    {
+        known.m_catalogue = 0; // it may have been started anew
+    }
     record.m_incarnation = report.m_incarnation;
     record.m_state = report.m_state;
     if (!report.m_address.empty())
--- a/packages/coordination/src/fleet/membership.cpp
+++ b/packages/coordination/src/fleet/membership.cpp
@@ -27,6 +27,7 @@
     m_phase = state::duration(static_cast<state::clock::rep>(
         m_random.below(static_cast<std::uint64_t>(bound))));
     m_welcomes_left = m_settings.m_welcomes;
+    m_asks_left = m_settings.m_asks;
     m_slices_left = 1;
 }
 
@@ -201,10 +202,7 @@
         }
         learn(record, now);
     }
-    if (auto* known = m_table.find(message.m_sender.m_name))
-    {
-        known->m_heard = now;
-    }
+    hear(message, now);
     if (message.m_kind == heartbeat_kind::welcome)
     {
         m_joined = true;
@@ -214,6 +212,21 @@
     return out;
 }
 
+void membership::hear(heartbeat const& message, time_point now)
+{
+    auto* const known = m_table.find(message.m_sender.m_name);
+    if (known == nullptr)
+    {
+        return;
+    }
+    known->m_heard = now;
+    if (message.m_sender.m_incarnation == known->m_record.m_incarnation)
+    {
+        known->m_catalogue =
+            std::max(known->m_catalogue, message.m_held.m_catalogue);
+    }
+}
+
 void membership::on_platform_list(std::span<instance_record const> list,
                                   time_point now)
 {
@@ -260,6 +273,12 @@
     return m_platform_leaving.contains(m_self.m_name);
 }
 
+known_instance const* membership::find(std::string const& name) const
+{
+    auto const place = m_table.all().find(name);
+    return place == m_table.all().end() ? nullptr : &place->second;
+}
+
 std::vector<instance_record> membership::view() const
 {
     std::vector<instance_record> result;
--- a/packages/coordination/src/fleet/membership_messages.cpp
+++ b/packages/coordination/src/fleet/membership_messages.cpp
@@ -85,6 +85,7 @@
 void membership::start_interval(actions& out)
 {
     m_welcomes_left = m_settings.m_welcomes;
+    m_asks_left = m_settings.m_asks;
     m_slices_left = 1;
     if (!m_joined)
     {
@@ -154,6 +155,31 @@
     }
 }
 
+std::vector<heartbeat_to> membership::ask_versions()
+{
+    actions out;
+    auto const& all = m_table.all();
+    auto place = all.upper_bound(m_asked_last);
+    for (std::size_t seen = 0; seen < all.size() && m_asks_left > 0; ++seen)
+    {
+        if (place == all.end())
+        {
+            place = all.begin();
+        }
+        auto const& [name, known] = *place++;
+        bool const behind = known.m_catalogue < m_held.m_catalogue;
+        if (!behind || !state::is_live(known.m_record.m_state))
+        {
+            continue;
+        }
+        out.push_back(
+            {name, known.m_record.m_address, make(heartbeat_kind::probe)});
+        m_asked_last = name;
+        --m_asks_left;
+    }
+    return out;
+}
+
 void membership::push(actions& out, time_point now)
 {
     if (!m_urgent || now < m_next_push)
--- a/packages/coordination/test/membership/membership_test.cpp
+++ b/packages/coordination/test/membership/membership_test.cpp
@@ -58,6 +58,75 @@
     CHECK(fleet.all_see(others, others, instance_state::live));
 }
 
+TEST_CASE("one instance learns which version of the catalogue all hold")
+{
+    constexpr std::size_t count = 40;
+    constexpr std::size_t behind = 7;
+    membership_fleet fleet;
+    fleet.start_all(count);
+    fleet.run(settle);
+    auto const hold = [&fleet](std::size_t index, std::uint64_t version)
+    {
+        fleet.at(index).set_held({version, 0, duration(0)});
+    };
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        hold(index, index == behind ? 4 : 5);
+    }
+    auto const ask = [&fleet]
+    {
+        for (int i = 0; i < 30; ++i)
+        {
+            fleet.send(fleet.name(0), fleet.at(0).ask_versions());
+            fleet.run(duration(100));
+        }
+    };
+    auto const seen = [&fleet](std::size_t index)
+    {
+        return fleet.at(0).find(fleet.name(index))->m_catalogue;
+    };
+    ask();
+    for (std::size_t index = 1; index < count; ++index)
+    {
+        CHECK(seen(index) == (index == behind ? 4 : 5));
+    }
+    hold(behind, 5);
+    ask();
+    CHECK(seen(behind) == 5);
+}
+
+TEST_CASE("an instance that is started anew holds no version until it tells")
+{
+    membership_fleet fleet;
+    fleet.start_all(2);
+    fleet.run(settle);
+    fleet.at(0).set_held({5, 0, duration(0)});
+    fleet.at(1).set_held({5, 0, duration(0)});
+    fleet.run(settle);
+    CHECK(fleet.at(0).find(fleet.name(1))->m_catalogue == 5);
+    fleet.kill(1);
+    fleet.start(1);
+    fleet.run(settle);
+    CHECK(fleet.at(0).find(fleet.name(1))->m_catalogue == 0);
+}
+
+TEST_CASE("questions for versions are bounded in each interval")
+{
+    constexpr std::size_t count = 60;
+    membership_fleet fleet;
+    fleet.start_all(count);
+    fleet.run(settle);
+    fleet.at(0).set_held({5, 0, duration(0)});
+    auto const first = fleet.at(0).ask_versions();
+    CHECK(first.size() <=
+          camphortide::coordination::membership_settings().m_asks);
+    CHECK(fleet.at(0).ask_versions().empty());
+    fleet.run(duration(1'100));
+    auto const second = fleet.at(0).ask_versions();
+    CHECK(!second.empty());
+    CHECK(second.front().m_name != first.front().m_name);
+}
+
 TEST_CASE("an explicit leaving is known at once and nothing undoes it")
 {
     membership_fleet fleet;
