instance: keys of session tokens as a list, TLS to members, metrics without a look-up

session.token_keys replaces session.token_key: the first key signs, all verify, so that a key can be changed without ending sessions. A wrong value of a secret list is hidden in errors as single secrets are. tls.members_authority turns TLS on towards members. A TLS key that does not belong to its certificate was reported as a taken address; it is held against the certificate first now.

A request keeps the metrics of its class: served_catalogue finds them once for each entry of a version.

The start wrote the control loop, the router and the service for callers while the peers' thread and the control thread could already read them. The loop is made before the exchange opens, the services before the fleet control, and forwarded messages are taken once the router is there.

The description of a small deployment stands in small_deployment_builder alone.

--- a/apps/camphortide/src/catalogue_apply.cpp
+++ b/apps/camphortide/src/catalogue_apply.cpp
@@ -158,8 +158,8 @@
         "address,a",
         options::value<arguments>()->default_value({default_admin},
                                                    default_admin),
-        "IP:PORT of an instance's service for operators, for --wait; repeat it "
-        "to ask more instances")(
+        "IP:PORT of an instance's service for operators, for --wait; one is "
+        "enough, repeat it to ask more")(
         "wait-time",
         options::value<std::uint32_t>()->default_value(default_wait),
         "longest wait of --wait, ms");
--- a/apps/camphortide/src/force_wait.cpp
+++ b/apps/camphortide/src/force_wait.cpp
@@ -17,6 +17,13 @@
 constexpr std::chrono::milliseconds poll_interval{100};
 constexpr state::duration call_timeout{2000};
 
+/// @return true if an instance takes no requests, whatever it holds
+bool is_out(admin::v1::InstanceState state)
+{
+    return state == admin::v1::INSTANCE_STATE_LEAVING ||
+           state == admin::v1::INSTANCE_STATE_GONE;
+}
+
 /// Which instances have a version in force, as some instances tell.
 class force_report
 {
@@ -37,7 +44,7 @@
                              << each.name() << std::endl;
                 }
             }
-            else if (each.state() == admin::v1::INSTANCE_STATE_LEAVING)
+            else if (is_out(each.state()))
             {
                 m_missing.erase(each.name());
             }
--- a/apps/camphortide/src/status_text.cpp
+++ b/apps/camphortide/src/status_text.cpp
@@ -4,7 +4,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <cstdio>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace camphortide::command_line
 {
@@ -45,6 +50,41 @@
     return member.leaving() ? "leaving" : "ready";
 }
 
+/// The version that an instance holds, as far as it is known.
+std::string version_of(admin::v1::InstanceStatus const& instance)
+{
+    return instance.catalogue_version() == 0
+               ? std::string("unknown")
+               : std::to_string(instance.catalogue_version());
+}
+
+/// Which version of the catalogue is in force where, the newest first.
+std::string in_force_text(admin::v1::StatusReply const& status)
+{
+    std::map<std::uint64_t, std::vector<std::string>, std::greater<>> names;
+    for (auto const& each : status.instances())
+    {
+        bool const runs = each.state() != admin::v1::INSTANCE_STATE_GONE;
+        if (runs)
+        {
+            names[each.catalogue_version()].push_back(each.name());
+        }
+    }
+    std::string text;
+    for (auto const& [version, holders] : names)
+    {
+        text += version == 0
+                    ? std::string("  no version known at")
+                    : "  version " + std::to_string(version) + " in force at";
+        for (auto const& name : holders)
+        {
+            text += ' ' + name;
+        }
+        text += '\n';
+    }
+    return text;
+}
+
 std::string summary(admin::v1::StatusReply const& status)
 {
     std::string text = "instance ";
@@ -53,7 +93,7 @@
             std::to_string(status.uptime_ms() / 1000) + " s\n";
     text += "catalogue version " + std::to_string(status.catalogue_version()) +
             " with " + std::to_string(status.catalogue_entries()) +
-            " entries\n";
+            " entries\n" + in_force_text(status);
     text += status.platform_reachable()
                 ? std::string("platform reachable\n")
                 : "platform silent for " +
@@ -72,7 +112,7 @@
     for (auto const& each : status.instances())
     {
         table.add({each.name(), each.data_centre(), name_of(each.state()),
-                   std::to_string(each.catalogue_version()),
+                   version_of(each),
                    std::to_string(each.heartbeat_age_ms()) + " ms"});
     }
     return table.text();
--- a/apps/camphortide/test/deployment/deployment_test.cpp
+++ b/apps/camphortide/test/deployment/deployment_test.cpp
@@ -6,9 +6,9 @@
 #include <doctest/doctest.h>
 
 #include <camphortide/standin/deployment/running_deployment.hpp>
+#include <camphortide/standin/deployment/small_deployment_builder.hpp>
 
 namespace standin = camphortide::standin;
-namespace transport = camphortide::transport;
 using camphortide::command_line::exit_code;
 using camphortide::command_line::run_command;
 
@@ -18,29 +18,6 @@
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr int most_polls = 3000;
 
-transport::deployment two_instances()
-{
-    transport::deployment result;
-    result.m_name = "test";
-    result.m_region = "serra-gaucha";
-    result.m_data_centres = {"sede-centro", "ginasio-norte"};
-    result.m_instances = {{"entry-1", "sede-centro"},
-                          {"entry-2", "ginasio-norte"}};
-    transport::deployment_group group;
-    group.m_name = "loans";
-    group.m_members = {
-        {"a", "sede-centro"}, {"b", "ginasio-norte"}, {"c", "sede-centro"}};
-    result.m_groups = {group};
-    result.m_owners = {{"desks", "secret"}};
-    transport::deployment_entry entry;
-    entry.m_name = "checkouts";
-    entry.m_owner = "desks";
-    entry.m_class_name = "checkouts";
-    entry.m_groups = {"loans"};
-    result.m_entries = {entry};
-    return result;
-}
-
 run_result run(camphortide::command_line::arguments const& words)
 {
     std::ostringstream out;
@@ -53,7 +30,9 @@
 
 TEST_CASE("an operator sees a deployment and changes its catalogue")
 {
-    standin::running_deployment running(two_instances(), std::string(64, 'a'));
+    standin::running_deployment running(
+        standin::small_deployment_builder().instances(2).build(),
+        std::string(64, 'a'));
     REQUIRE(running.wait_ready(std::chrono::seconds(60)));
     auto const admin = running.admin_address("entry-1");
     auto const platform = running.platform_address();
@@ -81,9 +60,10 @@
     temporary_file const file("deployment_test.jsonc", changed);
     auto const applied =
         run({"catalogue", "apply", "deployment_test.jsonc", "--platform",
-             platform, "--wait", "--address", admin, "--address",
-             running.admin_address("entry-2")});
+             platform, "--wait", "--address", admin});
     CHECK(applied.m_code == exit_code::done);
     CHECK(applied.says("in force at entry-1"));
     CHECK(applied.says("in force at entry-2"));
+    CHECK(run({"status", "--address", admin})
+              .says("in force at entry-1 entry-2\n"));
 }
--- a/apps/camphortide/test/status/status_test.cpp
+++ b/apps/camphortide/test/status/status_test.cpp
@@ -37,6 +37,11 @@
         auto& instance = *reply->add_instances();
         instance.set_name("entry-2");
         instance.set_state(admin::INSTANCE_STATE_SUSPECTED);
+        instance.set_catalogue_version(6);
+        reply->add_instances()->set_name("entry-3");
+        auto& last = *reply->add_instances();
+        last.set_name("entry-4");
+        last.set_state(admin::INSTANCE_STATE_GONE);
         auto& group = *reply->add_groups();
         group.set_name("loans-1");
         group.add_homes("entry-1");
@@ -97,7 +102,10 @@
 {
     CHECK(run({}) == exit_code::done);
     CHECK(shows("catalogue version 7"));
+    CHECK(shows("version 6 in force at entry-2\n"));
+    CHECK(shows("no version known at entry-3\n"));
     CHECK(shows("suspected"));
+    CHECK(shows("gone"));
     CHECK(shows("primary unknown"));
     CHECK(shows("homes: entry-1"));
     CHECK(shows("fenced"));
--- a/packages/standin/include/camphortide/standin/group/group_options.hpp
+++ b/packages/standin/include/camphortide/standin/group/group_options.hpp
@@ -2,9 +2,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include <grpcpp/security/server_credentials.h>
+
 namespace camphortide::standin
 {
 
@@ -21,6 +24,8 @@
     std::chrono::microseconds m_receive_lag{0};
     std::chrono::microseconds m_apply_lag{0};
     bool m_initial_primary = true; ///< the first member starts as primary
+    std::shared_ptr<grpc::ServerCredentials> m_credentials =
+        grpc::InsecureServerCredentials(); ///< of each member
 };
 
 } // namespace camphortide::standin
--- a/packages/standin/include/camphortide/standin/platform/platform_standin.hpp
+++ b/packages/standin/include/camphortide/standin/platform/platform_standin.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <absl/status/statusor.h>
+#include <grpcpp/security/server_credentials.h>
 
 #include <camphortide/standin/platform/call_gate.hpp>
 #include <camphortide/standin/platform/instance_list_model.hpp>
@@ -27,9 +28,13 @@
 
     /// Begins to serve.
     /// @param address IP:PORT; port 0 takes a free one
+    /// @param credentials of the server
     /// @return the address that clients use, or UNAVAILABLE if the port is
     ///     taken
-    absl::StatusOr<std::string> listen(std::string const& address);
+    absl::StatusOr<std::string>
+    listen(std::string const& address,
+           std::shared_ptr<grpc::ServerCredentials> const& credentials =
+               grpc::InsecureServerCredentials());
 
     /// Ends the service; open calls are broken.
     void stop();
--- a/packages/standin/src/deployment/running_deployment.cpp
+++ b/packages/standin/src/deployment/running_deployment.cpp
@@ -178,7 +178,7 @@
     settings.m_listen_admin = "127.0.0.1:0";
     settings.m_platform_address = m_platform_address;
     settings.m_homes_per_group = m_deployment.m_homes_per_group;
-    settings.m_token_key = m_token_key;
+    settings.m_token_keys = {m_token_key};
     auto started = transport::instance::start(settings);
     if (!started.ok())
     {
--- a/packages/standin/src/group/member_server.cpp
+++ b/packages/standin/src/group/member_server.cpp
@@ -49,7 +49,7 @@
 {
     server_builder builder;
     builder.AddListeningPort("127.0.0.1:" + std::to_string(m_port),
-                             grpc::InsecureServerCredentials(), &m_port);
+                             m_group.m_options.m_credentials, &m_port);
     builder.RegisterService(this);
     auto server = builder.BuildAndStart();
     std::scoped_lock const lock(m_group.m_mutex);
--- a/packages/standin/src/platform/platform_standin.cpp
+++ b/packages/standin/src/platform/platform_standin.cpp
@@ -25,11 +25,13 @@
     stop();
 }
 
-absl::StatusOr<std::string> platform_standin::listen(std::string const& address)
+absl::StatusOr<std::string> platform_standin::listen(
+    std::string const& address,
+    std::shared_ptr<grpc::ServerCredentials> const& credentials)
 {
     int port = 0;
     grpc::ServerBuilder builder;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.AddListeningPort(address, credentials, &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(message_limit);
     builder.RegisterService(m_service.get());
--- a/packages/transport/include/camphortide/transport/access/access_service.hpp
+++ b/packages/transport/include/camphortide/transport/access/access_service.hpp
@@ -18,7 +18,7 @@
 {
 public:
     using catalogue_source =
-        std::function<std::shared_ptr<state::catalogue const>()>;
+        std::function<std::shared_ptr<served_catalogue const>()>;
 
     /// Told of each request that has ended.
     using observer =
--- a/packages/transport/include/camphortide/transport/access/request_check.hpp
+++ b/packages/transport/include/camphortide/transport/access/request_check.hpp
@@ -9,7 +9,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <camphortide/protocol/token_codec.hpp>
-#include <camphortide/state/catalogue.hpp>
+#include <camphortide/transport/access/served_catalogue.hpp>
 #include <camphortide/transport/gateway/group_request.hpp>
 #include <camphortide/v1/access.pb.h>
 
@@ -21,9 +21,8 @@
 {
     group_request m_request;
     state::session_token m_token;
-    std::string m_owner;
-    std::string m_class_name;
     std::string m_caller_key; ///< as the caller named it; may be empty
+    class_metrics* m_metrics = nullptr; ///< of the entry's class
 };
 
 /// Checks what callers send, and turns it into requests of groups.
@@ -38,18 +37,18 @@
 
     /// Checks a read or write.
     /// @param context with the credential and the caller's gRPC deadline
-    /// @param entries the catalogue in force; null if there is none yet
+    /// @param serving the catalogue in force; null if there is none yet
     /// @param now the time of arrival
     /// @return the request, or a failure with outcome not executed
     std::variant<checked_request, v1::Failure>
     check(grpc::CallbackServerContext const& context,
-          std::shared_ptr<state::catalogue const> const& entries,
+          std::shared_ptr<served_catalogue const> const& serving,
           v1::Request const& request, request_kind kind, state::time_point now);
 
     /// Checks a question after a request key.
     std::variant<checked_request, v1::Failure>
     check(grpc::CallbackServerContext const& context,
-          std::shared_ptr<state::catalogue const> const& entries,
+          std::shared_ptr<served_catalogue const> const& serving,
           v1::OutcomeRequest const& request, state::time_point now);
 
 private:
--- a/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_gateway.hpp
@@ -61,7 +61,9 @@
     group_gateway& operator=(group_gateway const&) = delete;
 
     /// Connects to the members.
-    void start();
+    /// @param authority_file PEM of the authority that the members'
+    ///     certificates must come from; empty: no TLS
+    void start(std::string const& authority_file = {});
 
     /// Closes every connection. What has no answer yet ends. Returns when no
     /// handler runs any more. Must not be called by a handler.
--- a/packages/transport/include/camphortide/transport/gateway/member_link.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -66,8 +66,10 @@
 {
 public:
     /// @param index the member's place in its group
+    /// @param credentials of the connections
     /// @param events outlived by nobody: held weakly
     member_link(state::member_description const& description, std::size_t index,
+                std::shared_ptr<grpc::ChannelCredentials> const& credentials,
                 std::weak_ptr<member_events> events);
 
     /// Sets how many connections may be held.
--- a/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/fleet_control.hpp
@@ -41,6 +41,9 @@
     /// Takes a control message of a peer.
     void on_message(peer_route const& from, peer::v1::Envelope const& envelope);
 
+    /// Asks peers for the version of the catalogue that they hold.
+    void ask_versions() { m_membership.ask_versions(); }
+
     /// Announces that this instance leaves.
     void leave() { m_membership.leave(); }
 
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -24,6 +24,7 @@
     std::uint64_t m_incarnation = 0;
     std::size_t m_homes = coordination::home_table::all;
     coordination::group_settings m_group;
+    std::string m_members_authority; ///< PEM file; empty: no TLS to members
 };
 
 /// Keeps the gateways of the groups that this instance is a home of, on the
--- a/packages/transport/include/camphortide/transport/instance/instance.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance.hpp
@@ -44,7 +44,7 @@
     bool asked_to_drain() const { return m_asked_to_drain; }
 
     /// @return true once a catalogue is in force
-    bool ready() const { return catalogue() != nullptr; }
+    bool ready() const { return serving() != nullptr; }
 
     /// @return true if this is a home of the group and knows its primary
     bool leads_to(std::string const& group) const;
@@ -71,11 +71,14 @@
     explicit instance(instance_settings settings);
 
     absl::Status open_exchange();
+    void make_services();
+    void start_control();
     absl::Status open_servers();
     void on_forward(peer_route const& from, peer::v1::Envelope const& envelope);
     void set_catalogue(std::shared_ptr<state::catalogue const> value);
     void record(checked_request const& asked, group_reply const& reply,
                 std::chrono::microseconds latency);
+    std::shared_ptr<served_catalogue const> serving() const;
     admin::v1::StatusReply make_status();
     void tick();
 
@@ -86,8 +89,9 @@
     metrics_registry m_metrics;
     home_registry m_homes;
     mutable std::mutex m_catalogue_mutex;
-    std::shared_ptr<state::catalogue const> m_catalogue;
+    std::shared_ptr<served_catalogue const> m_serving;
     std::atomic<bool> m_asked_to_drain{false};
+    std::atomic<bool> m_forwarding{false};  ///< once the router is there
     std::unique_ptr<fleet_control> m_fleet; ///< used on the control thread
     std::shared_ptr<control_loop> m_loop;
     std::unique_ptr<platform_client> m_platform;
--- a/packages/transport/include/camphortide/transport/instance/membership_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/membership_control.hpp
@@ -33,6 +33,9 @@
     /// Takes a heartbeat.
     void on_heartbeat(coordination::heartbeat const& message);
 
+    /// Asks peers for the version of the catalogue that they hold.
+    void ask_versions() { send(m_membership.ask_versions()); }
+
     /// Announces that this instance leaves.
     void leave();
 
--- a/packages/transport/include/camphortide/transport/instance/status_report.hpp
+++ b/packages/transport/include/camphortide/transport/instance/status_report.hpp
@@ -11,8 +11,10 @@
 /// control thread.
 /// @param fleet of the instance
 /// @param homes of the instance
+/// @param now the time
 /// @return the report without what the instance itself counts
 admin::v1::StatusReply make_status_report(fleet_control const& fleet,
-                                          home_registry const& homes);
+                                          home_registry const& homes,
+                                          state::time_point now);
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
+++ b/packages/transport/include/camphortide/transport/settings/instance_settings.hpp
@@ -48,12 +48,14 @@
     state::duration m_probe_interval{std::chrono::milliseconds(100)};
     state::duration m_suspicion_timeout{std::chrono::milliseconds(500)};
 
-    std::string m_token_key; ///< 32 bytes in hexadecimal digits
+    /// 32 bytes each, in hexadecimal digits. The first signs, all verify.
+    std::vector<std::string> m_token_keys;
     std::string m_tls_certificate;
     std::string m_tls_key;
-    std::string m_tls_authority;    ///< of the platform; empty: no TLS to it
-    std::string m_curve_public_key; ///< Z85; one pair for the whole system
-    std::string m_curve_secret_key; ///< Z85
+    std::string m_tls_authority; ///< of the platform; empty: no TLS to it
+    std::string m_tls_members_authority; ///< empty: no TLS to members
+    std::string m_curve_public_key;      ///< Z85; one pair for the whole system
+    std::string m_curve_secret_key;      ///< Z85
 
     std::uint64_t m_max_message_bytes = std::uint64_t{1} << 20;
     std::uint32_t m_max_caller_connections = 8192;
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -75,12 +75,12 @@
 
 std::variant<checked_request, v1::Failure>
 request_check::check(grpc::CallbackServerContext const& context,
-                     std::shared_ptr<state::catalogue const> const& entries,
+                     std::shared_ptr<served_catalogue const> const& serving,
                      v1::Request const& request, request_kind kind,
                      state::time_point now)
 {
     using state::reason;
-    if (!entries)
+    if (!serving)
     {
         return not_executed(reason::no_catalogue, "no catalogue yet");
     }
@@ -95,7 +95,8 @@
     {
         return not_executed(reason::too_large, "statement is too large");
     }
-    auto const allowed = authenticate(context, *entries, request.entry());
+    auto const allowed =
+        authenticate(context, *serving->entries(), request.entry());
     if (auto const* const why = std::get_if<reason>(&allowed))
     {
         return not_executed(*why);
@@ -118,8 +119,7 @@
     }
     checked_request result;
     result.m_token = std::get<state::session_token>(std::move(token));
-    result.m_owner = entry.m_owner;
-    result.m_class_name = entry.m_class_name;
+    result.m_metrics = &serving->metrics_of(entry);
     result.m_caller_key = request.request_key();
     auto& out = result.m_request;
     out.m_kind = kind;
@@ -145,7 +145,7 @@
 
 std::variant<checked_request, v1::Failure>
 request_check::check(grpc::CallbackServerContext const& context,
-                     std::shared_ptr<state::catalogue const> const& entries,
+                     std::shared_ptr<served_catalogue const> const& serving,
                      v1::OutcomeRequest const& request, state::time_point now)
 {
     if (request.request_key().empty() || has_unknown_fields(request))
@@ -157,7 +157,7 @@
     translated.set_entry(request.entry());
     translated.set_request_key(request.request_key());
     translated.set_session_token(request.session_token());
-    return check(context, entries, translated, request_kind::resolve, now);
+    return check(context, serving, translated, request_kind::resolve, now);
 }
 
 std::string request_check::new_key()
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -3,6 +3,7 @@
 
 #include <camphortide/protocol/member_conversion.hpp>
 #include <camphortide/transport/gateway/group_gateway.hpp>
+#include <camphortide/transport/platform/client_credentials.hpp>
 
 namespace camphortide::transport
 {
@@ -45,15 +46,16 @@
 
 group_gateway::~group_gateway() = default;
 
-void group_gateway::start()
+void group_gateway::start(std::string const& authority_file)
 {
+    auto const credentials = client_credentials(authority_file);
     locked(
-        [this]
+        [this, &credentials]
         {
             for (std::size_t at = 0; at < m_group.m_members.size(); ++at)
             {
                 m_core.m_members.push_back(std::make_unique<member_link>(
-                    m_group.m_members[at], at, weak_from_this()));
+                    m_group.m_members[at], at, credentials, weak_from_this()));
             }
         });
     tick(state::clock::now());
--- a/packages/transport/src/gateway/member_link.cpp
+++ b/packages/transport/src/gateway/member_link.cpp
@@ -6,13 +6,15 @@
 namespace camphortide::transport
 {
 
-member_link::member_link(state::member_description const& description,
-                         std::size_t index, std::weak_ptr<member_events> events)
+member_link::member_link(
+    state::member_description const& description, std::size_t index,
+    std::shared_ptr<grpc::ChannelCredentials> const& credentials,
+    std::weak_ptr<member_events> events)
     : m_description(description),
       m_index(index),
       m_events(std::move(events)),
-      m_client(std::make_unique<member_client>(
-          description.m_address, grpc::InsecureChannelCredentials())),
+      m_client(
+          std::make_unique<member_client>(description.m_address, credentials)),
       m_pool(coordination::pool_limits{}),
       m_health(coordination::health_limits{})
 {
--- a/packages/transport/src/instance/fleet_control.cpp
+++ b/packages/transport/src/instance/fleet_control.cpp
@@ -22,6 +22,7 @@
         settings.m_homes_per_group.value_or(coordination::home_table::all);
     result.m_group.m_probe_interval = settings.m_probe_interval;
     result.m_group.m_suspicion = settings.m_suspicion_timeout;
+    result.m_members_authority = settings.m_tls_members_authority;
     return result;
 }
 
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -147,7 +147,7 @@
                     }
                 });
         });
-    gateway->start();
+    gateway->start(m_settings.m_members_authority);
     m_registry.set(gateway);
     return std::make_shared<group_control>(
         gateway, *std::move(monitor), m_loop,
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -27,10 +27,15 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-std::string token_key(instance_settings const& settings)
+std::vector<std::string> token_keys(instance_settings const& settings)
 {
-    return protocol::from_hexadecimal(settings.m_token_key)
-        .value_or(std::string());
+    std::vector<std::string> keys;
+    for (auto const& digits : settings.m_token_keys)
+    {
+        keys.push_back(
+            protocol::from_hexadecimal(digits).value_or(std::string()));
+    }
+    return keys;
 }
 
 request_route route_of(group_reply const& reply, std::string const& self)
@@ -57,6 +62,7 @@
     {
         return status;
     }
+    result->make_services();
     if (auto const status = result->open_servers(); !status.ok())
     {
         return status;
@@ -71,7 +77,7 @@
 instance::instance(instance_settings settings)
     : m_settings(std::move(settings)),
       m_incarnation(milliseconds_since_1970()),
-      m_codec({token_key(m_settings)}),
+      m_codec(token_keys(m_settings)),
       m_check(m_codec, m_settings.m_max_message_bytes, m_settings.m_name),
       m_started(state::clock::now())
 {
@@ -120,22 +126,33 @@
     socket.m_max_message_bytes = 2 * m_settings.m_max_message_bytes;
     socket.m_curve_public_key = m_settings.m_curve_public_key;
     socket.m_curve_secret_key = m_settings.m_curve_secret_key;
+    // Messages come as soon as the exchange is open.
+    m_loop = std::make_shared<control_loop>(tick_interval, [this] { tick(); });
     peer_exchange::handlers calls;
     calls.m_on_control = [this](peer_route const& from, auto envelope)
     {
-        if (m_loop)
-        {
-            m_loop->post([this, from, envelope]
-                         { m_fleet->on_message(from, *envelope); });
-        }
+        m_loop->post(
+            [this, from, envelope]
+            {
+                if (m_fleet)
+                {
+                    m_fleet->on_message(from, *envelope);
+                }
+            });
     };
     calls.m_on_forward = [this](peer_route const& from, auto envelope)
     {
-        on_forward(from, *envelope);
+        if (m_forwarding)
+        {
+            on_forward(from, *envelope);
+        }
     };
     calls.m_on_undelivered = [this](std::uint64_t ticket)
     {
-        m_forwards->undelivered(ticket);
+        if (m_forwarding)
+        {
+            m_forwards->undelivered(ticket);
+        }
     };
     auto exchange = peer_exchange::open(socket, std::move(calls));
     if (!exchange.ok())
@@ -147,6 +164,11 @@
     {
         m_settings.m_advertised_peers = m_exchange->address();
     }
+    return absl::OkStatus();
+}
+
+void instance::make_services()
+{
     if (!m_settings.m_platform_address.empty())
     {
         m_platform = std::make_unique<platform_client>(
@@ -156,35 +178,39 @@
     m_forwards = std::make_unique<forward_client>(*m_exchange);
     m_router = std::make_unique<instance_router>(m_settings.m_name, m_homes,
                                                  *m_forwards);
-    m_loop = std::make_shared<control_loop>(tick_interval, [this] { tick(); });
+    m_access = std::make_unique<access_service>(
+        m_check, *m_router, m_codec, [this] { return serving(); },
+        [this](auto const& asked, auto const& reply, auto latency)
+        { record(asked, reply, latency); },
+        m_settings.m_name + "/" + std::to_string(m_incarnation) + "/");
+    m_admin = std::make_unique<admin_service>(
+        [this](auto done) { status(std::move(done)); }, m_metrics);
+    m_forwarding = true;
+    start_control();
+}
+
+void instance::start_control()
+{
     m_loop->post(
         [this]
         {
             m_fleet = std::make_unique<fleet_control>(
                 m_settings, m_incarnation, m_homes, *m_exchange,
                 m_platform.get(), m_loop,
-                fleet_control::handlers{
-                    [this](auto value) { set_catalogue(std::move(value)); },
-                    [this](std::string const& name)
-                    { m_forwards->instance_gone(name); },
-                    [this] { m_asked_to_drain = true; },
-                    [this]
-                    {
-                        return !m_access || m_access->in_flight() == 0;
-                    }});
+                fleet_control::handlers{[this](auto value)
+                                        { set_catalogue(std::move(value)); },
+                                        [this](std::string const& name)
+                                        { m_forwards->instance_gone(name); },
+                                        [this] { m_asked_to_drain = true; },
+                                        [this]
+                                        {
+                                            return m_access->in_flight() == 0;
+                                        }});
         });
-    return absl::OkStatus();
 }
 
 absl::Status instance::open_servers()
 {
-    m_access = std::make_unique<access_service>(
-        m_check, *m_router, m_codec, [this] { return catalogue(); },
-        [this](auto const& asked, auto const& reply, auto latency)
-        { record(asked, reply, latency); },
-        m_settings.m_name + "/" + std::to_string(m_incarnation) + "/");
-    m_admin = std::make_unique<admin_service>(
-        [this](auto done) { status(std::move(done)); }, m_metrics);
     auto callers = open_server(m_settings, m_settings.m_listen_callers,
                                *m_access, m_caller_address);
     if (!callers.ok())
@@ -248,7 +274,8 @@
 
 admin::v1::StatusReply instance::make_status()
 {
-    auto reply = make_status_report(*m_fleet, m_homes);
+    m_fleet->ask_versions(); // for the next report
+    auto reply = make_status_report(*m_fleet, m_homes, state::clock::now());
     reply.set_name(m_settings.m_name);
     reply.set_region(m_settings.m_region);
     reply.set_program_version(CAMPHORTIDE_VERSION);
@@ -260,15 +287,23 @@
 }
 
 std::shared_ptr<state::catalogue const> instance::catalogue() const
+{
+    auto const now = serving();
+    return now ? now->entries() : nullptr;
+}
+
+std::shared_ptr<served_catalogue const> instance::serving() const
 {
     std::scoped_lock const lock(m_catalogue_mutex);
-    return m_catalogue;
+    return m_serving;
 }
 
 void instance::set_catalogue(std::shared_ptr<state::catalogue const> value)
 {
+    auto serving =
+        std::make_shared<served_catalogue const>(std::move(value), m_metrics);
     std::scoped_lock const lock(m_catalogue_mutex);
-    m_catalogue = std::move(value);
+    m_serving = std::move(serving);
 }
 
 void instance::on_forward(peer_route const& from,
@@ -308,7 +343,7 @@
     {
         sample.m_age = *reply.m_age;
     }
-    m_metrics.of(asked.m_owner, asked.m_class_name).record(sample);
+    asked.m_metrics->record(sample);
 }
 
 void instance::tick()
--- a/packages/transport/src/instance/server_builder.cpp
+++ b/packages/transport/src/instance/server_builder.cpp
@@ -5,6 +5,9 @@
 
 #include <grpcpp/ext/proto_server_reflection_plugin.h>
 #include <grpcpp/health_check_service_interface.h>
+#include <openssl/err.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
 
 #include <camphortide/transport/instance/server_builder.hpp>
 
@@ -26,6 +29,35 @@
     return text.str();
 }
 
+using memory_ptr = std::unique_ptr<BIO, decltype(&BIO_free)>;
+using certificate_ptr = std::unique_ptr<X509, decltype(&X509_free)>;
+using key_ptr = std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)>;
+
+memory_ptr reader_of(std::string const& text)
+{
+    return {BIO_new_mem_buf(text.data(), static_cast<int>(text.size())),
+            BIO_free};
+}
+
+/// @return true if a certificate can be read and the key belongs to it
+bool is_pair(std::string const& certificate, std::string const& key)
+{
+    certificate_ptr const public_part(
+        PEM_read_bio_X509(reader_of(certificate).get(), nullptr, nullptr,
+                          nullptr),
+        X509_free);
+    std::string no_passphrase; // without one OpenSSL asks at the terminal
+    key_ptr const secret_part(PEM_read_bio_PrivateKey(reader_of(key).get(),
+                                                      nullptr, nullptr,
+                                                      no_passphrase.data()),
+                              EVP_PKEY_free);
+    bool const fits =
+        public_part && secret_part &&
+        X509_check_private_key(public_part.get(), secret_part.get()) == 1;
+    ERR_clear_error();
+    return fits;
+}
+
 absl::StatusOr<std::shared_ptr<grpc::ServerCredentials>>
 credentials_of(instance_settings const& settings)
 {
@@ -41,6 +73,12 @@
             "a TLS file cannot be read: " + settings.m_tls_certificate + ", " +
             settings.m_tls_key);
     }
+    if (!is_pair(*certificate, *key))
+    {
+        return absl::InvalidArgumentError(
+            "no certificate and its key: " + settings.m_tls_certificate + ", " +
+            settings.m_tls_key);
+    }
     grpc::SslServerCredentialsOptions options;
     options.pem_key_cert_pairs.push_back({*key, *certificate});
     return grpc::SslServerCredentials(options);
--- a/packages/transport/src/instance/status_report.cpp
+++ b/packages/transport/src/instance/status_report.cpp
@@ -13,8 +13,9 @@
     case state::instance_state::live:
         return admin::v1::INSTANCE_STATE_LIVE;
     case state::instance_state::suspected:
-    case state::instance_state::gone:
         return admin::v1::INSTANCE_STATE_SUSPECTED;
+    case state::instance_state::gone:
+        return admin::v1::INSTANCE_STATE_GONE;
     case state::instance_state::leaving:
         return admin::v1::INSTANCE_STATE_LEAVING;
     }
@@ -82,7 +83,20 @@
     }
 }
 
-void add_instances(admin::v1::StatusReply& reply, fleet_control const& fleet)
+/// Fills in what the peer's own heartbeats tell.
+void fill(admin::v1::InstanceStatus& message,
+          coordination::known_instance const& known, state::time_point now)
+{
+    message.set_catalogue_version(known.m_catalogue);
+    if (known.m_heard != state::time_point{})
+    {
+        message.set_heartbeat_age_ms(
+            static_cast<std::uint32_t>((now - known.m_heard).count()));
+    }
+}
+
+void add_instances(admin::v1::StatusReply& reply, fleet_control const& fleet,
+                   state::time_point now)
 {
     auto const& membership = fleet.membership().decision();
     for (auto const& record : membership.view())
@@ -96,19 +110,24 @@
         {
             added.set_catalogue_version(fleet.catalogue().decision().version());
         }
+        else if (auto const* const known = membership.find(record.m_name))
+        {
+            fill(added, *known, now);
+        }
     }
 }
 
 } // namespace
 
 admin::v1::StatusReply make_status_report(fleet_control const& fleet,
-                                          home_registry const& homes)
+                                          home_registry const& homes,
+                                          state::time_point now)
 {
     admin::v1::StatusReply reply;
     auto const& follower = fleet.catalogue().decision();
     reply.set_catalogue_version(follower.version());
     reply.set_platform_reachable(!follower.store_failing());
-    add_instances(reply, fleet);
+    add_instances(reply, fleet, now);
     auto const& catalogue = fleet.homes().catalogue();
     if (!catalogue)
     {
--- a/packages/transport/src/settings/instance_schema.cpp
+++ b/packages/transport/src/settings/instance_schema.cpp
@@ -13,6 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t token_key_bytes = 32;
+constexpr std::size_t most_token_keys = 8;
 constexpr std::size_t most_seed_peers = 16;
 constexpr std::uint64_t kibibyte = 1024;
 
@@ -89,9 +90,10 @@
 void add_keys(schema<settings>& table)
 {
     table
-        .required("session.token_key", &settings::m_token_key,
-                  hexadecimal_kind(token_key_bytes),
-                  "Key of the session tokens; the same on every instance.")
+        .required(
+            "session.token_keys", &settings::m_token_keys,
+            list_kind(hexadecimal_kind(token_key_bytes), {1, most_token_keys}),
+            "Keys of the session tokens: the first signs, all verify.")
         .optional("tls.certificate", &settings::m_tls_certificate, path_kind(),
                   "Certificate chain of the gRPC services, PEM.")
         .optional("tls.key", &settings::m_tls_key, path_kind(),
@@ -99,6 +101,10 @@
         .optional(
             "tls.authority", &settings::m_tls_authority, path_kind(),
             "Authority of the platform's certificate, PEM; none: no TLS to it.")
+        .optional("tls.members_authority", &settings::m_tls_members_authority,
+                  path_kind(),
+                  "Authority of the members' certificates, PEM; none: no TLS "
+                  "to them.")
         .optional("curve.public_key", &settings::m_curve_public_key,
                   curve_key_kind(),
                   "CURVE key of the system's peers; one pair for all.")
@@ -226,10 +232,11 @@
         std::string_view m_key;
         std::string settings::*m_path;
     };
-    static constexpr std::array<file_setting, 3> files{
+    static constexpr std::array<file_setting, 4> files{
         {{"tls.certificate", &settings::m_tls_certificate},
          {"tls.key", &settings::m_tls_key},
-         {"tls.authority", &settings::m_tls_authority}}};
+         {"tls.authority", &settings::m_tls_authority},
+         {"tls.members_authority", &settings::m_tls_members_authority}}};
     for (auto const& each : files)
     {
         auto const& path = value.*each.m_path;
--- a/packages/transport/src/settings/value_kind.cpp
+++ b/packages/transport/src/settings/value_kind.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t most_name_characters = 63;
 constexpr std::size_t curve_key_characters = 40;
 constexpr std::string_view z85_marks = ".-:+=^!/*?&<>()[]{}@%$#";
-constexpr std::string_view hidden = "a hidden value";
 
 bool is_alphanumeric(char c)
 {
@@ -98,23 +97,21 @@
         if (!found.is_string())
         {
             reader.fail(setting_fault::wrong_type, description,
-                        secret ? std::string(hidden) : shown(found));
+                        secret ? std::string(hidden_value) : shown(found));
             return std::nullopt;
         }
         auto text = found.get<std::string>();
         if (!accepts(text))
         {
             reader.fail(setting_fault::bad_format, description,
-                        secret ? std::string(hidden) : shown(found));
+                        secret ? std::string(hidden_value) : shown(found));
             return std::nullopt;
         }
         return text;
     };
     return {description, read,
-            [](std::string const& value)
-            {
-                return json(value).dump();
-            }};
+            [](std::string const& value) { return json(value).dump(); }, true,
+            secret};
 }
 
 } // namespace
--- a/packages/transport/src/settings/value_kind.hpp
+++ b/packages/transport/src/settings/value_kind.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,8 +27,12 @@
     read_function m_read;
     std::function<std::string(Value const&)> m_show; ///< as JSON
     bool m_written_as_text = true; ///< its JSON type is a string
+    bool m_secret = false;         ///< errors hide the value
 };
 
+/// Stands for a secret in errors.
+inline constexpr std::string_view hidden_value = "a hidden value";
+
 /// The least and the greatest value, both allowed.
 template <typename Value>
 struct value_range
@@ -138,7 +143,9 @@
     {
         if (!found.is_array())
         {
-            reader.fail_type(description, found);
+            reader.fail(setting_fault::wrong_type, description,
+                        element.m_secret ? std::string(hidden_value)
+                                         : shown(found));
             return std::nullopt;
         }
         if (found.size() < sizes.m_low || found.size() > sizes.m_high)
@@ -168,7 +175,7 @@
         }
         return text + "]";
     };
-    return {description, read, show, false};
+    return {description, read, show, false, element.m_secret};
 }
 
 } // namespace camphortide::transport
--- a/packages/transport/test/settings/instance_settings_test.cpp
+++ b/packages/transport/test/settings/instance_settings_test.cpp
@@ -19,8 +19,8 @@
   // comments are allowed
   "name": "entry-1", "data_centre": "sede-centro",
   "platform": {"address": "127.0.0.1:7300"},
-  "session": {"token_key": ")" +
-                             key + R"("})";
+  "session": {"token_keys": [")" +
+                             key + R"("]})";
 
 transport::checked<transport::instance_settings>
 parse(std::string const& rest,
@@ -83,7 +83,8 @@
 {
     auto const empty = transport::parse_instance_settings("x", "{}", {});
     CHECK(has(empty.m_errors, "name", setting_fault::missing_key));
-    CHECK(has(empty.m_errors, "session.token_key", setting_fault::missing_key));
+    CHECK(
+        has(empty.m_errors, "session.token_keys", setting_fault::missing_key));
     CHECK(has(parse(R"(, "name": "b")").m_errors, "name",
               setting_fault::repeated_key));
     CHECK(has(transport::parse_instance_settings("x", "{\"a\": }", {}).m_errors,
@@ -120,11 +121,42 @@
 
 TEST_CASE("errors never show a secret")
 {
-    auto const result = parse("", {{"session.token_key", "hunter2"}});
-    REQUIRE(
-        has(result.m_errors, "session.token_key", setting_fault::bad_format));
-    CHECK(to_string(result.m_errors.front()).find("hunter2") ==
-          std::string::npos);
+    struct wrong_value
+    {
+        std::string m_given;
+        std::string m_path;
+        setting_fault m_fault;
+    };
+    for (auto const& each :
+         {wrong_value{"hunter2", "session.token_keys",
+                      setting_fault::wrong_type},
+          wrong_value{R"(["hunter2"])", "session.token_keys[0]",
+                      setting_fault::bad_format}})
+    {
+        auto const result = parse("", {{"session.token_keys", each.m_given}});
+        REQUIRE(has(result.m_errors, each.m_path, each.m_fault));
+        CHECK(to_string(result.m_errors.front()).find("hunter2") ==
+              std::string::npos);
+    }
+}
+
+TEST_CASE("the keys of session tokens are one to eight")
+{
+    auto const with = [](std::size_t count)
+    {
+        std::string list;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            list += (i > 0 ? ", \"" : "\"") + key + "\"";
+        }
+        return parse("", {{"session.token_keys", "[" + list + "]"}});
+    };
+    CHECK(with(2).m_value.m_token_keys == std::vector<std::string>{key, key});
+    for (std::size_t const count : {0, 9})
+    {
+        CHECK(has(with(count).m_errors, "session.token_keys",
+                  setting_fault::out_of_range));
+    }
 }
 
 TEST_CASE("the command line goes before the file and names itself in errors")
--- a/tests/support/small_deployment.cpp
+++ b/tests/support/small_deployment.cpp
@@ -1,50 +1,33 @@
 #include "small_deployment.hpp"
 
+#include <camphortide/standin/deployment/small_deployment_builder.hpp>
+
 namespace camphortide::tests
 {
 
 transport::deployment small_deployment(std::size_t instances,
                                        std::optional<std::uint32_t> homes)
 {
-    transport::deployment result;
-    result.m_name = "test";
-    result.m_region = "serra-gaucha";
-    result.m_data_centres = {"sede-centro", "ginasio-norte", "escola-leste"};
-    result.m_latency_between = std::chrono::microseconds(0);
-    result.m_homes_per_group = homes;
-    for (std::size_t i = 0; i < instances; ++i)
-    {
-        result.m_instances.push_back(
-            {"entry-" + std::to_string(i + 1), result.m_data_centres[i % 3]});
-    }
-    transport::deployment_group group;
-    group.m_name = "loans";
-    group.m_members = {
-        {"a", "sede-centro"}, {"b", "ginasio-norte"}, {"c", "escola-leste"}};
-    group.m_statement_time = std::chrono::microseconds(0);
-    group.m_apply_lag = std::chrono::microseconds(0);
-    result.m_groups = {group};
-    result.m_owners = {{"desks", "secret"}, {"parents", "other"}};
-    transport::deployment_entry entry;
-    entry.m_name = "checkouts";
-    entry.m_owner = "desks";
-    entry.m_class_name = "checkouts";
-    entry.m_groups = {"loans"};
-    entry.m_limits.m_rate = 100000;
-    entry.m_limits.m_deadline = std::chrono::seconds(17);
-    result.m_entries = {entry};
-    return result;
+    state::entry_limits limits;
+    limits.m_rate = 100000;
+    limits.m_deadline = std::chrono::seconds(17);
+    return standin::small_deployment_builder()
+        .instances(instances)
+        .homes(homes)
+        .limits(limits)
+        .build();
 }
 
-session::session(std::string const& address)
+session::session(std::string const& address,
+                 std::shared_ptr<grpc::ChannelCredentials> credentials)
+    : m_credentials(std::move(credentials))
 {
     move_to(address);
 }
 
 void session::move_to(std::string const& address)
 {
-    m_stub = v1::Access::NewStub(
-        grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+    m_stub = v1::Access::NewStub(grpc::CreateChannel(address, m_credentials));
 }
 
 grpc::Status session::write(std::string const& statement,
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -28,7 +28,10 @@
 {
 public:
     /// @param address of an instance
-    explicit session(std::string const& address);
+    /// @param credentials of the channel
+    explicit session(std::string const& address,
+                     std::shared_ptr<grpc::ChannelCredentials> credentials =
+                         grpc::InsecureChannelCredentials());
 
     /// Goes on at another instance.
     void move_to(std::string const& address);
@@ -53,6 +56,7 @@
 private:
     v1::Request make(std::string const& statement) const;
 
+    std::shared_ptr<grpc::ChannelCredentials> m_credentials;
     std::unique_ptr<v1::Access::Stub> m_stub;
     std::string m_token;
     v1::Reply m_reply;
