path_overhead: members and callers in processes of their own

Callers, instance and members shared one process, so that their threads disturbed each other. Two modes run the members and the callers alone; camphortided stands between.

status leaves the region out where there is none, and those that leave out of the list of what is in force where.

--- a/apps/camphortide/src/status_text.cpp
+++ b/apps/camphortide/src/status_text.cpp
@@ -64,8 +64,9 @@
     std::map<std::uint64_t, std::vector<std::string>, std::greater<>> names;
     for (auto const& each : status.instances())
     {
-        bool const runs = each.state() != admin::v1::INSTANCE_STATE_GONE;
-        if (runs)
+        bool const serves = each.state() != admin::v1::INSTANCE_STATE_GONE &&
+                            each.state() != admin::v1::INSTANCE_STATE_LEAVING;
+        if (serves)
         {
             names[each.catalogue_version()].push_back(each.name());
         }
@@ -88,9 +89,11 @@
 std::string summary(admin::v1::StatusReply const& status)
 {
     std::string text = "instance ";
-    text += status.name() + " in " + status.region() + ", version " +
-            status.program_version() + ", up " +
-            std::to_string(status.uptime_ms() / 1000) + " s\n";
+    text +=
+        status.name() +
+        (status.region().empty() ? std::string() : " in " + status.region()) +
+        ", version " + status.program_version() + ", up " +
+        std::to_string(status.uptime_ms() / 1000) + " s\n";
     text += "catalogue version " + std::to_string(status.catalogue_version()) +
             " with " + std::to_string(status.catalogue_entries()) +
             " entries\n" + in_force_text(status);
--- a/apps/camphortide/test/status/status_test.cpp
+++ b/apps/camphortide/test/status/status_test.cpp
@@ -101,6 +101,7 @@
 TEST_CASE_FIXTURE(fixture, "status shows the instances and the groups")
 {
     CHECK(run({}) == exit_code::done);
+    CHECK(shows("instance entry-1, version"));
     CHECK(shows("catalogue version 7"));
     CHECK(shows("version 6 in force at entry-2\n"));
     CHECK(shows("no version known at entry-3\n"));
--- a/benchmarks/metrics_record.cpp
+++ b/benchmarks/metrics_record.cpp
@@ -64,6 +64,33 @@
                 threads, nanoseconds_since(start) / records_per_thread);
 }
 
+/// Prints the time of a look-up with a record when threads record at once.
+void measure_lookups(unsigned threads)
+{
+    transport::metrics_registry registry;
+    auto const start = std::chrono::steady_clock::now();
+    std::vector<std::thread> running;
+    running.reserve(threads);
+    for (unsigned i = 0; i < threads; ++i)
+    {
+        running.emplace_back(
+            [&registry]
+            {
+                for (int j = 0; j < records_per_thread; ++j)
+                {
+                    registry.of("owner", "class").record(sample(j));
+                }
+            });
+    }
+    for (auto& each : running)
+    {
+        each.join();
+    }
+    std::printf("%2u threads, one class, looked up: %.0f ns per record and "
+                "thread\n",
+                threads, nanoseconds_since(start) / records_per_thread);
+}
+
 /// Prints the time of a look-up with a record, of a snapshot and of the page.
 void measure_rest()
 {
@@ -98,6 +125,7 @@
     for (unsigned const threads : {1U, 2U, 4U, 8U})
     {
         measure_records(threads);
+        measure_lookups(threads);
     }
     measure_rest();
     return 0;
--- a/benchmarks/path_overhead/path_overhead.cpp
+++ b/benchmarks/path_overhead/path_overhead.cpp
@@ -2,6 +2,10 @@
 // pass through one, and what an idle caller's connection costs it.
 //
 //     path_overhead latency            direct and through, side by side
+//     path_overhead members SECONDS    platform and members alone
+//     path_overhead callers DIRECT THROUGH   as latency, with what runs
+//                                      elsewhere: a member's address and an
+//                                      instance's
 //     path_overhead throughput         closed loop through one instance
 //     path_overhead serve SECONDS      an instance that prints its memory
 //     path_overhead idle ADDRESS N S   N idle connections for S seconds
@@ -20,6 +24,7 @@
 #include <unistd.h>
 
 #include <camphortide/standin/deployment/running_deployment.hpp>
+#include <camphortide/standin/deployment/small_deployment_builder.hpp>
 #include <camphortide/transport/gateway/member_client.hpp>
 #include <camphortide/v1/access.grpc.pb.h>
 
@@ -38,36 +43,19 @@
 constexpr std::size_t callers = 64;
 constexpr std::chrono::seconds throughput_time{5};
 constexpr int rounds = 5;
+std::string const token_key(64, 'a');
 
-transport::deployment one_instance()
+standin::small_deployment_builder one_instance()
 {
-    transport::deployment result;
-    result.m_name = "overhead";
-    result.m_region = "local";
-    result.m_data_centres = {"one"};
-    result.m_latency_between = std::chrono::microseconds(0);
-    result.m_instances = {{"entry-1", "one"}};
-    transport::deployment_group group;
-    group.m_name = "loans";
-    group.m_members = {{"a", "one"}, {"b", "one"}, {"c", "one"}};
-    group.m_slots = 16;
-    group.m_connections = 55;
-    group.m_statement_time = std::chrono::microseconds(0);
-    group.m_receive_lag = std::chrono::microseconds(0);
-    group.m_apply_lag = std::chrono::microseconds(0);
-    result.m_groups = {group};
-    result.m_owners = {{"desks", "secret"}};
-    transport::deployment_entry entry;
-    entry.m_name = "checkouts";
-    entry.m_owner = "desks";
-    entry.m_class_name = "checkouts";
-    entry.m_groups = {"loans"};
-    entry.m_limits.m_rate = 1000000;
-    entry.m_limits.m_concurrency = 1000;
-    entry.m_limits.m_queue_length = 10000;
-    entry.m_limits.m_age = std::chrono::seconds(10);
-    result.m_entries = {entry};
-    return result;
+    camphortide::state::entry_limits limits;
+    limits.m_rate = 1000000;
+    limits.m_concurrency = 1000;
+    limits.m_queue_length = 10000;
+    limits.m_age = std::chrono::seconds(10);
+    return standin::small_deployment_builder()
+        .members(16, 55)
+        .receive_lag(std::chrono::microseconds(0))
+        .limits(limits);
 }
 
 /// A unary call with the memory that it needs until its answer.
@@ -161,10 +149,10 @@
         address, grpc::InsecureChannelCredentials(), arguments));
 }
 
-int measure_latency(standin::running_deployment& running)
+int measure_latency(std::string const& member, std::string const& instance)
 {
-    direct_caller direct(running.group("loans").address("b"));
-    auto const stub = connect(running.caller_address("entry-1"), 0);
+    direct_caller direct(member);
+    auto const stub = connect(instance, 0);
     for (int round = 0; round < rounds; ++round)
     {
         benchmarks::latency_series alone;
@@ -259,6 +247,17 @@
     return 0;
 }
 
+/// Runs the platform and the members for instances in other processes.
+int serve_members(int seconds)
+{
+    standin::running_deployment running(one_instance().instances(0).build(),
+                                        token_key);
+    std::cout << "platform " << running.platform_address() << "\nmember "
+              << running.group("loans").address("b") << std::endl;
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    return 0;
+}
+
 /// @return the resident memory of this process, in KB
 long resident_kb()
 {
@@ -303,7 +302,8 @@
 int usage()
 {
     std::cerr << "path_overhead latency|throughput|serve SECONDS|"
-                 "idle ADDRESS N SECONDS\n";
+                 "idle ADDRESS N SECONDS|members SECONDS|"
+                 "callers DIRECT THROUGH\n";
     return 2;
 }
 
@@ -316,6 +316,14 @@
     {
         return hold_idle(words[1], std::stoi(words[2]), std::stoi(words[3]));
     }
+    if (words.size() == 3 && words[0] == "callers")
+    {
+        return measure_latency(words[1], words[2]);
+    }
+    if (words.size() == 2 && words[0] == "members")
+    {
+        return serve_members(std::stoi(words[1]));
+    }
     bool const known =
         !words.empty() && (words[0] == "latency" || words[0] == "throughput" ||
                            (words[0] == "serve" && words.size() == 2));
@@ -323,7 +331,7 @@
     {
         return usage();
     }
-    standin::running_deployment running(one_instance(), std::string(64, 'a'));
+    standin::running_deployment running(one_instance().build(), token_key);
     if (!running.wait_ready(std::chrono::seconds(20)))
     {
         std::cerr << "the deployment did not start\n";
@@ -331,7 +339,8 @@
     }
     if (words[0] == "latency")
     {
-        return measure_latency(running);
+        return measure_latency(running.group("loans").address("b"),
+                               running.caller_address("entry-1"));
     }
     return words[0] == "serve" ? serve(running, std::stoi(words[1]))
                                : measure_throughput(running);
