--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -28,6 +28,7 @@
     state::duration m_leave_time{}; ///< after which a leaving one has ended
     coordination::group_settings m_group;
     gateway_policy m_policy;
+    std::string m_members_authority; ///< PEM file; empty: no TLS to members
 };
 
 /// Keeps the gateways of the groups that this instance is a home of, on the
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -168,7 +168,7 @@
                     { control.member_unreachable(member); });
         },
         m_settings.m_policy);
-    gateway->start();
+    gateway->start(m_settings.m_members_authority);
     if (m_ledgers.shares())
     {
         m_ledgers.start(*gateway);
