gateway: keep gRPC's callback threads until the process ends

A callback that lets go of the last one runs on that queue's own thread, which then goes on with a queue that is gone. Holding grpc_init did not prevent it. It is the likely cause of the segmentation fault seen once with the same command; that core was never examined, so this is not proved.

keep_grpc holds a channel that leads nowhere, whose call by callback makes it hold the queue.

--- a/packages/transport/src/gateway/member_client.cpp
+++ b/packages/transport/src/gateway/member_client.cpp
@@ -1,9 +1,8 @@
 #include <chrono>
 #include <utility>
 
-#include <grpc/grpc.h>
-
 #include <camphortide/transport/gateway/member_client.hpp>
+#include <camphortide/transport/grpc_lifetime.hpp>
 
 namespace camphortide::transport
 {
@@ -15,19 +14,11 @@
 constexpr int most_backoff_ms = 200;
 constexpr int least_backoff_ms = 50;
 
-/// Keeps gRPC initialised until the process ends. A stream may let go of the
-/// last channel on a thread of gRPC, which must not shut gRPC down.
-void keep_library()
-{
-    static bool const kept = (grpc_init(), true);
-    static_cast<void>(kept);
-}
-
 std::shared_ptr<grpc::Channel>
 make_channel(std::string const& address,
              std::shared_ptr<grpc::ChannelCredentials> const& credentials)
 {
-    keep_library();
+    keep_grpc();
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, most_backoff_ms);
--- /dev/null
+++ b/packages/transport/src/grpc_lifetime.cpp
@@ -0,0 +1,42 @@
+#include <memory>
+
+#include <grpcpp/grpcpp.h>
+
+#include <camphortide/endpoint/v1/member.grpc.pb.h>
+#include <camphortide/transport/grpc_lifetime.hpp>
+
+namespace camphortide::transport
+{
+
+namespace
+{
+
+/// A channel that leads nowhere. A call by callback makes it hold the threads.
+class grpc_holder
+{
+public:
+    grpc_holder()
+        : m_stub(
+              endpoint::v1::Member::NewStub(grpc::CreateChannel("", nullptr)))
+    {
+        m_stub->async()->Fence(&m_context, &m_request, &m_reply,
+                               [](grpc::Status const&) {});
+    }
+
+private:
+    grpc::ClientContext m_context;
+    endpoint::v1::FenceRequest m_request;
+    endpoint::v1::FenceReply m_reply;
+    std::unique_ptr<endpoint::v1::Member::Stub> m_stub;
+};
+
+} // namespace
+
+void keep_grpc()
+{
+    // Never deleted, as statics end while threads of gRPC still run.
+    static auto const* const holder = new grpc_holder;
+    static_cast<void>(holder);
+}
+
+} // namespace camphortide::transport
