--- a/packages/transport/include/camphortide/transport/client_stream.hpp
+++ b/packages/transport/include/camphortide/transport/client_stream.hpp
@@ -36,7 +36,7 @@
     bool send(Request request)
     {
         std::scoped_lock const lock(m_mutex);
-        if (m_closed)
+        if (m_closed || m_ending)
         {
             return false;
         }
@@ -48,7 +48,24 @@
         return true;
     }
 
-    /// Breaks the stream; on_closed follows.
+    /// Ends the stream once what was sent is out. on_closed follows when the
+    /// server has taken notice.
+    void end()
+    {
+        std::scoped_lock const lock(m_mutex);
+        if (m_closed || m_ending)
+        {
+            return;
+        }
+        m_ending = true;
+        if (m_requests.empty())
+        {
+            this->StartWritesDone();
+        }
+    }
+
+    /// Breaks the stream; on_closed follows, maybe before the server has taken
+    /// notice.
     void close()
     {
         {
@@ -90,6 +107,10 @@
         {
             this->StartWrite(&m_requests.front());
         }
+        else if (ok && !m_closed && m_ending)
+        {
+            this->StartWritesDone();
+        }
     }
 
     void OnDone(grpc::Status const& status) override
@@ -102,6 +123,7 @@
     grpc::ClientContext m_context;
     std::mutex m_mutex;
     std::deque<Request> m_requests;
+    bool m_ending = false;
     bool m_closed = false;
     Reply m_reply;
 };
--- a/packages/transport/include/camphortide/transport/gateway/member_link.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <camphortide/coordination/request/apply_lag.hpp>
@@ -147,6 +148,7 @@
 
 private:
     void open(coordination::connection_id connection);
+    void break_overdue(state::time_point now);
 
     state::member_description m_description;
     std::size_t const m_index;
@@ -159,6 +161,8 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<member_connection>>
         m_streams;
     std::unordered_map<std::uint64_t, awaited_answer> m_awaited;
+    /// streams that the member has not ended yet, and since when
+    std::vector<std::pair<std::uint64_t, state::time_point>> m_ending;
     state::member_status m_status;
     std::size_t m_waiting = 0;
     coordination::share_allowance m_allowance;
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -87,7 +87,8 @@
         std::optional<state::time_point> m_retire_at;
         std::vector<std::string> m_homes;
         state::time_point m_switch_asked{};
-        bool m_left = false; ///< holds no share any more
+        bool m_closed = false; ///< the gateway is, and still holds shares
+        bool m_left = false;   ///< holds no share any more
     };
 
     void reconcile();
@@ -97,7 +98,7 @@
     void set_limits(home& of, state::group_description const& group);
     void retire(std::string const& group, home& one, state::time_point now);
     void step_shares(home& one, state::time_point now);
-    bool is_over(home const& one, state::time_point now) const;
+    bool is_over(home& one, state::time_point now) const;
     void tick(std::string const& group, home& one, state::time_point now);
 
     home_settings const m_settings;
--- a/packages/transport/src/gateway/member_link.cpp
+++ b/packages/transport/src/gateway/member_link.cpp
@@ -6,6 +6,14 @@
 namespace camphortide::transport
 {
 
+namespace
+{
+
+/// How long a member may take to end a connection before it is broken.
+constexpr state::duration most_end_time{2000};
+
+} // namespace
+
 member_link::member_link(state::member_description const& description,
                          std::size_t index, std::weak_ptr<member_events> events)
     : m_description(description),
@@ -52,9 +60,11 @@
         auto const found = m_streams.find(action.m_connection.m_generation);
         if (found != m_streams.end())
         {
-            found->second->close();
+            found->second->end();
+            m_ending.emplace_back(action.m_connection.m_generation, now);
         }
     }
+    break_overdue(now);
     if (m_observation)
     {
         return;
@@ -76,6 +86,21 @@
         });
 }
 
+void member_link::break_overdue(state::time_point now)
+{
+    std::erase_if(m_ending,
+                  [this, now](auto const& ending)
+                  {
+                      auto const found = m_streams.find(ending.first);
+                      bool const overdue = now - ending.second >= most_end_time;
+                      if (found != m_streams.end() && overdue)
+                      {
+                          found->second->close();
+                      }
+                      return found == m_streams.end() || overdue;
+                  });
+}
+
 void member_link::open(coordination::connection_id connection)
 {
     m_streams[connection.m_generation] = m_client->connect(
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -89,10 +89,12 @@
     }
     auto& one = m_home[group.m_name];
     if (one.m_control &&
-        !same_members(one.m_control->gateway()->group(), group))
+        (one.m_closed ||
+         !same_members(one.m_control->gateway()->group(), group)))
     {
         one.m_control->gateway()->close();
         one.m_control.reset();
+        one.m_closed = false;
     }
     if (!one.m_control)
     {
@@ -245,23 +247,24 @@
         return;
     }
     auto const& gateway = one.m_control->gateway();
-    bool const leaves = one.m_retire_at && gateway->idle();
+    bool const leaves = one.m_retire_at && (one.m_closed || gateway->idle());
     one.m_left = m_ledgers.step(gateway, leaves, now) && leaves;
 }
 
-bool home_control::is_over(home const& one, state::time_point now) const
+bool home_control::is_over(home& one, state::time_point now) const
 {
     if (!one.m_control)
     {
         return true;
     }
     auto const& gateway = one.m_control->gateway();
-    if ((!gateway->idle() || !one.m_left) && now < *one.m_retire_at)
+    bool const done = gateway->idle() && one.m_left;
+    if (!one.m_closed && (done || now >= *one.m_retire_at))
     {
-        return false;
+        gateway->close();
+        one.m_closed = true;
     }
-    gateway->close();
-    return true;
+    return one.m_closed && one.m_left; // shares are given back in any case
 }
 
 void home_control::tick(std::string const& group, home& one,
--- a/packages/transport/src/instance/instance.cpp
+++ b/packages/transport/src/instance/instance.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds announce_time{300};
 constexpr std::chrono::milliseconds drain_poll{5};
 constexpr std::chrono::milliseconds share_answer_time{100};
+/// How long a drain waits for the store to take the shares back.
+constexpr state::duration share_return_time{2000};
 
 std::uint64_t milliseconds_since_1970()
 {
@@ -233,7 +236,9 @@
         std::this_thread::sleep_for(drain_poll);
     }
     bool const clean = !busy();
-    while (!shares_returned() && state::clock::now() < end)
+    auto const returned =
+        std::min(end, state::clock::now() + share_return_time);
+    while (!shares_returned() && state::clock::now() < returned)
     {
         std::this_thread::sleep_for(drain_poll);
     }
--- a/tests/test/limits/connection_limit_test.cpp
+++ b/tests/test/limits/connection_limit_test.cpp
@@ -159,6 +159,12 @@
         CHECK(running.drain_instance(lost));
         wait(settled);
     }
+    SUBCASE("one is drained while the store is slow")
+    {
+        running.platform().set_delay(std::chrono::milliseconds(500));
+        CHECK(running.drain_instance(lost));
+        wait(settled);
+    }
     CHECK(callers.m_done.load() > before);
     callers.stop();
     CHECK(callers.m_refused.load() == 0);
