--- a/packages/transport/include/camphortide/transport/gateway/member_link.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/member_link.hpp
@@ -148,6 +148,8 @@
     member_client& client() { return *m_client; }
     coordination::connection_pool const& pool() const { return m_pool; }
     bool reachable() const { return m_reachable; }
+    /// @return mean time of a request without a queue
+    state::duration latency() const { return m_health.latency(); }
 
 private:
     void open(coordination::connection_id connection);
--- a/packages/transport/src/gateway/group_core.cpp
+++ b/packages/transport/src/gateway/group_core.cpp
@@ -93,7 +93,7 @@
     state::duration sum{};
     for (auto const& member : m_members)
     {
-        latencies.push_back(member->view({}, m_now).m_latency);
+        latencies.push_back(member->latency());
         sum += latencies.back();
     }
     auto const others = static_cast<std::int64_t>(
--- a/packages/transport/src/gateway/read_service.cpp
+++ b/packages/transport/src/gateway/read_service.cpp
@@ -66,8 +66,8 @@
     work.m_outstanding = true;
     work.m_member = member;
     work.m_connection = *connection;
-    work.m_give_up_at = work.m_attempts.give_up_at(
-        link.view({}, m_core.m_now).m_latency, m_core.m_now);
+    work.m_give_up_at =
+        work.m_attempts.give_up_at(link.latency(), m_core.m_now);
     m_sent.emplace(work.m_give_up_at, work.m_id);
     endpoint::v1::Statement message;
     message.set_kind(endpoint::v1::STATEMENT_KIND_READ);
