gateway: what may have run is unknown when a home ends; open transactions outlive a home's role

A gateway that closed said not executed of a write that had run and waited for its record to be safe, or for its key's answer, and of every commit under way; the entry told the caller transaction_lost. The next step of a transaction whose connection broke between two steps ended the process. A home that lost its role left the registry at once, so the steps of open transactions found nobody. A new home was registered before it had its entries and answered unknown_entry. Ruled out: the router's own retries; a commit that stays silent is asked for by its key. Change: a request notes that it may have run from the sending of its write or commit until the contrary is proved. A lost connection reaches the transaction that holds it. A retired home takes steps of open transactions. A home is registered after its limits.

--- a/packages/transport/include/camphortide/transport/gateway/group_operation.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_operation.hpp
@@ -25,8 +25,10 @@
     moment m_arrived;
     coordination::lane m_lane = coordination::lane::primary;
     bool m_outstanding = false; ///< a statement of it has no answer
-    bool m_waits = false;       ///< for a member or a connection
-    std::size_t m_member = 0;   ///< that the statement was sent to
+    /// a write or commit of it was sent and is not proved not to have run
+    bool m_may_have_run = false;
+    bool m_waits = false;     ///< for a member or a connection
+    std::size_t m_member = 0; ///< that the statement was sent to
     coordination::connection_id m_connection;
     bool m_waited = false; ///< for time to pass, not for a connection
     coordination::read_attempts m_attempts{coordination::deadline()};
--- a/packages/transport/include/camphortide/transport/gateway/transaction_service.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/transaction_service.hpp
@@ -32,6 +32,11 @@
     /// Takes the loss of a connection of a transaction.
     void connection_lost(std::uint64_t transaction);
 
+    /// Takes the loss of a connection on which no answer was awaited: that of
+    /// a transaction between two of its steps, or of none.
+    void connection_closed(std::size_t member,
+                           coordination::connection_id connection);
+
     /// Takes what changed of the log, and sends what waits.
     void advance();
 
--- a/packages/transport/include/camphortide/transport/instance/home_registry.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_registry.hpp
@@ -34,6 +34,16 @@
     /// Removes a gateway.
     void erase(std::string const& group);
 
+    /// Lets a gateway get no new work, but steps of open transactions.
+    void retire(std::string const& group);
+
+    /// Removes a retired gateway.
+    void forget(std::string const& group);
+
+    /// @return the gateway for steps of open transactions: the retired one
+    ///     of the group, else the present one; null if there is neither
+    std::shared_ptr<group_gateway> find_open(std::string_view group) const;
+
     /// Sets where the homes of every group are.
     void set_homes(
         std::map<std::string, std::vector<std::string>, std::less<>> homes);
@@ -42,6 +52,8 @@
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<group_gateway>, std::less<>>
         m_gateways;
+    std::map<std::string, std::shared_ptr<group_gateway>, std::less<>>
+        m_retired;
     std::map<std::string, std::vector<std::string>, std::less<>> m_homes;
 };
 
--- a/packages/transport/include/camphortide/transport/instance/instance_router.hpp
+++ b/packages/transport/include/camphortide/transport/instance/instance_router.hpp
@@ -49,6 +49,8 @@
     };
     using journey_ptr = std::shared_ptr<journey>;
 
+    /// @return the gateway here that takes the request; null if there is none
+    std::shared_ptr<group_gateway> find(group_request const& request) const;
     void travel(journey_ptr const& on);
     void forward(journey_ptr const& on, std::string const& home);
     void returned(journey_ptr const& on, std::string const& home,
--- a/packages/transport/src/gateway/group_gateway.cpp
+++ b/packages/transport/src/gateway/group_gateway.cpp
@@ -80,11 +80,10 @@
             }
             for (auto* const work : left)
             {
-                bool const sent = work->m_outstanding &&
-                                  work->m_request.m_kind != request_kind::read;
                 m_core.complete(
-                    *work, failed_reply(sent ? state::outcome::unknown
-                                             : state::outcome::not_executed,
+                    *work, failed_reply(work->m_may_have_run
+                                            ? state::outcome::unknown
+                                            : state::outcome::not_executed,
                                         state::reason::draining, drain_hint));
             }
         });
@@ -243,10 +242,16 @@
         [&]
         {
             auto const whose = m_answers.lost(member, connection);
-            if (whose && !m_closed)
+            if (m_closed)
+            {
+                return;
+            }
+            if (whose)
             {
                 m_answers.fail(member, *whose);
+                return;
             }
+            m_transactions.connection_closed(member, connection);
         });
 }
 
--- a/packages/transport/src/gateway/transaction_service.cpp
+++ b/packages/transport/src/gateway/transaction_service.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <camphortide/transport/gateway/transaction_service.hpp>
@@ -114,6 +115,7 @@
         apply(id, open.m_decision.execute());
         return;
     case request_kind::commit:
+        work.m_may_have_run = true;
         apply(id, open.m_decision.commit());
         return;
     default:
@@ -158,6 +160,22 @@
     apply(transaction, open.m_decision.connection_lost());
 }
 
+void transaction_service::connection_closed(
+    std::size_t member, coordination::connection_id connection)
+{
+    auto const found =
+        std::ranges::find_if(m_open,
+                             [&](auto const& item)
+                             {
+                                 return item.second.m_member == member &&
+                                        item.second.m_connection == connection;
+                             });
+    if (found != m_open.end())
+    {
+        connection_lost(found->first);
+    }
+}
+
 void transaction_service::advance()
 {
     if (m_seen != m_core.m_log.view())
--- a/packages/transport/src/gateway/write_service.cpp
+++ b/packages/transport/src/gateway/write_service.cpp
@@ -78,6 +78,7 @@
     if (!work.m_resolving)
     {
         message.set_text(work.m_request.m_statement);
+        work.m_may_have_run = true;
     }
     m_tracker.note_sent(work.m_id, term);
     ++m_core.m_writes_sent;
@@ -119,8 +120,10 @@
         return;
     case coordination::keyed_step::action::resolve:
         work->m_resolving = true;
-        [[fallthrough]];
+        wait(*work);
+        return;
     case coordination::keyed_step::action::send:
+        work->m_may_have_run = false;
         wait(*work);
         return;
     case coordination::keyed_step::action::finish:
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -102,12 +102,14 @@
         log_info(log_part::homes, "This is a home of a group.",
                  {{"group", group.m_name}, {"homes", homes.size()}});
     }
-    if (std::exchange(one.m_retire_at, std::nullopt) && one.m_control)
+    one.m_retire_at.reset();
+    bool const moved = std::exchange(one.m_homes, homes) != homes;
+    set_limits(one, group);
+    if (one.m_control)
     {
         m_registry.set(one.m_control->gateway());
+        m_registry.forget(group.m_name);
     }
-    bool const moved = std::exchange(one.m_homes, homes) != homes;
-    set_limits(one, group);
     if (moved && one.m_control)
     {
         one.m_control->gateway()->with_shares([](share_control& shares)
@@ -175,7 +177,6 @@
     {
         m_ledgers.start(*gateway);
     }
-    m_registry.set(gateway);
     return std::make_shared<group_control>(
         gateway, *std::move(monitor), m_loop,
         group_control::handlers{
@@ -228,7 +229,7 @@
         return;
     }
     one.m_retire_at = now + retire_within;
-    m_registry.erase(group);
+    m_registry.retire(group);
     log_info(log_part::homes, "This is a home of a group no more.",
              {{"group", group}});
 }
@@ -241,6 +242,7 @@
         step_shares(one, now);
         if (one.m_retire_at && is_over(one, now))
         {
+            m_registry.forget(it->first);
             it = m_home.erase(it);
             continue;
         }
@@ -366,6 +368,7 @@
     for (auto const& [group, one] : m_home)
     {
         m_registry.erase(group);
+        m_registry.forget(group);
         if (one.m_control)
         {
             one.m_control->gateway()->close();
--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -79,7 +79,7 @@
 
 void instance_router::serve_forwarded(group_request request, reply_handler done)
 {
-    auto const gateway = m_homes.find(request.m_group);
+    auto const gateway = find(request);
     if (gateway)
     {
         gateway->submit(std::move(request), std::move(done));
@@ -98,6 +98,14 @@
     submit(std::move(request), std::move(done));
 }
 
+std::shared_ptr<group_gateway>
+instance_router::find(group_request const& request) const
+{
+    return belongs_to_transaction(request.m_kind)
+               ? m_homes.find_open(request.m_group)
+               : m_homes.find(request.m_group);
+}
+
 void instance_router::travel(journey_ptr const& on)
 {
     auto const home = choose(*on);
@@ -112,7 +120,7 @@
         forward(on, home);
         return;
     }
-    auto const gateway = m_homes.find(on->m_request.m_group);
+    auto const gateway = find(on->m_request);
     if (!gateway)
     {
         move_on(on);
--- a/tests/test/path/gateway_test.cpp
+++ b/tests/test/path/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include <future>
 #include <memory>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -44,16 +45,22 @@
 
     ~gateway_fixture() { m_gateway->close(); }
 
-    transport::group_reply run(transport::group_request request)
+    std::future<transport::group_reply> submit(transport::group_request request)
     {
-        std::promise<transport::group_reply> promise;
+        auto const promise =
+            std::make_shared<std::promise<transport::group_reply>>();
         request.m_entry = "desk";
         request.m_group = "loans";
         request.m_deadline = state::clock::now() + deadline;
         m_gateway->submit(std::move(request),
-                          [&](transport::group_reply const& reply)
-                          { promise.set_value(reply); });
-        auto future = promise.get_future();
+                          [promise](transport::group_reply const& reply)
+                          { promise->set_value(reply); });
+        return promise->get_future();
+    }
+
+    transport::group_reply run(transport::group_request request)
+    {
+        auto future = submit(std::move(request));
         while (future.wait_for(std::chrono::milliseconds(5)) !=
                std::future_status::ready)
         {
@@ -62,6 +69,20 @@
         return future.get();
     }
 
+    /// Waits until the first member holds a row.
+    bool wait_for_row(std::string const& key)
+    {
+        auto const end = state::clock::now() + deadline;
+        while (!m_group.rows("a").contains(key) && state::clock::now() < end)
+        {
+            m_gateway->tick(state::clock::now());
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return m_group.rows("a").contains(key);
+    }
+
+    void close() { m_gateway->close(); }
+
     transport::group_reply write(std::string const& statement,
                                  std::string const& key)
     {
@@ -145,6 +166,35 @@
           state::reason::transaction_lost);
 }
 
+TEST_CASE("what may have run is unknown when its home ends")
+{
+    using transport::request_kind;
+    for (auto const kind : {request_kind::write, request_kind::commit})
+    {
+        CAPTURE(static_cast<int>(kind));
+        gateway_fixture fixture;
+        transport::group_request request;
+        request.m_kind = kind;
+        request.m_statement = "set trike held";
+        request.m_key = "library/t1";
+        if (kind == request_kind::commit)
+        {
+            request.m_transaction = "t1";
+            REQUIRE(fixture.step(request_kind::begin).m_outcome ==
+                    state::outcome::executed);
+            REQUIRE(fixture.step(request_kind::execute, request.m_statement)
+                        .m_outcome == state::outcome::executed);
+        }
+        fixture.group().cut_from_members("a", true);
+        auto reply = fixture.submit(std::move(request));
+        REQUIRE(fixture.wait_for_row("trike"));
+        fixture.close();
+        REQUIRE(reply.wait_for(std::chrono::seconds(10)) ==
+                std::future_status::ready);
+        CHECK(reply.get().m_outcome == state::outcome::unknown);
+    }
+}
+
 TEST_CASE("a question about a key that never ran bars it")
 {
     gateway_fixture fixture;
--- a/tests/test/path/two_instances_test.cpp
+++ b/tests/test/path/two_instances_test.cpp
@@ -1,5 +1,7 @@
 #include "small_deployment.hpp"
 
+#include <thread>
+
 #include <doctest/doctest.h>
 
 namespace standin = camphortide::standin;
@@ -132,3 +134,32 @@
     }
     CHECK(caller.read("get x").ok());
 }
+
+TEST_CASE("a transaction whose primary ends between two steps is told so")
+{
+    standin::running_deployment running(tests::small_deployment(1, 1),
+                                        tests::token_key);
+    REQUIRE(running.wait_ready(patience));
+    tests::session caller(running.caller_address("entry-1"));
+    grpc::ClientContext context;
+    tests::session::authorize(context);
+    auto const stream = caller.stub().Transact(&context);
+    v1::TransactionStep step;
+    v1::TransactionReply reply;
+    step.mutable_begin()->set_entry("checkouts");
+    stream->Write(step);
+    REQUIRE(stream->Read(&reply));
+    REQUIRE(reply.outcome() == v1::OUTCOME_EXECUTED);
+
+    auto& group = running.group("loans");
+    group.kill(group.primary());
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    step.set_execute("set trike held");
+    stream->Write(step);
+    REQUIRE(stream->Read(&reply));
+    CHECK(reply.outcome() == v1::OUTCOME_NOT_EXECUTED);
+    CHECK(reply.reason() == v1::REASON_TRANSACTION_LOST);
+    stream->WritesDone();
+    stream->Finish();
+    CHECK(running.wait_ready(patience));
+}
