limits: the first home leaves the others their parts

Cause: right after the start the first home held all shares; when it was killed then, the group had no service for 20 s (system_faults_test 'a home that dies loses and doubles nothing' failed in 2 of 3 runs). The test of a single home now states that it is alone in its view, and also checks the part that it leaves where it is not.

--- a/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/share_keeper.hpp
@@ -75,6 +75,10 @@
     ///     has no effect
     void set_limits(std::uint64_t version, std::vector<share_limit> limits);
 
+    /// Takes in how many homes the group has, in this home's view. Those that
+    /// are not in the ledger yet are left their parts.
+    void set_homes(std::int64_t homes) { m_home.m_homes = homes; }
+
     /// Takes in what this home needs of a limit.
     void set_demand(share_key const& key, share_demand demand);
 
--- a/packages/coordination/include/camphortide/coordination/limits/share_proposal.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/share_proposal.hpp
@@ -36,6 +36,7 @@
     std::vector<share_limit> m_limits;  ///< sorted by key
     std::map<share_key, share_demand> m_demands;
     std::vector<holder_id> m_gone; ///< in its view
+    std::int64_t m_homes = 1;      ///< of the group, in its view
     bool m_isolated = false;       ///< hears from less than a majority
     bool m_leaving = false;
 
--- a/packages/coordination/src/limits/group_shares.cpp
+++ b/packages/coordination/src/limits/group_shares.cpp
@@ -40,6 +40,8 @@
         kept.emplace(entry.m_name, std::move(share));
     }
     m_entries = std::move(kept);
+    m_keeper.set_homes(
+        static_cast<std::int64_t>(std::max<std::size_t>(1, homes)));
     m_least.clear();
     auto const parts = least_divisor * static_cast<std::int64_t>(
                                            std::max<std::size_t>(1, homes));
--- a/packages/coordination/src/limits/share_proposal.cpp
+++ b/packages/coordination/src/limits/share_proposal.cpp
@@ -115,10 +115,24 @@
     return *limit.m_shares.insert(place, fresh);
 }
 
+/// Leaves homes that are known and not in the ledger yet their parts.
+std::int64_t room_for_others(share_ledger const& ledger,
+                             divided_limit const& limit, share_home const& home)
+{
+    auto const holders =
+        std::count_if(limit.m_shares.begin(), limit.m_shares.end(),
+                      [&ledger](held_share const& share)
+                      { return !ledger.retired(share.m_holder); });
+    bool const complete = holders >= home.m_homes;
+    return complete ? limit.m_limit
+                    : std::max<std::int64_t>(1, limit.m_limit / home.m_homes);
+}
+
 void adjust(share_ledger const& ledger, divided_limit const& limit,
             share_home const& home, held_share& own)
 {
-    auto const target = target_share(ledger, limit, home.m_self);
+    auto const target = std::min(target_share(ledger, limit, home.m_self),
+                                 room_for_others(ledger, limit, home));
     auto const free = std::max(limit.free(), std::int64_t{0});
     auto const needed =
         std::min(own.m_amount, demand(home, limit.m_key).m_in_use);
--- a/packages/coordination/test/group_shares/group_shares_test.cpp
+++ b/packages/coordination/test/group_shares/group_shares_test.cpp
@@ -105,6 +105,9 @@
     CHECK(before.front().m_rate == 0.0);
     CHECK(before.front().m_concurrency == 0U);
     homes.m_store.serve(homes.m_a, at(1));
+    CHECK(homes.m_a.connections("m1", at(1)).m_amount == 8); // leaves b's part
+    homes.m_a.set_group(1, 1, homes.m_members, homes.m_entries);
+    homes.m_store.serve(homes.m_a, at(1));
     auto const after = homes.m_a.local_entries(at(1));
     CHECK(after.front().m_rate == 100.0);
     CHECK(after.front().m_concurrency == 10U);
--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -109,6 +109,8 @@
     std::shared_ptr<state::catalogue const> m_catalogue;
     coordination::home_table m_table;
     std::map<std::string, home, std::less<>> m_home;
+    state::time_point const m_started = state::clock::now();
+    bool m_view_settled = false; ///< the start is some seconds ago
     std::uint64_t m_monitors = 0; ///< made so far; names each apart
 };
 
--- a/packages/transport/src/instance/home_control.cpp
+++ b/packages/transport/src/instance/home_control.cpp
@@ -16,6 +16,10 @@
 
 /// How long a former home may take to end what is under way.
 constexpr state::duration retire_within{10000};
+/// How long after the start the view may lack instances.
+constexpr state::duration settling{5000};
+/// Homes that shares are kept for meanwhile, where every instance is one.
+constexpr std::size_t most_expected_homes = 8;
 /// Between two requests for the same switchover.
 constexpr state::duration switch_interval{1000};
 
@@ -186,6 +190,10 @@
     }
     // Without a store there is nobody to share with but by the own view.
     auto const homes = std::max<std::size_t>(1, of.m_homes.size());
+    auto const expected = m_view_settled
+                              ? homes
+                              : std::max(homes, std::min(m_settings.m_homes,
+                                                         most_expected_homes));
     auto const parts = m_ledgers.shares() ? 1 : homes;
     auto const connections = group.m_connection_limit / parts;
     std::vector<coordination::entry_limits> limits;
@@ -200,8 +208,8 @@
         [&](share_control& shares)
         {
             m_ledgers.shares()
-                ? shares.set_group(m_catalogue->version(), homes, connections,
-                                   limits)
+                ? shares.set_group(m_catalogue->version(), expected,
+                                   connections, limits)
                 : shares.set_fixed(std::max<std::size_t>(1, connections),
                                    limits);
         });
@@ -222,6 +230,11 @@
 
 void home_control::tick(state::time_point now)
 {
+    if (!m_view_settled && now >= m_started + settling)
+    {
+        m_view_settled = true;
+        reconcile();
+    }
     for (auto it = m_home.begin(); it != m_home.end();)
     {
         auto& one = it->second;
