router: a home that ends before it knows has its requests asked for by key elsewhere

Change: the entry treats such an answer, and one with draining, like silence: it asks another home for the key.

--- a/packages/transport/src/instance/instance_router.cpp
+++ b/packages/transport/src/instance/instance_router.cpp
@@ -35,6 +35,14 @@
             reply.m_reason == state::reason::draining);
 }
 
+/// A home that says so ends before it knows; another can ask for the key.
+bool ends_unknowing(group_reply const& reply)
+{
+    return reply.m_outcome == state::outcome::unknown &&
+           (reply.m_reason == state::reason::no_home ||
+            reply.m_reason == state::reason::draining);
+}
+
 /// A home that says so has begun nothing; another may hold more of the limit.
 bool lacks_share(group_reply const& reply)
 {
@@ -212,6 +220,10 @@
 void instance_router::returned(journey_ptr const& on, std::string const& home,
                                forward_result result, group_reply reply)
 {
+    if (result == forward_result::answered && ends_unknowing(reply))
+    {
+        result = forward_result::silent;
+    }
     bool const outdated = result == forward_result::answered &&
                           add_way(reply, on->m_forwarded, on->m_request);
     bool const elsewhere = result == forward_result::answered &&
