--- a/packages/transport/include/camphortide/transport/instance/home_control.hpp
+++ b/packages/transport/include/camphortide/transport/instance/home_control.hpp
@@ -116,7 +116,7 @@
     coordination::home_table m_table;
     std::map<std::string, home, std::less<>> m_home;
     state::time_point const m_started = state::clock::now();
-    bool m_view_settled = false; ///< the start is some seconds ago
+    bool m_view_settled = false;  ///< the start is some seconds ago
     std::uint64_t m_monitors = 0; ///< made so far; names each apart
 };
 
