--- a/packages/coordination/test/group_shares/entry_rate_test.cpp
+++ b/packages/coordination/test/group_shares/entry_rate_test.cpp
@@ -1,3 +1,4 @@
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
@@ -22,7 +23,7 @@
 /// One home: its shares, its admission and the calls on their way.
 struct rate_home
 {
-    explicit rate_home(holder_id self)
+    explicit rate_home(holder_id const& self)
         : m_id(self),
           m_shares(self, share_timing{}, 0.3)
     {
@@ -142,7 +143,7 @@
             m_sum -= m_recent.front();
             m_recent.pop_front();
         }
-        CHECK(m_sum <= 11 * rate + m_lives);
+        CHECK(m_sum <= std::uint64_t{11} * rate + m_lives);
     }
 
     state::time_point m_now{};
