--- a/packages/load/src/report/report_text.cpp
+++ b/packages/load/src/report/report_text.cpp
@@ -99,7 +99,7 @@
     {
         return;
     }
-    constexpr std::uint64_t bytes_per_mib = 1024U * 1024U;
+    constexpr std::uint64_t bytes_per_mib = std::uint64_t{1024} * 1024;
     out << "memory: " << result.m_memory.front().m_resident / bytes_per_mib
         << " MiB at first, "
         << result.m_memory.back().m_resident / bytes_per_mib
--- a/packages/load/test/checker/transaction_check_test.cpp
+++ b/packages/load/test/checker/transaction_check_test.cpp
@@ -140,7 +140,7 @@
     auto log = good_log();
     SUBCASE("one more")
     {
-        log[1].m_statements.push_back("add ledger:9 1");
+        log[1].m_statements.emplace_back("add ledger:9 1");
     }
     SUBCASE("one instead of another")
     {
@@ -157,7 +157,7 @@
 TEST_CASE("a statement under another transaction's key is caught")
 {
     auto log = good_log();
-    log[1].m_statements.push_back("claim deposit:4 d4");
+    log[1].m_statements.emplace_back("claim deposit:4 d4");
     CHECK(broken_by(good_history(), log) ==
           promises{load::promise::unmixed_transactions});
 }
