--- a/packages/transport/test/settings/instance_settings_test.cpp
+++ b/packages/transport/test/settings/instance_settings_test.cpp
@@ -152,7 +152,7 @@
         return parse("", {{"session.token_keys", "[" + list + "]"}});
     };
     CHECK(with(2).m_value.m_token_keys == std::vector<std::string>{key, key});
-    for (std::size_t const count : {0, 9})
+    for (std::size_t const count : {0U, 9U})
     {
         CHECK(has(with(count).m_errors, "session.token_keys",
                   setting_fault::out_of_range));
--- a/tests/test/limits/connection_limit_test.cpp
+++ b/tests/test/limits/connection_limit_test.cpp
@@ -19,7 +19,7 @@
 /// Longer than membership takes to call a silent instance gone.
 constexpr std::chrono::milliseconds replaced{6500};
 constexpr std::uint32_t connections = 6;
-constexpr int callers = 10;
+constexpr int caller_count = 10;
 
 /// Callers that read and write at one instance until they are told to stop.
 class traffic
@@ -27,7 +27,7 @@
 public:
     explicit traffic(std::string const& address)
     {
-        for (int i = 0; i < callers; ++i)
+        for (int i = 0; i < caller_count; ++i)
         {
             m_threads.emplace_back([this, address, i] { run(address, i); });
         }
