transport: keep what holds gRPC where the leak check finds it

Cause: seven programs of the address build ended with a reported leak: the pointer to the object that holds gRPC's threads is never read, so the compiler drops it. Change: the object lies in static storage.

--- a/packages/transport/src/grpc_lifetime.cpp
+++ b/packages/transport/src/grpc_lifetime.cpp
@@ -1,4 +1,6 @@
+#include <cstddef>
 #include <memory>
+#include <new>
 
 #include <grpcpp/grpcpp.h>
 
@@ -34,8 +36,9 @@
 
 void keep_grpc()
 {
-    // Never deleted, as statics end while threads of gRPC still run.
-    static auto const* const holder = new grpc_holder;
+    // Never destroyed, as statics end while threads of gRPC still run.
+    alignas(grpc_holder) static std::byte storage[sizeof(grpc_holder)];
+    static auto const* const holder = new (storage) grpc_holder;
     static_cast<void>(holder);
 }
 
