--- a/packages/transport/src/instance/home_registry.cpp
+++ b/packages/transport/src/instance/home_registry.cpp
@@ -5,11 +5,35 @@
 namespace camphortide::transport
 {
 
+namespace
+{
+
+using gateway_map =
+    std::map<std::string, std::shared_ptr<group_gateway>, std::less<>>;
+
+/// @return the gateway of a group; null if there is none
+std::shared_ptr<group_gateway> look_up(gateway_map const& gateways,
+                                       std::string_view group)
+{
+    auto const found = gateways.find(group);
+    return found == gateways.end() ? nullptr : found->second;
+}
+
+/// Removes the gateway of a group.
+/// @return the gateway; null if there was none
+std::shared_ptr<group_gateway> take(gateway_map& gateways,
+                                    std::string const& group)
+{
+    auto const node = gateways.extract(group);
+    return node ? node.mapped() : nullptr;
+}
+
+} // namespace
+
 std::shared_ptr<group_gateway> home_registry::find(std::string_view group) const
 {
     std::shared_lock const lock(m_mutex);
-    auto const found = m_gateways.find(group);
-    return found == m_gateways.end() ? nullptr : found->second;
+    return look_up(m_gateways, group);
 }
 
 std::vector<std::string> home_registry::homes_of(std::string_view group) const
@@ -39,51 +63,34 @@
 
 void home_registry::erase(std::string const& group)
 {
-    std::shared_ptr<group_gateway> last;
+    std::shared_ptr<group_gateway> last; // let go of without the lock
     std::unique_lock const lock(m_mutex);
-    auto const found = m_gateways.find(group);
-    if (found != m_gateways.end())
-    {
-        last = std::move(found->second);
-        m_gateways.erase(found);
-    }
+    last = take(m_gateways, group);
 }
 
 void home_registry::retire(std::string const& group)
 {
-    std::shared_ptr<group_gateway> last;
+    std::shared_ptr<group_gateway> last; // let go of without the lock
     std::unique_lock const lock(m_mutex);
-    auto const found = m_gateways.find(group);
-    if (found != m_gateways.end())
+    if (auto gateway = take(m_gateways, group))
     {
-        last = std::exchange(m_retired[group], std::move(found->second));
-        m_gateways.erase(found);
+        last = std::exchange(m_retired[group], std::move(gateway));
     }
 }
 
 void home_registry::forget(std::string const& group)
 {
-    std::shared_ptr<group_gateway> last;
+    std::shared_ptr<group_gateway> last; // let go of without the lock
     std::unique_lock const lock(m_mutex);
-    auto const found = m_retired.find(group);
-    if (found != m_retired.end())
-    {
-        last = std::move(found->second);
-        m_retired.erase(found);
-    }
+    last = take(m_retired, group);
 }
 
 std::shared_ptr<group_gateway>
 home_registry::find_open(std::string_view group) const
 {
     std::shared_lock const lock(m_mutex);
-    auto const found = m_retired.find(group);
-    if (found != m_retired.end())
-    {
-        return found->second;
-    }
-    auto const current = m_gateways.find(group);
-    return current == m_gateways.end() ? nullptr : current->second;
+    auto retired = look_up(m_retired, group);
+    return retired ? retired : look_up(m_gateways, group);
 }
 
 void home_registry::set_homes(
