--- a/apps/camphortided/main.cpp
+++ b/apps/camphortided/main.cpp
@@ -4,9 +4,11 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
+#include <camphortide/proxy/proxy_instance.hpp>
 #include <camphortide/transport/instance/instance.hpp>
 #include <camphortide/transport/logging/log.hpp>
 #include <camphortide/transport/settings/settings_arguments.hpp>
@@ -61,10 +63,40 @@
     return running.drain() ? exit_done : exit_refused;
 }
 
+/// Runs on the platform, whose settings file the environment names.
+int run_on_platform()
+{
+    transport::start_logging_to_output("camphortided",
+                                       transport::log_level::info);
+    auto const* const path =
+        std::getenv(camphortide::platform::place_path_variable);
+    std::string error;
+    auto const place = path == nullptr
+                           ? std::nullopt
+                           : camphortide::proxy::read_place(path, error);
+    if (!place)
+    {
+        std::cerr << "camphortided: "
+                  << (path == nullptr
+                          ? std::string(
+                                camphortide::platform::place_path_variable) +
+                                " is not set"
+                          : error)
+                  << '\n';
+        return exit_usage;
+    }
+    camphortide::proxy::proxy_instance instance(*place, path);
+    return instance.run() ? exit_done : exit_refused;
+}
+
 } // namespace
 
 int main(int count, char** values)
 {
+    if (count == 2 && std::string_view(values[1]) == "platform")
+    {
+        return run_on_platform();
+    }
     auto const arguments = transport::parse_settings_arguments(
         std::vector<std::string>(values + 1, values + count));
     if (arguments.m_help)
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <camphortide/coordination/session/session_state.hpp>
+#include <camphortide/platform/caller_protocol.hpp>
+#include <camphortide/platform/text_lines.hpp>
+#include <camphortide/proxy/statement_request.hpp>
+
+namespace camphortide::proxy
+{
+
+/// What a session needs of the traffic around it.
+class session_host
+{
+public:
+    session_host() = default;
+    virtual ~session_host() = default;
+    session_host(session_host const&) = delete;
+    session_host& operator=(session_host const&) = delete;
+
+    /// @return the configuration in force; null before the first
+    virtual std::shared_ptr<state::configuration const>
+    configuration() const = 0;
+
+    /// Runs a statement at a member of its route's group.
+    virtual void submit(std::shared_ptr<statement_request> const& request) = 0;
+
+    /// Ends a transaction that a caller gave up.
+    virtual void roll_back(std::string const& group,
+                           bound_connection const& bound) = 0;
+
+    /// A statement was answered without a member.
+    virtual void answered_here(state::statement const& statement,
+                               std::string const& database,
+                               state::statement_reply const& reply) = 0;
+};
+
+/// One caller's connection.
+class caller_session : public std::enable_shared_from_this<caller_session>
+{
+public:
+    using end_handler = std::function<void(caller_session*)>;
+
+    caller_session(boost::asio::ip::tcp::socket socket, session_host& host,
+                   std::uint64_t number);
+
+    /// Begins to read.
+    /// @param ended called once when the connection has ended
+    void start(end_handler ended);
+
+    /// Answers a caller that waits for the first configuration.
+    void configuration_arrived();
+
+    /// Ends the session if no request is open and no transaction either.
+    void close_if_idle();
+
+    /// Ends an open transaction that waits for its caller.
+    void end_transaction();
+
+    /// Ends the transaction if the caller has been silent for so long.
+    void end_idle_transaction(state::duration limit, state::time_point now);
+
+    bool in_transaction() const { return m_state.in_transaction(); }
+    bool busy() const { return m_busy; }
+
+private:
+    void read();
+    bool may_take() const;
+    void proceed();
+    void take(platform::open_session const& message);
+    void take(state::statement const& message);
+    void take(platform::close_session const& message);
+    void take(platform::malformed_message const& message);
+    void open();
+    void refuse_and_close(state::statement_failure const& why);
+    bool find_route();
+    void forward(state::statement const& statement);
+    std::shared_ptr<statement_request>
+    build_request(state::statement const& statement);
+    coordination::sent_kind
+    kind_of(state::statement const& statement) const;
+    void finished(state::statement const& statement, statement_result result);
+    void answer(state::statement_reply const& reply);
+    void release_transaction();
+    void write(std::string bytes);
+    void write_next();
+    void end();
+
+    boost::asio::ip::tcp::socket m_socket;
+    session_host& m_host;
+    std::uint64_t m_number;
+    std::uint64_t m_statements = 0;
+    end_handler m_ended;
+    platform::text_lines m_lines;
+    std::array<char, 4096> m_received;
+    std::string m_unsent;
+    std::string m_writing;
+    bool m_open = false;     ///< the caller named its database
+    bool m_waiting = false;  ///< for the first configuration
+    bool m_busy = false;     ///< a request is not answered yet
+    bool m_gone = false;
+    bool m_reading = false;
+    bool m_taking = false; ///< lines are being taken further up the stack
+    bool m_close_when_written = false;
+    std::string m_database;
+    coordination::session_state m_state;
+    std::shared_ptr<state::configuration const> m_configuration;
+    state::route const* m_route = nullptr;
+    std::optional<bound_connection> m_bound;
+    std::string m_bound_group;
+    std::optional<coordination::session_position> m_position;
+    state::time_point m_begun;     ///< of the transaction, or the statement
+    state::time_point m_last_line; ///< of the caller
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <camphortide/coordination/placing/primary_positions.hpp>
+#include <camphortide/coordination/placing/statement_queue.hpp>
+#include <camphortide/proxy/fleet_view.hpp>
+#include <camphortide/proxy/member_lane.hpp>
+#include <camphortide/proxy/statement_request.hpp>
+#include <camphortide/proxy/traffic_report.hpp>
+
+namespace camphortide::proxy
+{
+
+/// Runs statements at the members of one group. Belongs to the traffic
+/// thread.
+class group_traffic
+{
+public:
+    using request_pointer = std::shared_ptr<statement_request>;
+
+    group_traffic(boost::asio::io_context& context, std::string group,
+                  traffic_report& report);
+    ~group_traffic();
+
+    /// Takes in what the control thread knows now.
+    void apply(fleet_view const& view);
+
+    /// Queues a statement, or runs it on its transaction's connection.
+    void submit(request_pointer const& request);
+
+    /// Ends a transaction that its caller gave up.
+    void roll_back(bound_connection const& bound);
+
+    /// Ends every use of the primary under records up to a revision.
+    /// @param orderly what has begun may end before, for a while
+    /// @param closed called when it is done
+    void close_primary(std::uint64_t revision, bool orderly,
+                       std::function<void()> closed);
+
+    /// Does what has to be done from time to time.
+    void sweep();
+
+    /// @return the gauges of this group's members
+    std::vector<lane_gauge> gauges() const;
+
+private:
+    struct closing
+    {
+        std::uint64_t m_revision = 0;
+        std::string m_primary; ///< that may not be used
+        state::time_point m_until;
+        std::function<void()> m_closed;
+    };
+
+    void apply_members(fleet_view const& view);
+    lane_limits limits_for(state::member_entry const& member) const;
+    bool is_primary(std::string const& member) const;
+    coordination::placing_need need_of(statement_request const& request,
+                                       state::time_point now) const;
+    std::vector<coordination::member_condition>
+    conditions(state::time_point now) const;
+    void dispatch();
+    void expire(state::time_point now);
+    void set_timer();
+    void start(request_pointer const& request, std::size_t lane);
+    void run(request_pointer const& request, bound_connection const& use);
+    void send_preamble(request_pointer const& request,
+                       bound_connection const& use);
+    void preamble_failed(request_pointer const& request,
+                         bound_connection const& use,
+                         std::optional<state::statement_reply> reply);
+    void send_statement(request_pointer const& request,
+                        bound_connection const& use);
+    void answered(request_pointer const& request, bound_connection const& use,
+                  std::optional<state::statement_reply> reply);
+    void learn(statement_request const& request, bound_connection const& use,
+               state::statement_reply const& reply);
+    void learn_failure(statement_request& request, bound_connection const& use,
+                       state::statement_failure const& failure);
+    void act(request_pointer const& request, bound_connection const& use,
+             coordination::reply_verdict const& verdict,
+             std::optional<state::statement_reply> reply);
+    void deliver(request_pointer const& request, bound_connection const& use,
+                 state::statement_reply reply);
+    void send_again(request_pointer const& request);
+    void tell(request_pointer const& request, state::statement_failure why);
+    void refuse(request_pointer const& request, std::string_view why);
+    void release(bound_connection const& use, bool clean);
+    void watch_time(request_pointer const& request,
+                    bound_connection const& use);
+    member_lane* lane_of(std::string const& member);
+    void finish_closings();
+    bool primary_in_use(std::uint64_t revision) const;
+
+    boost::asio::io_context& m_context;
+    std::string m_group;
+    traffic_report& m_report;
+    boost::asio::steady_timer m_timer;
+    std::optional<state::time_point> m_timer_at;
+    std::vector<std::unique_ptr<member_lane>> m_lanes;
+    /// lanes of members that are gone, until their connections have ended
+    std::vector<std::unique_ptr<member_lane>> m_old_lanes;
+    coordination::primary_permit m_permit;
+    coordination::primary_positions m_positions;
+    coordination::statement_queue m_queue;
+    std::unordered_map<std::uint64_t, request_pointer> m_waiting;
+    /// transactions and statements that use the primary, by revision
+    std::map<std::uint64_t, std::size_t> m_primary_uses;
+    std::vector<closing> m_closings;
+    std::uint32_t m_connection_cap = 1; ///< of a member, over all instances
+    std::size_t m_instances = 1;
+    bool m_dispatching = false;
+    bool m_dispatch_again = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/member_connection.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <camphortide/coordination/session/connection_layout.hpp>
+#include <camphortide/platform/member_protocol.hpp>
+#include <camphortide/platform/text_lines.hpp>
+#include <camphortide/state/member_entry.hpp>
+#include <camphortide/state/clock.hpp>
+#include <camphortide/state/statement_reply.hpp>
+
+namespace camphortide::proxy
+{
+
+/// How the opening of a connection to a member ended.
+enum class opening_result
+{
+    opened,
+    refused, ///< the address refuses or breaks connections
+    silent,  ///< no answer in time
+    full,    ///< the member has no room for a connection
+    wrong    ///< another member or group answers there
+};
+
+/// One connection to a member. Answers come in the order of the statements.
+class member_connection : public std::enable_shared_from_this<member_connection>
+{
+public:
+    using open_handler = std::function<void(opening_result)>;
+    /// Gets nothing if the connection ended before the whole answer.
+    using reply_handler =
+        std::function<void(std::optional<state::statement_reply>)>;
+
+    explicit member_connection(boost::asio::io_context& context);
+    ~member_connection();
+
+    /// Connects and names the group and the member that must answer.
+    void open(state::member_entry const& member, open_handler done);
+
+    /// Sends one statement.
+    void send(std::string const& bytes, reply_handler done);
+
+    /// Ends the connection; handlers of outstanding statements are called.
+    void close();
+
+    bool alive() const { return m_open; }
+    std::size_t outstanding() const { return m_handlers.size(); }
+
+    /// Called when an idle connection ends by itself.
+    void on_end(std::function<void()> handler) { m_on_end = std::move(handler); }
+
+    /// What the connection holds for sessions.
+    coordination::connection_layout& layout() { return m_layout; }
+
+    state::time_point last_used() const { return m_last_used; }
+
+private:
+    void connected();
+    void opening_line(std::string const& line);
+    void finish_opening(opening_result result);
+    void read();
+    void take_lines();
+    void take_line(std::string const& line);
+    void write();
+    void end();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_opening_timer;
+    platform::text_lines m_lines;
+    platform::member_reply_parser m_parser;
+    coordination::connection_layout m_layout;
+    std::string m_greeting;
+    std::string m_unsent;
+    std::string m_writing;
+    std::array<char, 8192> m_received;
+    std::deque<reply_handler> m_handlers;
+    open_handler m_opening;
+    std::function<void()> m_on_end;
+    state::time_point m_last_used;
+    bool m_open = false;
+    bool m_ended = false;
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/member_monitor.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include <camphortide/proxy/member_connection.hpp>
+#include <camphortide/state/clock.hpp>
+#include <camphortide/state/member_entry.hpp>
+
+namespace camphortide::proxy
+{
+
+/// Asks one member for its report, again and again, on a connection of its
+/// own.
+class member_monitor
+{
+public:
+    struct handlers
+    {
+        /// @param asked when the report was asked for
+        std::function<void(state::member_report const&,
+                           state::time_point asked)>
+            m_report;
+        std::function<void()> m_answer;  ///< any sign of life
+        std::function<void()> m_refusal; ///< a refused or broken connection
+    };
+
+    member_monitor(boost::asio::io_context& context, state::member_entry member,
+                   handlers on);
+    ~member_monitor();
+
+    /// Asks if it is time.
+    /// @param interval between two questions
+    void tick(state::duration interval, state::time_point now);
+
+    /// Asks a primary of a lower term to become a replica.
+    void step_down(std::uint64_t term);
+
+    state::member_entry const& member() const { return m_member; }
+
+private:
+    void open(state::time_point now);
+    void ask(state::time_point now);
+    void answered(std::optional<state::statement_reply> const& reply,
+                  state::time_point asked);
+
+    boost::asio::io_context& m_context;
+    state::member_entry m_member;
+    handlers m_on;
+    std::shared_ptr<member_connection> m_connection;
+    bool m_opening = false;
+    std::optional<state::time_point> m_outstanding; ///< since then
+    state::time_point m_last_asked;
+    state::time_point m_last_try;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <camphortide/platform/instance_place.hpp>
+#include <camphortide/proxy/fleet_control.hpp>
+#include <camphortide/proxy/http_server.hpp>
+#include <camphortide/proxy/replacement_control.hpp>
+#include <camphortide/proxy/request_log.hpp>
+#include <camphortide/proxy/traffic.hpp>
+#include <camphortide/transport/metrics/metrics_registry.hpp>
+
+namespace camphortide::proxy
+{
+
+/// One instance on the platform: a thread for control, one for traffic. They
+/// share nothing that changes; each hands the other values and tasks.
+class proxy_instance final : private traffic_report
+{
+public:
+    /// @param place where the instance runs
+    /// @param path of the file that it was read from
+    proxy_instance(platform::instance_place place, std::string path);
+    ~proxy_instance() override;
+
+    /// Runs until a signal ends it.
+    /// @return false if an address can't be had
+    bool run();
+
+private:
+    void statement_ended(statement_end const& end) override;
+    void statement_sent_again(std::string const& group,
+                              statement_request const& request,
+                              std::string const& cause) override;
+    void primary_unreachable(std::string const& group,
+                             std::string const& member) override;
+    void primary_closed(std::string const& group,
+                        std::uint64_t revision) override;
+
+    void serve_pages();
+    void answer_readiness(http_server::respond const& done);
+    void answer_close(platform::http_call const& request,
+                      http_server::respond done);
+    void answer_metrics(http_server::respond const& done);
+    void close_here(close_request const& request,
+                    std::function<void()> closed);
+    void take_view(std::shared_ptr<fleet_view const> view);
+    void tick();
+    void wait_for_signal();
+    void reload();
+    void reload_if_changed(state::time_point now);
+    void stop();
+    void leave();
+
+    platform::instance_place m_place;
+    std::string m_path;
+    boost::asio::io_context m_control;
+    boost::asio::io_context m_traffic_context;
+    transport::metrics_registry m_metrics;
+    request_log m_log;
+    store_client m_store;
+    fleet_control m_fleet;
+    replacement_control m_replacements;
+    http_server m_server;
+    traffic m_traffic;
+    boost::asio::steady_timer m_tick;
+    boost::asio::signal_set m_signals;
+    bool m_has_view = false;
+    bool m_stopping = false;
+    std::int64_t m_file_changed = 0;
+    state::time_point m_last_look;
+};
+
+/// Reads and checks the platform's settings.
+/// @param path of the file
+/// @param error set if there are none
+std::optional<platform::instance_place> read_place(std::string const& path,
+                                                   std::string& error);
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <camphortide/coordination/placing/member_choice.hpp>
+#include <camphortide/coordination/session/reply_verdict.hpp>
+#include <camphortide/coordination/session/session_state.hpp>
+#include <camphortide/proxy/member_connection.hpp>
+#include <camphortide/state/route.hpp>
+#include <camphortide/state/statement.hpp>
+
+namespace camphortide::proxy
+{
+
+/// A member's connection that a transaction is bound to.
+struct bound_connection
+{
+    std::shared_ptr<member_connection> m_connection;
+    std::string m_member;             ///< its id
+    std::uint64_t m_permit_revision = 0; ///< 0: not used as the primary
+    std::uint64_t m_term = 0;            ///< of the primary; 0: a replica
+};
+
+/// What came of a statement.
+struct statement_result
+{
+    state::statement_reply m_reply;
+    /// of a transaction that goes on
+    std::optional<bound_connection> m_bound;
+    /// the session's own commit, if it was one
+    std::optional<coordination::session_position> m_commit;
+};
+
+/// A statement that a member has to run.
+struct statement_request
+{
+    using handler = std::function<void(statement_result)>;
+
+    std::uint64_t m_number = 0;
+    state::statement m_statement;
+    std::optional<coordination::prepared_shape> m_shape; ///< of EXECUTE
+    coordination::session_values m_values; ///< that have to hold meanwhile
+    std::shared_ptr<state::configuration const> m_configuration;
+    state::route const* m_route = nullptr; ///< in the configuration
+    coordination::sent_kind m_kind = coordination::sent_kind::single_read;
+    bool m_begins = false;    ///< first of a transaction that a member needs
+    bool m_read_only = false; ///< the transaction
+    bool m_primary = true;    ///< only the primary may run it
+    std::optional<coordination::session_position> m_session; ///< own commit
+    state::time_point m_read_from; ///< first byte of it or its transaction
+    state::time_point m_arrived;   ///< of this statement
+    state::time_point m_latest;    ///< to be answered by then
+    std::optional<bound_connection> m_bound; ///< of the open transaction
+    handler m_done;
+
+    std::uint32_t m_tried = 0; ///< members that can't run it now, by index
+    std::uint32_t m_sendings = 0;
+    state::time_point m_sent;
+    std::unique_ptr<boost::asio::steady_timer> m_timer; ///< of the answer
+    state::statement_error m_last_error = state::statement_error::busy;
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <camphortide/proxy/caller_session.hpp>
+#include <camphortide/proxy/fleet_view.hpp>
+#include <camphortide/proxy/group_traffic.hpp>
+#include <camphortide/proxy/traffic_report.hpp>
+
+namespace camphortide::proxy
+{
+
+/// Times of a stop, from the signal on.
+struct stop_times
+{
+    /// while the balancer may still send new connections here: it asks every
+    /// second and takes an instance out after two refusals
+    state::duration m_accept{2300};
+    state::duration m_transactions{}; ///< open transactions may end until then
+    state::duration m_end{};          ///< everything has ended by then
+};
+
+/// All callers of this instance and the groups that serve them. Lives on the
+/// traffic thread: call it there only.
+class traffic final : public session_host
+{
+public:
+    traffic(boost::asio::io_context& context, traffic_report& report);
+    ~traffic() override;
+
+    /// Listens for callers.
+    /// @return false if the address can't be had
+    bool listen(std::string const& address);
+
+    /// Takes in what the control thread knows now.
+    void apply(std::shared_ptr<fleet_view const> const& view);
+
+    /// @see group_traffic::close_primary
+    void close_primary(std::string const& group, std::uint64_t revision,
+                       bool orderly, std::function<void()> closed);
+
+    /// Ends all sessions without failing a request that can be answered.
+    /// @param stopped called when nothing is left
+    void stop(stop_times times, std::function<void()> stopped);
+
+    /// @return the gauges of all members, and the number of sessions
+    std::vector<lane_gauge> gauges() const;
+    std::size_t sessions() const { return m_sessions.size(); }
+
+    std::shared_ptr<state::configuration const> configuration() const override;
+    void submit(std::shared_ptr<statement_request> const& request) override;
+    void roll_back(std::string const& group,
+                   bound_connection const& bound) override;
+    void answered_here(state::statement const& statement,
+                       std::string const& database,
+                       state::statement_reply const& reply) override;
+
+private:
+    void accept();
+    void sweep();
+    void go_on_stopping(state::time_point now);
+    group_traffic& group(std::string const& name);
+
+    boost::asio::io_context& m_context;
+    traffic_report& m_report;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    boost::asio::steady_timer m_sweep_timer;
+    std::shared_ptr<fleet_view const> m_view;
+    std::map<std::string, std::unique_ptr<group_traffic>> m_groups;
+    std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
+        m_sessions;
+    std::uint64_t m_last_session = 0;
+    stop_times m_stop;
+    state::time_point m_stop_began;
+    std::function<void()> m_stopped;
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/traffic_report.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <camphortide/proxy/statement_request.hpp>
+
+namespace camphortide::proxy
+{
+
+/// Figures of one member as this instance sees it.
+struct lane_gauge
+{
+    std::string m_group;
+    std::string m_member;
+    bool m_primary = false;
+    std::size_t m_connections = 0;
+    std::uint32_t m_in_flight = 0;
+    state::duration m_lag{};
+    std::size_t m_waiting = 0; ///< statements of the group
+};
+
+/// How a statement ended, for logs and metrics.
+struct statement_end
+{
+    std::string const& m_group;
+    statement_request const& m_request;
+    std::string m_member; ///< that answered; empty: none
+    bool m_primary = false;
+    state::statement_reply const& m_reply;
+    state::time_point m_now;
+    state::duration m_permit_age{}; ///< of the proof that allowed the primary
+    std::string m_cause; ///< of a failure that was decided here
+};
+
+/// Takes what the traffic does and learns. Called on the traffic thread.
+class traffic_report
+{
+public:
+    traffic_report() = default;
+    virtual ~traffic_report() = default;
+    traffic_report(traffic_report const&) = delete;
+    traffic_report& operator=(traffic_report const&) = delete;
+
+    /// A statement has its final answer.
+    virtual void statement_ended(statement_end const& end) = 0;
+
+    /// A statement is sent anew.
+    virtual void statement_sent_again(std::string const& group,
+                                      statement_request const& request,
+                                      std::string const& cause) = 0;
+
+    /// The primary isn't reached by this instance.
+    virtual void primary_unreachable(std::string const& group,
+                                     std::string const& member) = 0;
+
+    /// This instance doesn't use a primary any more.
+    virtual void primary_closed(std::string const& group,
+                                std::uint64_t revision) = 0;
+};
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/group_traffic.cpp
@@ -0,0 +1,861 @@
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <camphortide/platform/member_protocol.hpp>
+#include <camphortide/proxy/group_traffic.hpp>
+
+namespace camphortide::proxy
+{
+
+using coordination::layout_command;
+using coordination::reply_verdict;
+using coordination::sent_kind;
+using state::session_phase;
+using state::statement_error;
+using state::statement_failure;
+using state::statement_reply;
+
+namespace
+{
+
+/// Connections of a member that are left to whoever replaces primaries.
+constexpr std::uint32_t reserved_connections = 2;
+/// Connections above an instance's part while callers wait for them.
+constexpr std::size_t extra_connections = 1;
+/// Statements of one instance at a member, at least.
+constexpr std::uint32_t least_statements = 2;
+/// Statements of all instances for each slot of a member: as one ends the
+/// next is there.
+constexpr std::uint32_t statements_per_slot = 3;
+/// How often a statement is sent before it is refused.
+constexpr std::uint32_t most_sendings = 8;
+/// Pause before a statement that found no slot is sent again.
+constexpr state::duration repeat_pause{8};
+/// How long an orderly change of primary waits for what has begun.
+constexpr state::duration orderly_wait{1500};
+/// How long a primary fails before others are told.
+constexpr state::duration unreachable_after{300};
+/// Added to the age of a position: reading the clocks takes part of a ms.
+constexpr state::duration position_margin{5};
+
+statement_failure again_later(std::string_view why)
+{
+    return {statement_error::busy, std::string(why)};
+}
+
+} // namespace
+
+group_traffic::group_traffic(boost::asio::io_context& context,
+                             std::string group, traffic_report& report)
+    : m_context(context),
+      m_group(std::move(group)),
+      m_report(report),
+      m_timer(context)
+{
+}
+
+group_traffic::~group_traffic()
+{
+    *m_alive = false;
+}
+
+void group_traffic::apply(fleet_view const& view)
+{
+    auto const limits = view.m_configuration->m_groups.find(m_group);
+    if (limits != view.m_configuration->m_groups.end())
+    {
+        m_connection_cap = limits->second.m_max_connections;
+    }
+    m_instances = std::max<std::size_t>(view.m_instances, 1);
+    auto const standing = view.m_standings.find(m_group);
+    if (standing != view.m_standings.end())
+    {
+        m_permit.renew(standing->second);
+        if (standing->second.m_open)
+        {
+            m_positions.begin_term(standing->second.m_term);
+        }
+    }
+    apply_members(view);
+    if (standing != view.m_standings.end() && !standing->second.m_open &&
+        standing->second.m_revision != 0)
+    {
+        close_primary(standing->second.m_revision,
+                      standing->second.m_orderly, nullptr);
+    }
+    dispatch();
+}
+
+void group_traffic::apply_members(fleet_view const& view)
+{
+    auto const place = view.m_members.find(m_group);
+    static std::vector<state::member_entry> const none;
+    auto const& members =
+        place == view.m_members.end() ? none : place->second;
+    std::vector<std::unique_ptr<member_lane>> lanes;
+    for (auto const& member : members)
+    {
+        auto const same = [&](auto const& lane)
+        {
+            return lane && lane->member().m_id == member.m_id &&
+                   lane->member().m_address == member.m_address;
+        };
+        auto const old = std::find_if(m_lanes.begin(), m_lanes.end(), same);
+        if (old == m_lanes.end())
+        {
+            lanes.push_back(std::make_unique<member_lane>(m_context, member));
+        }
+        else
+        {
+            (*old)->update(member);
+            lanes.push_back(std::move(*old));
+        }
+        lanes.back()->set_limits(limits_for(member));
+    }
+    for (auto& lane : m_lanes)
+    {
+        if (lane)
+        {
+            m_old_lanes.push_back(std::move(lane));
+        }
+    }
+    m_lanes = std::move(lanes);
+    for (auto const& entry : m_waiting)
+    {
+        entry.second->m_tried = 0; // the indexes have changed
+    }
+}
+
+lane_limits group_traffic::limits_for(state::member_entry const& member) const
+{
+    auto const shared = m_connection_cap > reserved_connections
+                            ? m_connection_cap - reserved_connections
+                            : m_connection_cap;
+    auto const instances = static_cast<std::uint32_t>(m_instances);
+    lane_limits limits;
+    limits.m_connections = std::max<std::size_t>(1, shared / instances);
+    limits.m_extra = extra_connections;
+    limits.m_statements =
+        std::max(least_statements,
+                 (member.m_slots * statements_per_slot + instances - 1) /
+                     instances);
+    return limits;
+}
+
+bool group_traffic::is_primary(std::string const& member) const
+{
+    return m_permit.standing().m_primary == member;
+}
+
+coordination::placing_need
+group_traffic::need_of(statement_request const& request,
+                       state::time_point) const
+{
+    coordination::placing_need need;
+    need.m_tried = request.m_tried;
+    need.m_primary = request.m_primary;
+    if (need.m_primary)
+    {
+        return need;
+    }
+    auto covered = m_positions.covering(
+        request.m_read_from - request.m_route->m_max_staleness +
+        position_margin);
+    bool known = covered.has_value();
+    if (request.m_session && known &&
+        request.m_route->m_consistency ==
+            state::read_consistency::read_your_writes)
+    {
+        auto const own = m_positions.current(*request.m_session);
+        known = own.has_value();
+        covered = own ? std::max(*covered, *own) : covered;
+    }
+    need.m_primary = !known;
+    need.m_covered = covered;
+    if (covered)
+    {
+        need.m_covered_since = m_positions.reached(*covered);
+    }
+    return need;
+}
+
+std::vector<coordination::member_condition>
+group_traffic::conditions(state::time_point now) const
+{
+    std::vector<coordination::member_condition> result;
+    for (auto const& lane : m_lanes)
+    {
+        bool const named = is_primary(lane->member().m_id);
+        bool const allowed = named && m_permit.allows(now);
+        auto condition = lane->condition(allowed, now);
+        // A primary that is being replaced may hold what will be rolled back.
+        condition.m_usable = condition.m_usable && (!named || allowed);
+        result.push_back(condition);
+    }
+    return result;
+}
+
+void group_traffic::submit(request_pointer const& request)
+{
+    if (request->m_bound)
+    {
+        auto* lane = lane_of(request->m_bound->m_member);
+        if (lane == nullptr || !request->m_bound->m_connection->alive())
+        {
+            answered(request, *request->m_bound, std::nullopt);
+            return;
+        }
+        run(request, *request->m_bound);
+        return;
+    }
+    m_waiting[request->m_number] = request;
+    coordination::waiting_statement item;
+    item.m_number = request->m_number;
+    item.m_arrived = request->m_arrived;
+    item.m_target = request->m_arrived + request->m_route->m_target_latency;
+    item.m_latest = request->m_latest;
+    item.m_priority = request->m_route->m_priority;
+    item.m_primary_only = request->m_primary;
+    m_queue.push(item);
+    dispatch();
+}
+
+void group_traffic::dispatch()
+{
+    if (m_dispatching)
+    {
+        m_dispatch_again = true;
+        return;
+    }
+    m_dispatching = true;
+    do
+    {
+        m_dispatch_again = false;
+        auto const now = state::clock::now();
+        expire(now);
+        std::vector<std::size_t> wanted(m_lanes.size(), 0);
+        for (auto const& item : m_queue.in_order(now))
+        {
+            auto const place = m_waiting.find(item.m_number);
+            if (place == m_waiting.end())
+            {
+                continue;
+            }
+            auto const request = place->second;
+            auto const need = need_of(*request, now);
+            auto members = conditions(now);
+            auto const choice =
+                coordination::choose_member(need, members, now);
+            if (choice.m_member)
+            {
+                start(request, *choice.m_member);
+                continue;
+            }
+            if (!choice.m_possible)
+            {
+                if (request->m_tried != 0)
+                {
+                    request->m_tried = 0;
+                }
+                continue;
+            }
+            // Ask for a connection where it would go if all were free.
+            for (auto& member : members)
+            {
+                member.m_free = true;
+            }
+            auto const ideal =
+                coordination::choose_member(need, members, now);
+            if (ideal.m_member)
+            {
+                ++wanted[*ideal.m_member];
+            }
+        }
+        for (std::size_t i = 0; i < m_lanes.size(); ++i)
+        {
+            m_lanes[i]->open_wanted(
+                wanted[i],
+                [this, alive = m_alive]
+                {
+                    if (*alive)
+                    {
+                        dispatch();
+                    }
+                });
+        }
+    } while (m_dispatch_again);
+    m_dispatching = false;
+    set_timer();
+}
+
+void group_traffic::expire(state::time_point now)
+{
+    for (auto const& item : m_queue.take_expired(now))
+    {
+        auto const place = m_waiting.find(item.m_number);
+        if (place != m_waiting.end())
+        {
+            auto const request = place->second;
+            m_waiting.erase(place);
+            refuse(request, "no member in time");
+        }
+    }
+}
+
+void group_traffic::set_timer()
+{
+    auto const next = m_queue.next_expiry();
+    // While statements wait, what a member or lag allows is looked at anew.
+    constexpr state::duration look_again{15};
+    auto const now = state::clock::now();
+    if (!next)
+    {
+        return;
+    }
+    auto const at = std::min(*next, now + look_again);
+    if (m_timer_at && *m_timer_at <= at && *m_timer_at > now)
+    {
+        return;
+    }
+    m_timer_at = at;
+    m_timer.expires_after(std::max(at - now, state::duration(1)));
+    m_timer.async_wait(
+        [this, alive = m_alive](boost::system::error_code error)
+        {
+            if (!error && *alive)
+            {
+                m_timer_at.reset();
+                dispatch();
+            }
+        });
+}
+
+member_lane* group_traffic::lane_of(std::string const& member)
+{
+    for (auto* lanes : {&m_lanes, &m_old_lanes})
+    {
+        for (auto const& lane : *lanes)
+        {
+            if (lane->member().m_id == member)
+            {
+                return lane.get();
+            }
+        }
+    }
+    return nullptr;
+}
+
+void group_traffic::start(request_pointer const& request, std::size_t index)
+{
+    auto& lane = *m_lanes[index];
+    m_queue.erase(request->m_number);
+    m_waiting.erase(request->m_number);
+    bound_connection use;
+    use.m_connection = lane.take(request->m_values);
+    use.m_member = lane.member().m_id;
+    if (is_primary(use.m_member))
+    {
+        use.m_permit_revision = m_permit.standing().m_revision;
+        use.m_term = m_permit.standing().m_term;
+        ++m_primary_uses[use.m_permit_revision];
+    }
+    request->m_tried |= std::uint32_t{1} << index;
+    run(request, use);
+}
+
+void group_traffic::run(request_pointer const& request,
+                        bound_connection const& use)
+{
+    ++request->m_sendings;
+    request->m_sent = state::clock::now();
+    lane_of(use.m_member)->started();
+    watch_time(request, use);
+    send_preamble(request, use);
+}
+
+void group_traffic::watch_time(request_pointer const& request,
+                               bound_connection const& use)
+{
+    auto const left = request->m_latest - state::clock::now();
+    request->m_timer =
+        std::make_unique<boost::asio::steady_timer>(m_context);
+    request->m_timer->expires_after(std::max(left, state::duration(1)));
+    request->m_timer->async_wait(
+        [connection = use.m_connection](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                connection->close();
+            }
+        });
+}
+
+void group_traffic::send_preamble(request_pointer const& request,
+                                  bound_connection const& use)
+{
+    auto const commands =
+        use.m_connection->layout().lay(request->m_values, request->m_shape);
+    std::vector<std::string> texts;
+    for (auto const& command : commands)
+    {
+        switch (command.m_kind)
+        {
+        case layout_command::kind::reset:
+            texts.push_back(platform::member_reset());
+            break;
+        case layout_command::kind::set_value:
+            texts.push_back(
+                platform::member_set_value(command.m_name, command.m_text));
+            break;
+        case layout_command::kind::prepare:
+            texts.push_back(platform::member_prepare(
+                command.m_name, command.m_write, command.m_text));
+            break;
+        }
+    }
+    if (request->m_begins)
+    {
+        std::optional<state::log_position> covered;
+        if (use.m_permit_revision == 0)
+        {
+            covered = need_of(*request, request->m_sent).m_covered;
+        }
+        texts.push_back(platform::member_begin(request->m_read_only, covered));
+    }
+    if (texts.empty())
+    {
+        send_statement(request, use);
+        return;
+    }
+    // The statement follows only when all of these have succeeded: it must
+    // not run without them.
+    auto const left = std::make_shared<std::size_t>(texts.size());
+    auto const failed = std::make_shared<bool>(false);
+    for (auto const& text : texts)
+    {
+        use.m_connection->send(
+            text,
+            [this, request, use, left, failed,
+             alive = m_alive](std::optional<statement_reply> reply)
+            {
+                if (!*alive || *failed)
+                {
+                    return;
+                }
+                if (!reply || !reply->ok())
+                {
+                    *failed = true;
+                    preamble_failed(request, use, std::move(reply));
+                    return;
+                }
+                if (--*left == 0)
+                {
+                    send_statement(request, use);
+                }
+            });
+    }
+}
+
+void group_traffic::preamble_failed(request_pointer const& request,
+                                    bound_connection const& use,
+                                    std::optional<statement_reply> reply)
+{
+    auto* lane = lane_of(use.m_member);
+    lane->finished(std::nullopt);
+    request->m_timer.reset();
+    auto const now = state::clock::now();
+    if (reply)
+    {
+        learn_failure(*request, use, *reply->m_failure);
+    }
+    else
+    {
+        lane->note_failure(now);
+    }
+    // What was laid on the connection is not known any more.
+    bool const only_begin = request->m_begins && reply &&
+                            use.m_connection->outstanding() == 0;
+    release(use, only_begin);
+    if (request->m_bound)
+    {
+        tell(request, {statement_error::aborted, "transaction rolled back"});
+        return;
+    }
+    send_again(request);
+}
+
+void group_traffic::send_statement(request_pointer const& request,
+                                   bound_connection const& use)
+{
+    auto const& statement = request->m_statement;
+    auto const text =
+        request->m_shape
+            ? platform::execute_text(
+                  use.m_connection->layout().name_of(*request->m_shape),
+                  statement.m_argument)
+            : statement.m_text;
+    std::optional<state::log_position> covered;
+    if (use.m_permit_revision == 0 &&
+        request->m_kind == sent_kind::single_read)
+    {
+        covered = need_of(*request, request->m_sent).m_covered;
+    }
+    use.m_connection->send(
+        platform::member_statement(statement.m_id, covered, text),
+        [this, request, use,
+         alive = m_alive](std::optional<statement_reply> reply)
+        {
+            if (*alive)
+            {
+                lane_of(use.m_member)
+                    ->finished(reply && reply->ok()
+                                   ? std::optional(state::clock::now() -
+                                                   request->m_sent)
+                                   : std::nullopt);
+                answered(request, use, std::move(reply));
+                dispatch();
+            }
+        });
+}
+
+void group_traffic::answered(request_pointer const& request,
+                             bound_connection const& use,
+                             std::optional<statement_reply> reply)
+{
+    auto const now = state::clock::now();
+    request->m_timer.reset();
+    bool const permit_lost =
+        use.m_permit_revision != 0 &&
+        !m_permit.still_allows(use.m_permit_revision, now);
+    auto* lane = lane_of(use.m_member);
+    if (lane != nullptr)
+    {
+        if (reply)
+        {
+            lane->note_answer();
+        }
+        else
+        {
+            lane->note_failure(now);
+        }
+    }
+    if (reply && reply->ok() && !permit_lost)
+    {
+        learn(*request, use, *reply);
+    }
+    else if (reply && !reply->ok())
+    {
+        learn_failure(*request, use, *reply->m_failure);
+    }
+    auto const verdict = coordination::judge_reply(
+        {request->m_kind, reply, permit_lost});
+    act(request, use, verdict, std::move(reply));
+}
+
+void group_traffic::learn(statement_request const& request,
+                          bound_connection const& use,
+                          statement_reply const& reply)
+{
+    if (!reply.m_position)
+    {
+        return;
+    }
+    if (use.m_permit_revision != 0)
+    {
+        if (use.m_term == m_positions.term())
+        {
+            m_positions.note(*reply.m_position, request.m_sent);
+        }
+        return;
+    }
+    auto* lane = lane_of(use.m_member);
+    if (lane == nullptr)
+    {
+        return;
+    }
+    auto const next = state::log_position{reply.m_position->m_term,
+                                          reply.m_position->m_index + 1};
+    auto const passed = m_positions.reached(next);
+    lane->note_applied(*reply.m_position,
+                       passed ? std::max(state::clock::now() - *passed,
+                                         state::duration(0))
+                              : state::duration(0));
+}
+
+void group_traffic::learn_failure(statement_request& request,
+                                  bound_connection const& use,
+                                  statement_failure const& failure)
+{
+    request.m_last_error = failure.m_error;
+    auto* lane = lane_of(use.m_member);
+    if (lane == nullptr)
+    {
+        return;
+    }
+    auto const now = state::clock::now();
+    if (failure.m_error == statement_error::lagging)
+    {
+        auto const need = need_of(request, now);
+        lane->note_lagging(need.m_covered_since
+                               ? std::max(now - *need.m_covered_since,
+                                          state::duration(1))
+                               : state::duration(1));
+    }
+    else if (failure.m_error == statement_error::busy)
+    {
+        lane->note_busy(now);
+        request.m_tried = 0;
+    }
+}
+
+void group_traffic::act(request_pointer const& request,
+                        bound_connection const& use,
+                        reply_verdict const& verdict,
+                        std::optional<statement_reply> reply)
+{
+    switch (verdict.m_action)
+    {
+    case reply_verdict::action::deliver:
+        deliver(request, use, std::move(*reply));
+        return;
+    case reply_verdict::action::repeat_there:
+        if (state::clock::now() + repeat_pause < request->m_latest)
+        {
+            auto const timer =
+                std::make_shared<boost::asio::steady_timer>(m_context);
+            timer->expires_after(repeat_pause);
+            timer->async_wait(
+                [this, timer, request, use,
+                 alive = m_alive](boost::system::error_code)
+                {
+                    if (*alive)
+                    {
+                        run(request, use);
+                    }
+                });
+            return;
+        }
+        release(use, false);
+        tell(request, again_later("no slot in time"));
+        return;
+    case reply_verdict::action::send_again:
+        release(use, verdict.m_keep_connection);
+        send_again(request);
+        return;
+    case reply_verdict::action::tell:
+        release(use, false);
+        tell(request, *verdict.m_failure);
+        return;
+    }
+}
+
+void group_traffic::deliver(request_pointer const& request,
+                            bound_connection const& use, statement_reply reply)
+{
+    statement_result result;
+    bool const in_transaction =
+        request->m_kind == sent_kind::in_transaction && reply.ok();
+    bool const commits = request->m_kind == sent_kind::single_write ||
+                         request->m_kind == sent_kind::commit_of_writes;
+    if (commits && reply.ok() && reply.m_position && use.m_term != 0)
+    {
+        result.m_commit =
+            coordination::session_position{use.m_term, *reply.m_position};
+    }
+    if (in_transaction)
+    {
+        result.m_bound = use;
+    }
+    else
+    {
+        release(use, reply.m_phase == session_phase::idle);
+    }
+    m_report.statement_ended({m_group, *request, use.m_member,
+                              use.m_permit_revision != 0, reply,
+                              state::clock::now(),
+                              state::clock::now() -
+                                  m_permit.standing().m_proven,
+                              {}});
+    result.m_reply = std::move(reply);
+    auto const done = std::exchange(request->m_done, nullptr);
+    done(std::move(result));
+}
+
+void group_traffic::send_again(request_pointer const& request)
+{
+    auto const now = state::clock::now();
+    if (now >= request->m_latest || request->m_sendings >= most_sendings)
+    {
+        refuse(request, "no member ran it in time");
+        return;
+    }
+    m_report.statement_sent_again(
+        m_group, *request,
+        std::string(to_string(request->m_last_error)));
+    submit(request);
+}
+
+void group_traffic::refuse(request_pointer const& request, std::string_view why)
+{
+    tell(request, again_later(why));
+}
+
+void group_traffic::tell(request_pointer const& request, statement_failure why)
+{
+    statement_result result;
+    result.m_reply.m_failure = std::move(why);
+    m_report.statement_ended({m_group, *request, {}, false, result.m_reply,
+                              state::clock::now(),
+                              state::clock::now() -
+                                  m_permit.standing().m_proven,
+                              result.m_reply.m_failure->m_text});
+    auto const done = std::exchange(request->m_done, nullptr);
+    if (done)
+    {
+        done(std::move(result));
+    }
+}
+
+void group_traffic::release(bound_connection const& use, bool clean)
+{
+    if (use.m_permit_revision != 0)
+    {
+        auto const place = m_primary_uses.find(use.m_permit_revision);
+        if (place != m_primary_uses.end() && --place->second == 0)
+        {
+            m_primary_uses.erase(place);
+        }
+        finish_closings();
+    }
+    auto* lane = lane_of(use.m_member);
+    if (lane != nullptr)
+    {
+        lane->give_back(use.m_connection, clean);
+    }
+    else
+    {
+        use.m_connection->close();
+    }
+}
+
+void group_traffic::roll_back(bound_connection const& use)
+{
+    if (!use.m_connection->alive())
+    {
+        release(use, false);
+        dispatch();
+        return;
+    }
+    use.m_connection->send(
+        platform::member_roll_back(),
+        [this, use, alive = m_alive](std::optional<statement_reply> reply)
+        {
+            if (*alive)
+            {
+                release(use, reply && reply->ok() &&
+                                 reply->m_phase == session_phase::idle);
+                dispatch();
+            }
+        });
+}
+
+bool group_traffic::primary_in_use(std::uint64_t revision) const
+{
+    return !m_primary_uses.empty() &&
+           m_primary_uses.begin()->first <= revision;
+}
+
+void group_traffic::close_primary(std::uint64_t revision, bool orderly,
+                                  std::function<void()> closed)
+{
+    m_permit.stop(revision);
+    auto const now = state::clock::now();
+    auto const until = orderly ? now + orderly_wait : now;
+    m_closings.push_back(
+        {revision, m_permit.standing().m_primary, until, std::move(closed)});
+    finish_closings();
+}
+
+void group_traffic::finish_closings()
+{
+    auto const now = state::clock::now();
+    std::vector<closing> finished;
+    for (auto place = m_closings.begin(); place != m_closings.end();)
+    {
+        bool const over = now >= place->m_until ||
+                          !primary_in_use(place->m_revision);
+        if (over)
+        {
+            finished.push_back(std::move(*place));
+            place = m_closings.erase(place);
+        }
+        else
+        {
+            ++place;
+        }
+    }
+    for (auto const& each : finished)
+    {
+        m_permit.close(each.m_revision);
+        auto* lane = lane_of(each.m_primary);
+        if (lane != nullptr && primary_in_use(each.m_revision))
+        {
+            lane->close_all();
+        }
+        m_primary_uses.erase(m_primary_uses.begin(),
+                             m_primary_uses.upper_bound(each.m_revision));
+        m_report.primary_closed(m_group, each.m_revision);
+        if (each.m_closed)
+        {
+            each.m_closed();
+        }
+    }
+}
+
+void group_traffic::sweep()
+{
+    auto const now = state::clock::now();
+    finish_closings();
+    for (auto const& lane : m_lanes)
+    {
+        lane->close_surplus(now);
+        bool const cut = is_primary(lane->member().m_id) &&
+                         lane->failing_since() &&
+                         now - *lane->failing_since() >= unreachable_after;
+        if (cut)
+        {
+            m_report.primary_unreachable(m_group, lane->member().m_id);
+        }
+    }
+    std::erase_if(m_old_lanes,
+                  [](auto const& lane)
+                  {
+                      return lane->connections() == 0 &&
+                             lane->in_flight() == 0;
+                  });
+    for (auto const& lane : m_old_lanes)
+    {
+        if (lane->in_flight() == 0)
+        {
+            lane->close_all();
+        }
+    }
+    dispatch();
+}
+
+std::vector<lane_gauge> group_traffic::gauges() const
+{
+    std::vector<lane_gauge> result;
+    for (auto const& lane : m_lanes)
+    {
+        result.push_back({m_group, lane->member().m_id,
+                          is_primary(lane->member().m_id),
+                          lane->connections(), lane->in_flight(), lane->lag(),
+                          m_queue.size()});
+    }
+    return result;
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/http_client.cpp
@@ -0,0 +1,243 @@
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <camphortide/proxy/http_client.hpp>
+
+#include "socket_options.hpp"
+
+namespace camphortide::proxy
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t most_idle = 4;
+constexpr std::uint64_t most_body = std::uint64_t{16} << 20;
+constexpr state::duration connection_silence{4000};
+
+} // namespace
+
+/// One request and its answer.
+class http_client::exchange
+    : public std::enable_shared_from_this<http_client::exchange>
+{
+public:
+    exchange(std::shared_ptr<http_client> owner, handler done, guard may_send)
+        : m_owner(std::move(owner)),
+          m_timer(m_owner->m_context),
+          m_done(std::move(done)),
+          m_may_send(std::move(may_send))
+    {
+        m_parser.body_limit(most_body);
+    }
+
+    void start(platform::http_call const& request, state::duration limit)
+    {
+        fill(request);
+        m_timer.expires_after(limit);
+        m_timer.async_wait(
+            [self = shared_from_this()](error_code error)
+            {
+                if (!error)
+                {
+                    self->finish({std::nullopt, self->failure()});
+                }
+            });
+        if (!m_owner->m_idle.empty())
+        {
+            m_socket = std::move(m_owner->m_idle.back());
+            m_owner->m_idle.pop_back();
+            m_reused = true;
+            write();
+            return;
+        }
+        connect();
+    }
+
+private:
+    void fill(platform::http_call const& request)
+    {
+        m_request.method_string(request.m_method);
+        m_request.target(request.m_target);
+        m_request.version(11);
+        m_request.set(http::field::host, m_owner->m_address);
+        for (auto const& [name, value] : request.m_headers)
+        {
+            m_request.set(name, value);
+        }
+        if (!request.m_body.empty())
+        {
+            m_request.set(http::field::content_type, "application/json");
+            m_request.body() = request.m_body;
+        }
+        m_request.prepare_payload();
+    }
+
+    void connect()
+    {
+        auto const endpoint = parse_endpoint(m_owner->m_address);
+        if (!endpoint)
+        {
+            asio::post(m_owner->m_context,
+                       [self = shared_from_this()]
+                       { self->finish({std::nullopt, call_failure::refused}); });
+            return;
+        }
+        m_socket =
+            std::make_unique<asio::ip::tcp::socket>(m_owner->m_context);
+        m_socket->async_connect(
+            *endpoint,
+            [self = shared_from_this()](error_code error)
+            {
+                if (self->m_finished)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->finish({std::nullopt, call_failure::refused});
+                    return;
+                }
+                guard_socket(*self->m_socket, connection_silence);
+                self->write();
+            });
+    }
+
+    void write()
+    {
+        if (m_may_send && !m_may_send())
+        {
+            finish({std::nullopt, call_failure::withheld});
+            return;
+        }
+        m_sent = true;
+        http::async_write(*m_socket, m_request,
+                          [self = shared_from_this()](error_code error,
+                                                      std::size_t)
+                          {
+                              if (self->m_finished)
+                              {
+                                  return;
+                              }
+                              if (error)
+                              {
+                                  self->lost();
+                                  return;
+                              }
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        http::async_read(
+            *m_socket, m_buffer, m_parser,
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (self->m_finished)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->lost();
+                    return;
+                }
+                self->answered();
+            });
+    }
+
+    void answered()
+    {
+        auto response = m_parser.release();
+        if (response.keep_alive() && m_owner->m_idle.size() < most_idle)
+        {
+            m_owner->m_idle.push_back(std::move(m_socket));
+        }
+        finish({platform::http_answer{response.result_int(),
+                                      std::move(response.body())},
+                call_failure::none});
+    }
+
+    /// A kept connection that the server closed meanwhile took nothing; only
+    /// a call that changes nothing is sent again.
+    void lost()
+    {
+        bool const repeat = m_reused && m_request.method() == http::verb::get &&
+                            !m_parser.is_header_done();
+        if (!repeat)
+        {
+            finish({std::nullopt, call_failure::lost});
+            return;
+        }
+        m_reused = false;
+        m_sent = false;
+        m_buffer.clear();
+        connect();
+    }
+
+    call_failure failure() const
+    {
+        return m_sent ? call_failure::lost : call_failure::refused;
+    }
+
+    void finish(call_result result)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        m_finished = true;
+        m_timer.cancel();
+        if (m_socket)
+        {
+            error_code ignored; // it is given up in any case
+            m_socket->close(ignored);
+        }
+        auto const done = std::move(m_done);
+        done(std::move(result));
+    }
+
+    std::shared_ptr<http_client> m_owner;
+    asio::steady_timer m_timer;
+    handler m_done;
+    guard m_may_send;
+    connection m_socket;
+    http::request<http::string_body> m_request;
+    http::response_parser<http::string_body> m_parser;
+    boost::beast::flat_buffer m_buffer;
+    bool m_reused = false;
+    bool m_sent = false;
+    bool m_finished = false;
+};
+
+http_client::http_client(asio::io_context& context, std::string address)
+    : m_context(context),
+      m_address(std::move(address))
+{
+}
+
+void http_client::call(platform::http_call const& request,
+                       state::duration limit, handler done, guard may_send)
+{
+    std::make_shared<exchange>(shared_from_this(), std::move(done),
+                               std::move(may_send))
+        ->start(request, limit);
+}
+
+void http_client::set_address(std::string address)
+{
+    if (address != m_address)
+    {
+        m_address = std::move(address);
+        m_idle.clear();
+    }
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/member_connection.cpp
@@ -0,0 +1,256 @@
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <camphortide/proxy/member_connection.hpp>
+
+#include "socket_options.hpp"
+
+namespace camphortide::proxy
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Bytes that a member's machine doesn't acknowledge for so long are lost:
+/// many round trips, and no more than a caller's target.
+constexpr state::duration connection_silence{500};
+/// Time for a new connection, with the work that a member does for it behind
+/// a full queue.
+constexpr state::duration opening_limit{600};
+
+} // namespace
+
+member_connection::member_connection(asio::io_context& context)
+    : m_socket(context),
+      m_opening_timer(context),
+      m_received()
+{
+}
+
+member_connection::~member_connection() = default;
+
+void member_connection::open(state::member_entry const& member,
+                             open_handler done)
+{
+    m_opening = std::move(done);
+    m_greeting = platform::open_member(member.m_group, member.m_id);
+    m_opening_timer.expires_after(opening_limit);
+    m_opening_timer.async_wait(
+        [self = shared_from_this()](error_code error)
+        {
+            if (!error)
+            {
+                self->finish_opening(opening_result::silent);
+            }
+        });
+    auto const endpoint = parse_endpoint(member.m_address);
+    if (!endpoint)
+    {
+        asio::post(m_socket.get_executor(),
+                   [self = shared_from_this()]
+                   { self->finish_opening(opening_result::refused); });
+        return;
+    }
+    m_socket.async_connect(*endpoint,
+                           [self = shared_from_this()](error_code error)
+                           {
+                               if (self->m_ended)
+                               {
+                                   return;
+                               }
+                               if (error)
+                               {
+                                   self->finish_opening(
+                                       opening_result::refused);
+                                   return;
+                               }
+                               self->connected();
+                           });
+}
+
+void member_connection::connected()
+{
+    guard_socket(m_socket, connection_silence);
+    m_unsent = std::move(m_greeting);
+    write();
+    read();
+}
+
+void member_connection::opening_line(std::string const& line)
+{
+    switch (m_parser.add(line))
+    {
+    case platform::member_reply_parser::progress::more:
+        return;
+    case platform::member_reply_parser::progress::broken:
+        finish_opening(opening_result::wrong);
+        return;
+    case platform::member_reply_parser::progress::complete:
+        m_parser.take();
+        finish_opening(opening_result::opened);
+        return;
+    }
+}
+
+void member_connection::finish_opening(opening_result result)
+{
+    if (!m_opening)
+    {
+        return;
+    }
+    auto const done = std::exchange(m_opening, nullptr);
+    m_opening_timer.cancel();
+    m_last_used = state::clock::now();
+    m_open = result == opening_result::opened;
+    if (!m_open)
+    {
+        end();
+    }
+    done(result);
+}
+
+void member_connection::send(std::string const& bytes, reply_handler done)
+{
+    if (!m_open)
+    {
+        done(std::nullopt);
+        return;
+    }
+    m_last_used = state::clock::now();
+    m_handlers.push_back(std::move(done));
+    m_unsent += bytes;
+    write();
+}
+
+void member_connection::write()
+{
+    if (!m_writing.empty() || m_unsent.empty() || m_ended)
+    {
+        return;
+    }
+    m_writing = std::exchange(m_unsent, {});
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](error_code error, std::size_t)
+                      {
+                          self->m_writing.clear();
+                          if (error)
+                          {
+                              self->end();
+                              return;
+                          }
+                          self->write();
+                      });
+}
+
+void member_connection::read()
+{
+    m_socket.async_read_some(
+        asio::buffer(m_received),
+        [self = shared_from_this()](error_code error, std::size_t count)
+        {
+            if (self->m_ended)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->end();
+                return;
+            }
+            self->m_lines.append({self->m_received.data(), count});
+            self->take_lines();
+            if (!self->m_ended)
+            {
+                self->read();
+            }
+        });
+}
+
+void member_connection::take_lines()
+{
+    while (!m_ended)
+    {
+        auto const line = m_lines.next();
+        if (!line)
+        {
+            break;
+        }
+        take_line(*line);
+    }
+    if (m_lines.broken())
+    {
+        end();
+    }
+}
+
+void member_connection::take_line(std::string const& line)
+{
+    if (m_opening)
+    {
+        opening_line(line);
+        return;
+    }
+    auto const progress = m_parser.add(line);
+    if (progress == platform::member_reply_parser::progress::broken ||
+        m_handlers.empty())
+    {
+        end();
+        return;
+    }
+    if (progress == platform::member_reply_parser::progress::complete)
+    {
+        auto const done = std::move(m_handlers.front());
+        m_handlers.pop_front();
+        m_last_used = state::clock::now();
+        done(m_parser.take());
+    }
+}
+
+void member_connection::close()
+{
+    end();
+}
+
+void member_connection::end()
+{
+    if (m_ended)
+    {
+        return;
+    }
+    auto const self = shared_from_this();
+    m_ended = true;
+    m_open = false;
+    error_code ignored; // it is given up in any case
+    m_socket.close(ignored);
+    m_opening_timer.cancel();
+    if (m_opening)
+    {
+        auto const failure = m_parser.partial()
+                                 ? m_parser.take().m_failure
+                                 : std::optional<state::statement_failure>();
+        bool const full =
+            failure && failure->m_error == state::statement_error::overload;
+        bool const wrong =
+            failure && failure->m_error == state::statement_error::misrouted;
+        finish_opening(full    ? opening_result::full
+                       : wrong ? opening_result::wrong
+                               : opening_result::refused);
+    }
+    auto const handlers = std::exchange(m_handlers, {});
+    auto const ended = std::exchange(m_on_end, nullptr);
+    for (auto const& each : handlers)
+    {
+        each(std::nullopt);
+    }
+    if (ended)
+    {
+        ended();
+    }
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/object_watch.cpp
@@ -0,0 +1,161 @@
+#include <algorithm>
+#include <utility>
+
+#include <camphortide/proxy/object_watch.hpp>
+
+namespace camphortide::proxy
+{
+
+using platform::store_outcome;
+
+namespace
+{
+
+/// First pause after a failed call; it doubles up to the longest. The longest
+/// leaves a store that returns room to be found within the bounds.
+constexpr state::duration first_pause{50};
+constexpr state::duration longest_pause{400};
+
+} // namespace
+
+object_watch::object_watch(boost::asio::io_context& context,
+                           store_client& store, platform::object_kind kind,
+                           state::duration wait, state::duration relist,
+                           std::uint64_t seed)
+    : m_store(store),
+      m_kind(kind),
+      m_wait(wait),
+      m_relist(relist),
+      m_timer(context),
+      m_jitter(seed)
+{
+}
+
+void object_watch::start(news_handler on_news, state_handler on_state)
+{
+    m_on_news = std::move(on_news);
+    m_on_state = std::move(on_state);
+    list({});
+}
+
+void object_watch::list(std::string const& after)
+{
+    if (after.empty())
+    {
+        m_listing = {};
+        m_listing.m_whole = true;
+        m_listing.m_asked = state::clock::now();
+    }
+    m_store.call(platform::list_call(m_kind, after),
+                 [this](store_outcome outcome,
+                        std::optional<platform::http_answer> const& answer)
+                 { listed(outcome, answer); });
+}
+
+void object_watch::listed(store_outcome outcome,
+                          std::optional<platform::http_answer> const& answer)
+{
+    auto const page = outcome == store_outcome::done
+                          ? platform::parse_page(*answer)
+                          : std::nullopt;
+    if (!page)
+    {
+        failed(outcome);
+        return;
+    }
+    if (m_listing.m_revision == 0)
+    {
+        // Changes made while further pages are read come by the watch.
+        m_listing.m_revision = page->m_revision;
+    }
+    m_listing.m_objects.insert(m_listing.m_objects.end(),
+                               page->m_objects.begin(), page->m_objects.end());
+    if (page->m_more && !page->m_objects.empty())
+    {
+        list(page->m_objects.back().m_name);
+        return;
+    }
+    m_revision = m_listing.m_revision;
+    m_last_success = m_listed = m_listing.m_asked;
+    succeeded();
+    m_on_news(std::exchange(m_listing, {}));
+    watch();
+}
+
+void object_watch::go_on()
+{
+    bool const due = m_relist.count() > 0 &&
+                     state::clock::now() - m_listed >= m_relist;
+    if (m_revision == 0 || due)
+    {
+        list({});
+    }
+    else
+    {
+        watch();
+    }
+}
+
+void object_watch::watch()
+{
+    m_asked = state::clock::now();
+    m_store.call(
+        platform::watch_call(m_kind, m_revision, m_wait.count()),
+        [this](store_outcome outcome,
+               std::optional<platform::http_answer> const& answer)
+        { watched(outcome, answer); },
+        m_wait);
+}
+
+void object_watch::watched(store_outcome outcome,
+                           std::optional<platform::http_answer> const& answer)
+{
+    if (outcome == store_outcome::history_gone)
+    {
+        m_revision = 0;
+        list({});
+        return;
+    }
+    auto const page = outcome == store_outcome::done
+                          ? platform::parse_page(*answer)
+                          : std::nullopt;
+    if (!page)
+    {
+        failed(outcome);
+        return;
+    }
+    m_revision = std::max(m_revision, page->m_revision);
+    m_last_success = m_asked;
+    succeeded();
+    m_on_news({page->m_objects, false, m_revision, m_asked});
+    go_on();
+}
+
+void object_watch::succeeded()
+{
+    m_pause = {};
+    if (std::exchange(m_failing, false))
+    {
+        m_on_state(store_outcome::done);
+    }
+}
+
+void object_watch::failed(store_outcome outcome)
+{
+    if (!std::exchange(m_failing, true))
+    {
+        m_on_state(outcome);
+    }
+    m_pause = std::clamp(m_pause * 2, first_pause, longest_pause);
+    m_timer.expires_after(m_pause / 2 + m_jitter.draw(m_pause / 2));
+    m_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                go_on();
+            }
+        });
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/peer_messages.cpp
@@ -0,0 +1,97 @@
+#include <nlohmann/json.hpp>
+
+#include <camphortide/proxy/peer_messages.hpp>
+
+namespace camphortide::proxy
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Reads a message field by field; any wrong field makes it unusable.
+template <typename Message, typename Read>
+std::optional<Message> decode(std::string const& body, Read read)
+{
+    auto const root = json::parse(body, nullptr, false);
+    if (!root.is_object())
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        Message message;
+        read(root, message);
+        return message;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt; // the caller answers that it can't be read
+    }
+}
+
+} // namespace
+
+platform::http_call encode(close_request const& message)
+{
+    json const body{{"group", message.m_group},
+                    {"revision", message.m_revision},
+                    {"orderly", message.m_orderly}};
+    return {"POST", close_path, body.dump(), {}};
+}
+
+platform::http_answer encode(close_response const& message)
+{
+    json const body{{"instance", message.m_instance},
+                    {"born", message.m_born},
+                    {"revision", message.m_revision}};
+    return {200, body.dump()};
+}
+
+platform::http_call encode(unreachable_word const& message)
+{
+    json const body{{"instance", message.m_instance},
+                    {"group", message.m_group},
+                    {"member", message.m_member}};
+    return {"POST", unreachable_path, body.dump(), {}};
+}
+
+std::optional<close_request> decode_close_request(std::string const& body)
+{
+    return decode<close_request>(
+        body,
+        [](json const& root, close_request& into)
+        {
+            into.m_group = root.at("group").get<std::string>();
+            into.m_revision = root.at("revision").get<std::uint64_t>();
+            into.m_orderly = root.at("orderly").get<bool>();
+        });
+}
+
+std::optional<close_response> decode_close_response(std::string const& body)
+{
+    return decode<close_response>(
+        body,
+        [](json const& root, close_response& into)
+        {
+            into.m_instance = root.at("instance").get<std::string>();
+            into.m_born = root.at("born").get<std::int64_t>();
+            into.m_revision = root.at("revision").get<std::uint64_t>();
+        });
+}
+
+std::optional<unreachable_word>
+decode_unreachable_word(std::string const& body)
+{
+    return decode<unreachable_word>(
+        body,
+        [](json const& root, unreachable_word& into)
+        {
+            into.m_instance = root.at("instance").get<std::string>();
+            into.m_group = root.at("group").get<std::string>();
+            into.m_member = root.at("member").get<std::string>();
+        });
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/replacement_control.cpp
@@ -0,0 +1,612 @@
+#include <utility>
+
+#include <camphortide/proxy/replacement_control.hpp>
+#include <camphortide/transport/logging/log.hpp>
+
+namespace camphortide::proxy
+{
+
+using coordination::primary_loss;
+using coordination::promotion_result;
+using coordination::replacement_action;
+using coordination::replacement_reason;
+using platform::store_outcome;
+using transport::log_part;
+
+namespace
+{
+
+/// How often members are asked for their report: a primary's silence counts
+/// after 700 ms; a replica's report is only needed when it changes.
+constexpr state::duration primary_interval{200};
+constexpr state::duration replica_interval{1500};
+constexpr state::duration closing_interval{40};
+/// An orderly closing waits up to 1.5 s at the other side.
+constexpr state::duration close_limit{2000};
+/// A promotion call is answered within milliseconds.
+constexpr state::duration promotion_limit{500};
+/// The duty must last beyond a promotion call and its way.
+constexpr state::duration promotion_ahead{1000};
+/// Least pause between two words about one group; they count for 1.2 s.
+constexpr state::duration word_pause{400};
+constexpr state::duration word_limit{500};
+/// Pause between two tries to create a group's record.
+constexpr state::duration creation_pause{300};
+
+std::string_view to_string(primary_loss loss)
+{
+    switch (loss)
+    {
+    case primary_loss::refuses:
+        return "refuses";
+    case primary_loss::silent:
+        return "silent";
+    case primary_loss::lost_to_others:
+        return "lost_to_others";
+    case primary_loss::none:
+        break;
+    }
+    return "none";
+}
+
+} // namespace
+
+/// What the holder of the duty keeps of one group.
+struct replacement_control::group_control
+{
+    struct member_state
+    {
+        std::unique_ptr<member_monitor> m_monitor;
+        std::optional<state::member_report> m_report;
+        state::time_point m_asked;
+    };
+
+    coordination::replacement m_replacement;
+    coordination::primary_watch m_watch;
+    std::string m_watched; ///< the member that the watch is about
+    std::uint64_t m_watched_revision = 0;
+    std::map<std::string, member_state> m_members;
+    std::map<std::string, coordination::closing_answer> m_answers;
+    std::string m_avoid;
+    state::time_point m_last_creation;
+};
+
+replacement_control::replacement_control(boost::asio::io_context& context,
+                                         store_client& store,
+                                         fleet_control& fleet,
+                                         std::string promotion_address,
+                                         local_close close_here)
+    : m_context(context),
+      m_store(store),
+      m_fleet(fleet),
+      m_promotions(std::make_shared<http_client>(context,
+                                                 std::move(promotion_address))),
+      m_close_here(std::move(close_here)),
+      m_lease(fleet.name(), fleet.born())
+{
+}
+
+replacement_control::~replacement_control() = default;
+
+void replacement_control::set_promotion_address(std::string const& address)
+{
+    m_promotions->set_address(address);
+}
+
+bool replacement_control::holds_duty() const
+{
+    return m_lease.holds(state::clock::now());
+}
+
+void replacement_control::records_changed()
+{
+    auto const now = state::clock::now();
+    auto const& duty = m_fleet.records().m_duty;
+    bool const gone = duty && !duty->m_record.m_holder.empty() &&
+                      m_fleet.replaced(duty->m_record.m_holder,
+                                       duty->m_record.m_born);
+    m_lease.observe(duty, gone, now);
+    tick(now);
+}
+
+void replacement_control::tick(state::time_point now)
+{
+    step_lease(now);
+    bool const holds = m_lease.holds(now);
+    if (holds != m_held)
+    {
+        m_held = holds;
+        transport::log_info(log_part::group,
+                            holds ? "duty taken" : "duty ended",
+                            {{"token", m_lease.token()}});
+        m_groups.clear();
+    }
+    auto const configuration = m_fleet.configuration();
+    if (!holds || !configuration)
+    {
+        return;
+    }
+    for (auto const& entry : configuration->m_groups)
+    {
+        step_group(entry.first, now);
+    }
+    remove_expelled(now);
+}
+
+void replacement_control::step_lease(state::time_point now)
+{
+    auto const write = m_lease.step(now);
+    if (!write)
+    {
+        return;
+    }
+    m_store.call(
+        platform::write_call(write->m_record, write->m_revision),
+        [this](store_outcome outcome,
+               std::optional<platform::http_answer> const& answer)
+        {
+            auto const revision = outcome == store_outcome::done
+                                      ? platform::parse_written(*answer)
+                                      : std::nullopt;
+            m_lease.written(revision, state::clock::now());
+            if (outcome != store_outcome::done &&
+                outcome != store_outcome::conflict)
+            {
+                transport::log_warning(
+                    log_part::group, "duty not written",
+                    {{"outcome", platform::to_string(outcome)}});
+            }
+        });
+}
+
+void replacement_control::watch_members(std::string const& name,
+                                        group_control& group,
+                                        state::time_point now)
+{
+    auto const members = m_fleet.members();
+    std::erase_if(group.m_members,
+                  [&](auto const& entry)
+                  {
+                      auto const place = members.find(entry.first);
+                      return place == members.end() ||
+                             place->second.m_address !=
+                                 entry.second.m_monitor->member().m_address;
+                  });
+    auto const record = m_fleet.records().m_terms.find(name);
+    bool const known = record != m_fleet.records().m_terms.end();
+    bool const closing = known && record->second.m_record.m_phase ==
+                                      state::term_phase::closing;
+    for (auto const& [id, entry] : members)
+    {
+        if (entry.m_group != name)
+        {
+            continue;
+        }
+        auto& member = group.m_members[id];
+        if (!member.m_monitor)
+        {
+            member_monitor::handlers on;
+            on.m_report = [this, name, id = id](
+                              state::member_report const& report,
+                              state::time_point asked)
+            {
+                auto& known_member = m_groups.at(name)->m_members[id];
+                known_member.m_report = report;
+                known_member.m_asked = asked;
+            };
+            on.m_answer = [&group, id = id]
+            {
+                if (id == group.m_watched)
+                {
+                    group.m_watch.note_answer(state::clock::now());
+                }
+            };
+            on.m_refusal = [&group, id = id]
+            {
+                if (id == group.m_watched)
+                {
+                    group.m_watch.note_refusal(state::clock::now());
+                }
+            };
+            member.m_monitor = std::make_unique<member_monitor>(
+                m_context, entry, std::move(on));
+        }
+        bool const leads = known && record->second.m_record.m_primary == id;
+        auto const interval = closing || !known ? closing_interval
+                              : leads           ? primary_interval
+                                                : replica_interval;
+        member.m_monitor->tick(interval, now);
+    }
+}
+
+void replacement_control::step_group(std::string const& name,
+                                     state::time_point now)
+{
+    auto& place = m_groups[name];
+    if (!place)
+    {
+        place = std::make_unique<group_control>();
+    }
+    auto& group = *place;
+    watch_members(name, group, now);
+    auto const record = m_fleet.records().m_terms.find(name);
+    if (record == m_fleet.records().m_terms.end())
+    {
+        create_record(name, group);
+        return;
+    }
+    auto const facts = facts_for(name, group, now);
+    for (auto const& action : group.m_replacement.step(facts))
+    {
+        act(name, action, facts.m_record.m_revision);
+    }
+}
+
+void replacement_control::create_record(std::string const& name,
+                                        group_control& group)
+{
+    auto const now = state::clock::now();
+    if (now - group.m_last_creation < creation_pause)
+    {
+        return;
+    }
+    state::term_record record;
+    record.m_group = name;
+    for (auto const& [id, member] : group.m_members)
+    {
+        if (member.m_report && member.m_report->m_primary &&
+            member.m_report->m_term >= record.m_term)
+        {
+            record.m_term = member.m_report->m_term;
+            record.m_primary = id;
+        }
+    }
+    if (!record.m_primary.empty())
+    {
+        group.m_last_creation = now;
+        write_record(name, record, 0);
+    }
+}
+
+replacement_reason replacement_control::reason_for(
+    group_control& group, state::term_record const& record,
+    std::vector<coordination::reported_member> const& members,
+    state::time_point now)
+{
+    auto const& instances = m_fleet.records().m_instances;
+    auto const loss = group.m_watch.judge(instances.size(), now);
+    bool present = false;
+    bool leaving = false;
+    bool other_leads = false;
+    for (auto const& member : members)
+    {
+        bool const own = member.m_entry.m_id == record.m_primary;
+        present = present || own;
+        leaving = leaving || (own && member.m_entry.m_leaving);
+        bool const after = member.m_asked > now - 2 * replica_interval;
+        other_leads =
+            other_leads || (!own && after && member.m_report &&
+                            member.m_report->m_primary &&
+                            member.m_report->m_term > record.m_term);
+    }
+    if (loss == primary_loss::none && present && !other_leads)
+    {
+        return leaving ? replacement_reason::leaving
+                       : replacement_reason::none;
+    }
+    if (loss == primary_loss::lost_to_others)
+    {
+        group.m_avoid = record.m_primary;
+    }
+    transport::log_warning(log_part::group, "primary is lost",
+                           {{"group", record.m_group},
+                            {"member", record.m_primary},
+                            {"sign", to_string(loss)},
+                            {"present", present},
+                            {"other_leads", other_leads}});
+    return replacement_reason::lost;
+}
+
+coordination::replacement_facts
+replacement_control::facts_for(std::string const& name, group_control& group,
+                               state::time_point now)
+{
+    coordination::replacement_facts facts;
+    facts.m_record = m_fleet.records().m_terms.at(name);
+    auto const& record = facts.m_record.m_record;
+    if (group.m_watched_revision != facts.m_record.m_revision)
+    {
+        group.m_watched_revision = facts.m_record.m_revision;
+        group.m_watched = record.m_primary;
+        group.m_watch.begin(now);
+        group.m_answers.clear();
+        if (record.m_phase == state::term_phase::open)
+        {
+            group.m_avoid.clear();
+        }
+    }
+    group.m_watch.tick(now);
+    facts.m_instances = m_fleet.records().m_instances;
+    facts.m_answers = group.m_answers;
+    auto const members = m_fleet.members();
+    for (auto const& [id, member] : group.m_members)
+    {
+        auto const entry = members.find(id);
+        if (entry != members.end())
+        {
+            facts.m_members.push_back(
+                {entry->second, member.m_report, member.m_asked});
+        }
+    }
+    auto const configuration = m_fleet.configuration();
+    auto const limits = configuration->m_groups.find(name);
+    if (limits != configuration->m_groups.end())
+    {
+        facts.m_sync_replicas = limits->second.m_sync_replicas;
+    }
+    if (record.m_phase == state::term_phase::open)
+    {
+        facts.m_reason = reason_for(group, record, facts.m_members, now);
+    }
+    facts.m_avoid = group.m_avoid;
+    facts.m_holds_duty = m_lease.holds(now);
+    facts.m_now = now;
+    return facts;
+}
+
+void replacement_control::act(std::string const& name,
+                              replacement_action const& action,
+                              std::uint64_t revision)
+{
+    switch (action.m_kind)
+    {
+    case replacement_action::kind::write_record:
+        write_record(name, action.m_record, revision);
+        return;
+    case replacement_action::kind::ask_close:
+        ask_close(name, action.m_name, revision);
+        return;
+    case replacement_action::kind::promote:
+        promote(name, action.m_name);
+        return;
+    case replacement_action::kind::expel:
+        expel(action.m_name);
+        return;
+    }
+}
+
+void replacement_control::write_record(std::string const& name,
+                                       state::term_record const& record,
+                                       std::uint64_t revision)
+{
+    bool const open = record.m_phase == state::term_phase::open;
+    transport::log_info(log_part::group, "writes the term's record",
+                        {{"group", name},
+                         {"term", record.m_term},
+                         {"primary", record.m_primary},
+                         {"open", open},
+                         {"orderly", record.m_orderly},
+                         {"at_revision", revision}});
+    m_store.call(
+        platform::write_call(record, revision),
+        [this, name](store_outcome outcome,
+                     std::optional<platform::http_answer> const& answer)
+        {
+            auto const written = outcome == store_outcome::done
+                                     ? platform::parse_written(*answer)
+                                     : std::nullopt;
+            auto const place = m_groups.find(name);
+            if (written && place != m_groups.end())
+            {
+                place->second->m_replacement.wrote(*written);
+            }
+            transport::log_info(
+                log_part::group, "term's record written",
+                {{"group", name},
+                 {"outcome", platform::to_string(outcome)},
+                 {"revision", written.value_or(0)}});
+        });
+}
+
+http_client& replacement_control::peer(std::string const& address)
+{
+    auto& place = m_peers[address];
+    if (!place)
+    {
+        place = std::make_shared<http_client>(m_context, address);
+    }
+    return *place;
+}
+
+void replacement_control::ask_close(std::string const& name,
+                                    std::string const& instance,
+                                    std::uint64_t revision)
+{
+    auto const& records = m_fleet.records();
+    auto const entry = records.m_instances.find(instance);
+    auto const term = records.m_terms.find(name);
+    if (entry == records.m_instances.end() || term == records.m_terms.end())
+    {
+        return;
+    }
+    close_request const request{name, revision,
+                                term->second.m_record.m_orderly};
+    auto const note = [this, name](close_response const& response)
+    {
+        auto const place = m_groups.find(name);
+        if (place != m_groups.end())
+        {
+            place->second->m_answers[response.m_instance] = {
+                response.m_born, response.m_revision};
+            tick(state::clock::now());
+        }
+    };
+    if (instance == m_fleet.name())
+    {
+        m_close_here(request,
+                     [this, note, revision]
+                     {
+                         note({m_fleet.name(), m_fleet.born(), revision});
+                     });
+        return;
+    }
+    peer(entry->second.m_record.m_address)
+        .call(encode(request), close_limit,
+              [note](call_result const& result)
+              {
+                  if (!result.m_answer)
+                  {
+                      return; // it is asked again until its permit lapses
+                  }
+                  if (auto const response =
+                          decode_close_response(result.m_answer->m_body))
+                  {
+                      note(*response);
+                  }
+              });
+}
+
+void replacement_control::promote(std::string const& name,
+                                  std::string const& member)
+{
+    transport::log_info(log_part::group, "calls for a promotion",
+                        {{"group", name},
+                         {"member", member},
+                         {"token", m_lease.token()}});
+    m_promotions->call(
+        platform::promotion_call(name, member, m_fleet.name(),
+                                 m_lease.token()),
+        promotion_limit,
+        [this, name, member](call_result const& result)
+        {
+            auto outcome = promotion_result::may_take_effect;
+            auto const said = platform::promotion_outcome_of(result.m_answer);
+            if (said == platform::promotion_outcome::not_running)
+            {
+                outcome = promotion_result::member_cannot;
+            }
+            else if (said == platform::promotion_outcome::try_again ||
+                     result.m_failure == call_failure::refused ||
+                     result.m_failure == call_failure::withheld)
+            {
+                outcome = promotion_result::nothing_done;
+            }
+            transport::log_info(
+                log_part::group, "promotion answered",
+                {{"group", name},
+                 {"member", member},
+                 {"status",
+                  result.m_answer ? result.m_answer->m_status : 0U}});
+            auto const place = m_groups.find(name);
+            if (place != m_groups.end())
+            {
+                place->second->m_replacement.promoted(member, outcome,
+                                                      state::clock::now());
+            }
+        },
+        [this]
+        { return m_lease.holds(state::clock::now(), promotion_ahead); });
+}
+
+void replacement_control::expel(std::string const& instance)
+{
+    auto const place = m_fleet.records().m_instances.find(instance);
+    if (place == m_fleet.records().m_instances.end())
+    {
+        return;
+    }
+    auto record = place->second.m_record;
+    record.m_expelled = true;
+    transport::log_warning(log_part::membership, "expels a silent instance",
+                           {{"instance", instance}});
+    m_store.call(platform::write_call(record, place->second.m_revision),
+                 [](store_outcome, std::optional<platform::http_answer> const&)
+                 {
+                     // The records show whether it was done.
+                 });
+}
+
+void replacement_control::remove_expelled(state::time_point now)
+{
+    for (auto const& [name, stored] : m_fleet.records().m_instances)
+    {
+        if (!stored.m_record.m_expelled)
+        {
+            continue;
+        }
+        auto const key = std::pair(name, stored.m_revision);
+        auto const seen = m_expelled.try_emplace(key, now).first->second;
+        // Until then it may hold permits that were proven before.
+        if (now - seen >= coordination::permit_lease)
+        {
+            m_expelled[key] = now;
+            m_store.call(
+                platform::remove_call(stored.m_record, stored.m_revision),
+                [](store_outcome, std::optional<platform::http_answer> const&)
+                {
+                    // The records show whether it was done.
+                });
+        }
+    }
+}
+
+void replacement_control::take_word(unreachable_word const& word)
+{
+    auto const place = m_groups.find(word.m_group);
+    if (place != m_groups.end() && place->second->m_watched == word.m_member)
+    {
+        place->second->m_watch.note_word(word.m_instance,
+                                         state::clock::now());
+    }
+}
+
+void replacement_control::send_word(std::string const& group,
+                                    std::string const& member)
+{
+    auto const now = state::clock::now();
+    auto& last = m_words_sent[group];
+    auto const& duty = m_fleet.records().m_duty;
+    if (now - last < word_pause || !duty)
+    {
+        return;
+    }
+    last = now;
+    unreachable_word const word{m_fleet.name(), group, member};
+    if (duty->m_record.m_holder == m_fleet.name())
+    {
+        take_word(word);
+        return;
+    }
+    auto const holder =
+        m_fleet.records().m_instances.find(duty->m_record.m_holder);
+    if (holder != m_fleet.records().m_instances.end())
+    {
+        peer(holder->second.m_record.m_address)
+            .call(encode(word), word_limit,
+                  [](call_result const&)
+                  {
+                      // It is sent again while the primary isn't reached.
+                  });
+    }
+}
+
+void replacement_control::release(std::function<void()> done)
+{
+    auto const write = m_lease.release();
+    if (!write)
+    {
+        done();
+        return;
+    }
+    m_store.call(
+        platform::write_call(write->m_record, write->m_revision),
+        [done = std::move(done)](store_outcome outcome,
+                                 std::optional<platform::http_answer> const&)
+        {
+            transport::log_info(log_part::group, "duty given up",
+                                {{"outcome", platform::to_string(outcome)}});
+            done();
+        });
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/socket_options.cpp
@@ -0,0 +1,65 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include <camphortide/proxy/http_client.hpp>
+
+#include "socket_options.hpp"
+
+namespace camphortide::proxy
+{
+
+namespace
+{
+
+constexpr int ms_per_second = 1000;
+constexpr int probes_before_end = 2;
+
+void set_option(int socket, int level, int name, int value)
+{
+    // An option that is not to be had leaves the connection slower to fail;
+    // the time limits of each exchange still hold.
+    static_cast<void>(
+        ::setsockopt(socket, level, name, &value, sizeof(value)));
+}
+
+} // namespace
+
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_endpoint(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    auto const host =
+        boost::asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    auto const* const end = address.data() + address.size();
+    auto const parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint(host, port);
+}
+
+void guard_socket(boost::asio::ip::tcp::socket& socket, state::duration silence)
+{
+    int const handle = socket.native_handle();
+    int const limit = static_cast<int>(silence.count());
+    int const seconds =
+        std::max(1, limit / ms_per_second / probes_before_end);
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, limit);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, probes_before_end);
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/traffic.cpp
@@ -0,0 +1,197 @@
+#include <utility>
+
+#include <camphortide/proxy/traffic.hpp>
+
+#include "listener.hpp"
+
+namespace camphortide::proxy
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace
+{
+
+/// How often idle transactions, surplus connections and a stop are looked at.
+constexpr state::duration sweep_interval{100};
+
+} // namespace
+
+traffic::traffic(asio::io_context& context, traffic_report& report)
+    : m_context(context),
+      m_report(report),
+      m_sweep_timer(context)
+{
+    sweep();
+}
+
+traffic::~traffic() = default;
+
+bool traffic::listen(std::string const& address)
+{
+    m_acceptor = open_listener(m_context, address);
+    if (!m_acceptor)
+    {
+        return false;
+    }
+    accept();
+    return true;
+}
+
+void traffic::accept()
+{
+    m_acceptor->async_accept(
+        [this](error_code error, asio::ip::tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                auto const session = std::make_shared<caller_session>(
+                    std::move(socket), *this, ++m_last_session);
+                m_sessions[session.get()] = session;
+                session->start([this](caller_session* ended)
+                               { m_sessions.erase(ended); });
+            }
+            accept();
+        });
+}
+
+group_traffic& traffic::group(std::string const& name)
+{
+    auto& place = m_groups[name];
+    if (!place)
+    {
+        place = std::make_unique<group_traffic>(m_context, name, m_report);
+        if (m_view)
+        {
+            place->apply(*m_view);
+        }
+    }
+    return *place;
+}
+
+void traffic::apply(std::shared_ptr<fleet_view const> const& view)
+{
+    bool const first = m_view == nullptr;
+    m_view = view;
+    for (auto const& entry : view->m_configuration->m_groups)
+    {
+        group(entry.first);
+    }
+    for (auto const& entry : m_groups)
+    {
+        entry.second->apply(*view);
+    }
+    if (first)
+    {
+        auto const sessions = m_sessions;
+        for (auto const& entry : sessions)
+        {
+            entry.second->configuration_arrived();
+        }
+    }
+}
+
+void traffic::close_primary(std::string const& name, std::uint64_t revision,
+                            bool orderly, std::function<void()> closed)
+{
+    group(name).close_primary(revision, orderly, std::move(closed));
+}
+
+std::shared_ptr<state::configuration const> traffic::configuration() const
+{
+    return m_view ? m_view->m_configuration : nullptr;
+}
+
+void traffic::submit(std::shared_ptr<statement_request> const& request)
+{
+    group(request->m_route->m_group).submit(request);
+}
+
+void traffic::roll_back(std::string const& name, bound_connection const& bound)
+{
+    group(name).roll_back(bound);
+}
+
+void traffic::answered_here(state::statement const&, std::string const&,
+                            state::statement_reply const&)
+{
+}
+
+void traffic::sweep()
+{
+    auto const now = state::clock::now();
+    if (m_view)
+    {
+        auto const limit = m_view->m_configuration->m_transaction_idle;
+        for (auto const& entry : m_sessions)
+        {
+            entry.second->end_idle_transaction(limit, now);
+        }
+    }
+    for (auto const& entry : m_groups)
+    {
+        entry.second->sweep();
+    }
+    if (m_stopped)
+    {
+        go_on_stopping(now);
+    }
+    m_sweep_timer.expires_after(sweep_interval);
+    m_sweep_timer.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                sweep();
+            }
+        });
+}
+
+void traffic::stop(stop_times times, std::function<void()> stopped)
+{
+    m_stop = times;
+    m_stop_began = state::clock::now();
+    m_stopped = std::move(stopped);
+}
+
+void traffic::go_on_stopping(state::time_point now)
+{
+    auto const passed = now - m_stop_began;
+    if (passed < m_stop.m_accept)
+    {
+        return;
+    }
+    auto const sessions = m_sessions;
+    for (auto const& entry : sessions)
+    {
+        if (passed >= m_stop.m_transactions)
+        {
+            entry.second->end_transaction();
+        }
+        entry.second->close_if_idle();
+    }
+    if (m_sessions.empty() || passed >= m_stop.m_end)
+    {
+        error_code ignored; // it is given up in any case
+        m_acceptor->close(ignored);
+        std::exchange(m_stopped, nullptr)();
+    }
+}
+
+std::vector<lane_gauge> traffic::gauges() const
+{
+    std::vector<lane_gauge> all;
+    for (auto const& entry : m_groups)
+    {
+        auto const some = entry.second->gauges();
+        all.insert(all.end(), some.begin(), some.end());
+    }
+    return all;
+}
+
+} // namespace camphortide::proxy
--- a/packages/transport/include/camphortide/transport/logging/log.hpp
+++ b/packages/transport/include/camphortide/transport/logging/log.hpp
@@ -37,6 +37,17 @@
 void start_logging(std::string const& program, std::string const& directory,
                    log_level level);
 
+/// Starts glog with the standard output as its only place. Lines that a full
+/// pipe can't take are dropped: logging never blocks.
+/// @param program the name of the program
+/// @param level the least severe messages that are kept
+void start_logging_to_output(std::string const& program, log_level level);
+
+/// Logs a decision on a request. More lines of one sentence are kept than of
+/// the others, a bounded number in a second.
+void log_decision(log_part part, std::string_view sentence,
+                  std::initializer_list<log_fact> facts);
+
 /// Logs a line: the part, a short sentence, and key facts. Of one sentence at
 /// most a few lines are kept in a while; the next one says how many were not.
 /// @param part the part that speaks
--- a/packages/transport/src/logging/log.cpp
+++ b/packages/transport/src/logging/log.cpp
@@ -1,3 +1,6 @@
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <array>
 #include <mutex>
 
@@ -14,11 +17,20 @@
 
 constexpr std::uint32_t most_lines = 5;
 constexpr state::duration limit_interval{10000};
+/// Lines about requests in a second, of one sentence: at some 250 bytes a line
+/// 15 KB.
+constexpr std::uint32_t most_decisions = 60;
+constexpr state::duration decision_interval{1000};
 
 /// The limiter of all threads.
 class shared_limiter
 {
 public:
+    shared_limiter(std::uint32_t most, state::duration interval)
+        : m_limiter(most, interval)
+    {
+    }
+
     std::optional<std::uint64_t> admit(std::string_view kind)
     {
         std::scoped_lock const lock(m_mutex);
@@ -27,13 +39,13 @@
 
 private:
     std::mutex m_mutex;
-    log_limiter m_limiter{most_lines, limit_interval};
+    log_limiter m_limiter;
 };
 
 void write(google::LogSeverity severity, log_part part,
            std::string_view sentence, std::initializer_list<log_fact> facts)
 {
-    static shared_limiter limiter;
+    static shared_limiter limiter(most_lines, limit_interval);
     auto const held_back = limiter.admit(sentence);
     if (!held_back)
     {
@@ -86,6 +98,32 @@
     google::InitGoogleLogging(name.c_str(), write_prefix, nullptr);
 }
 
+void start_logging_to_output(std::string const& program, log_level level)
+{
+    static std::string name;
+    name = program; // glog keeps the pointer
+    FLAGS_logtostdout = true;
+    FLAGS_minloglevel = static_cast<int>(level);
+    auto const flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+    {
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    google::InitGoogleLogging(name.c_str(), write_prefix, nullptr);
+}
+
+void log_decision(log_part part, std::string_view sentence,
+                  std::initializer_list<log_fact> facts)
+{
+    static shared_limiter limiter(most_decisions, decision_interval);
+    auto const held_back = limiter.admit(sentence);
+    if (held_back)
+    {
+        google::LogMessage(__FILE__, __LINE__, google::GLOG_INFO).stream()
+            << log_line(part, sentence, facts, *held_back);
+    }
+}
+
 std::string log_line(log_part part, std::string_view sentence,
                      std::initializer_list<log_fact> facts,
                      std::uint64_t held_back)
