primary: a start doesn't take an open record for a closing one

Cause: an instance that isn't registered yet has no permit; the traffic took that for a closing and shut the record's revision for good, so that after a restart of everything nothing was served. Ruled out: the store, registration and the duty (all done within 0.2 s of the start). Change: a standing says by itself whether its record is closing. Log lines are written whole or dropped.

--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -334,6 +334,7 @@
         standing.m_primary = record.m_primary;
         standing.m_open =
             usable && record.m_phase == state::term_phase::open;
+        standing.m_closing = record.m_phase == state::term_phase::closing;
         standing.m_orderly = record.m_orderly;
         standing.m_revision = stored.m_revision;
         standing.m_proven = m_proven;
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -79,8 +79,7 @@
         }
     }
     apply_members(view);
-    if (standing != view.m_standings.end() && !standing->second.m_open &&
-        standing->second.m_revision != 0)
+    if (standing != view.m_standings.end() && standing->second.m_closing)
     {
         close_primary(standing->second.m_revision,
                       standing->second.m_orderly, nullptr);
--- a/packages/transport/src/logging/log.cpp
+++ b/packages/transport/src/logging/log.cpp
@@ -1,8 +1,11 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <mutex>
+#include <sstream>
 
 #include <glog/logging.h>
 
@@ -55,27 +58,68 @@
         << log_line(part, sentence, facts, *held_back);
 }
 
-/// Severity and time; the place in the source says nothing here.
-void write_prefix(std::ostream& stream, google::LogMessageInfo const& line,
-                  void*)
+void write_time(std::ostream& stream, google::LogMessageTime const& time)
 {
     char const fill = stream.fill('0');
-    stream << line.severity[0] << ' ' << line.time.year() + 1900 << '-';
+    stream << time.year() + 1900 << '-';
     stream.width(2);
-    stream << line.time.month() + 1 << '-';
+    stream << time.month() + 1 << '-';
     stream.width(2);
-    stream << line.time.day() << ' ';
+    stream << time.day() << ' ';
     stream.width(2);
-    stream << line.time.hour() << ':';
+    stream << time.hour() << ':';
     stream.width(2);
-    stream << line.time.min() << ':';
+    stream << time.min() << ':';
     stream.width(2);
-    stream << line.time.sec() << '.';
+    stream << time.sec() << '.';
     stream.width(6);
-    stream << line.time.usec();
+    stream << time.usec();
     stream.fill(fill);
 }
 
+/// Writes lines to the standard output, each whole or not at all: a pipe takes
+/// a write of up to PIPE_BUF bytes as a whole.
+class output_sink final : public google::LogSink
+{
+public:
+    output_sink()
+    {
+        auto const flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0)
+        {
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+    void send(google::LogSeverity severity, char const*, char const*, int,
+              google::LogMessageTime const& time, char const* message,
+              std::size_t length) override
+    {
+        std::ostringstream line;
+        line << google::GetLogSeverityName(severity)[0] << ' ';
+        write_time(line, time);
+        auto text = line.str();
+        text.append(" ").append(message, std::min(length, longest_line));
+        text += '\n';
+        // A line that the pipe has no room for is dropped and counted.
+        auto const written = ::write(STDOUT_FILENO, text.data(), text.size());
+        m_dropped += written < 0 ? 1 : 0;
+    }
+
+private:
+    static constexpr std::size_t longest_line = 1800;
+
+    std::atomic<std::uint64_t> m_dropped{0};
+};
+
+/// Severity and time; the place in the source says nothing here.
+void write_prefix(std::ostream& stream, google::LogMessageInfo const& line,
+                  void*)
+{
+    stream << line.severity[0] << ' ';
+    write_time(stream, line.time);
+}
+
 } // namespace
 
 std::string_view to_string(log_part part)
@@ -101,15 +145,16 @@
 void start_logging_to_output(std::string const& program, log_level level)
 {
     static std::string name;
+    static output_sink sink;
     name = program; // glog keeps the pointer
-    FLAGS_logtostdout = true;
     FLAGS_minloglevel = static_cast<int>(level);
-    auto const flags = ::fcntl(STDOUT_FILENO, F_GETFL);
-    if (flags >= 0)
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+    for (auto severity = 0; severity < google::NUM_SEVERITIES; ++severity)
     {
-        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        google::SetLogDestination(severity, ""); // no files
     }
     google::InitGoogleLogging(name.c_str(), write_prefix, nullptr);
+    google::AddLogSink(&sink);
 }
 
 void log_decision(log_part part, std::string_view sentence,
