--- /dev/null
+++ b/packages/coordination/test/placing/member_choice_test.cpp
@@ -0,0 +1,92 @@
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/placing/member_choice.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::choose_member;
+using coordination::member_condition;
+using coordination::placing_need;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+state::log_position position(std::uint64_t index)
+{
+    return {state::term(3), index};
+}
+
+member_condition replica(std::uint64_t applied, int lag_ms)
+{
+    member_condition value;
+    value.m_applied = position(applied);
+    value.m_lag = state::duration(lag_ms);
+    value.m_response_ms = 10;
+    return value;
+}
+
+member_condition primary()
+{
+    member_condition value;
+    value.m_primary = true;
+    value.m_response_ms = 10;
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("a write goes to the primary or waits")
+{
+    placing_need need;
+    std::vector<member_condition> members{replica(9, 0), primary()};
+    CHECK(choose_member(need, members, at(0)).m_member == 1);
+    members[1].m_free = false;
+    auto const full = choose_member(need, members, at(0));
+    CHECK_FALSE(full.m_member.has_value());
+    CHECK(full.m_possible);
+    members[1].m_primary = false;
+    CHECK_FALSE(choose_member(need, members, at(0)).m_possible);
+}
+
+TEST_CASE("a read goes to a replica that holds enough")
+{
+    placing_need need;
+    need.m_primary = false;
+    need.m_covered = position(8);
+    need.m_covered_since = at(90);
+    std::vector<member_condition> members{replica(5, 500), replica(8, 500),
+                                          primary()};
+    CHECK(choose_member(need, members, at(100)).m_member == 1);
+    SUBCASE("one that is only likely to hold it by now will do")
+    {
+        members[1].m_usable = false;
+        CHECK(choose_member(need, members, at(100)).m_member == 2);
+        CHECK(choose_member(need, members, at(1000)).m_member == 0);
+    }
+    SUBCASE("one that refused it is left out, the primary is not")
+    {
+        need.m_tried = 7;
+        CHECK(choose_member(need, members, at(1000)).m_member == 2);
+    }
+}
+
+TEST_CASE("the shortest expected answer is chosen, the primary last")
+{
+    placing_need need;
+    need.m_primary = false;
+    std::vector<member_condition> members{replica(5, 0), replica(5, 0),
+                                          primary()};
+    members[0].m_in_flight = 1;
+    CHECK(choose_member(need, members, at(0)).m_member == 1);
+    members[1].m_response_ms = 80;
+    CHECK(choose_member(need, members, at(0)).m_member == 0);
+    members[0].m_in_flight = 4;
+    CHECK(choose_member(need, members, at(0)).m_member == 2);
+}
--- /dev/null
+++ b/packages/coordination/test/primary/duty_lease_test.cpp
@@ -0,0 +1,159 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/primary/duty_lease.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::duty_lease;
+
+namespace
+{
+
+using record = std::optional<state::stored<state::duty_record>>;
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+record held_by(std::string const& name, std::uint64_t token,
+               std::uint64_t renewals, std::uint64_t revision)
+{
+    return state::stored<state::duty_record>{{name, 7, token, renewals},
+                                             revision};
+}
+
+/// Reads the record at the given times, a second apart or less.
+void read(duty_lease& lease, record const& value, int from, int to)
+{
+    for (int time = from; time <= to; time += 500)
+    {
+        lease.observe(value, false, at(time));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a missing record is created, and only a done write counts")
+{
+    duty_lease lease("a", 7);
+    CHECK_FALSE(lease.step(at(0)).has_value());
+    lease.observe({}, false, at(1000));
+    auto const write = lease.step(at(1000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_revision == 0);
+    CHECK(write->m_record.m_token == 1);
+    CHECK_FALSE(lease.holds(at(1000)));
+    lease.written(5, at(1010));
+    CHECK(lease.holds(at(1010)));
+    CHECK(lease.token() == 1);
+    // Counted from the sending of the write.
+    CHECK(lease.holds(at(4499)));
+    CHECK_FALSE(lease.holds(at(4500)));
+    CHECK_FALSE(lease.holds(at(4000), state::duration(500)));
+}
+
+TEST_CASE("another's record is left alone while it changes")
+{
+    duty_lease lease("b", 8);
+    for (int i = 0; i < 20; ++i)
+    {
+        lease.observe(held_by("a", 1, 1 + i, 5 + i), false, at(i * 1000));
+        CHECK_FALSE(lease.step(at(i * 1000)).has_value());
+    }
+}
+
+TEST_CASE("an unchanged record is taken after the lease, with a higher token")
+{
+    duty_lease lease("b", 8);
+    read(lease, held_by("a", 4, 9, 5), 1000, 4500);
+    CHECK_FALSE(lease.step(at(4900)).has_value());
+    lease.observe(held_by("a", 4, 9, 5), false, at(5000));
+    auto const write = lease.step(at(5000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_revision == 5);
+    CHECK(write->m_record.m_token == 5);
+}
+
+TEST_CASE("an outage of the store doesn't count against the holder")
+{
+    duty_lease lease("b", 8);
+    read(lease, held_by("a", 4, 9, 5), 1000, 2000);
+    lease.observe(held_by("a", 4, 9, 5), false, at(9000));
+    CHECK_FALSE(lease.step(at(9000)).has_value());
+    read(lease, held_by("a", 4, 9, 5), 9500, 12500);
+    CHECK_FALSE(lease.step(at(12900)).has_value());
+    lease.observe(held_by("a", 4, 9, 5), false, at(13000));
+    CHECK(lease.step(at(13000)).has_value());
+}
+
+TEST_CASE("a released record, or one of a process that ended, is taken at once")
+{
+    duty_lease released("b", 8);
+    released.observe(held_by("", 4, 9, 5), false, at(1000));
+    CHECK(released.step(at(1000)).has_value());
+    duty_lease gone("b", 8);
+    gone.observe(held_by("a", 4, 9, 5), true, at(1000));
+    CHECK(gone.step(at(1000)).has_value());
+    duty_lease own("a", 8); // the record is of an earlier process, born 7
+    own.observe(held_by("a", 4, 9, 5), false, at(1000));
+    CHECK_FALSE(own.holds(at(1000)));
+    CHECK(own.step(at(1000))->m_record.m_token == 5);
+}
+
+TEST_CASE("a renewal without an answer counts only once it is read back")
+{
+    duty_lease lease("a", 7);
+    lease.observe({}, false, at(1000));
+    auto const created = lease.step(at(1000));
+    lease.written(5, at(1010));
+    auto const lost = lease.step(at(2000));
+    REQUIRE(lost.has_value());
+    lease.written({}, at(2800));
+    CHECK_FALSE(lease.holds(at(4500)));
+    SUBCASE("it was done")
+    {
+        lease.observe(state::stored<state::duty_record>{lost->m_record, 6},
+                      false, at(4600));
+        CHECK(lease.holds(at(4600)));
+        CHECK(lease.holds(at(5499)));
+        CHECK_FALSE(lease.holds(at(5500)));
+    }
+    SUBCASE("a second try has gone out meanwhile: the first counts for itself")
+    {
+        auto const second = lease.step(at(2900));
+        REQUIRE(second.has_value());
+        CHECK(second->m_record != lost->m_record);
+        lease.written({}, at(3700));
+        lease.observe(state::stored<state::duty_record>{lost->m_record, 6},
+                      false, at(4600));
+        // Nothing tells how late the second was refused.
+        CHECK_FALSE(lease.holds(at(5600)));
+    }
+}
+
+TEST_CASE("who is replaced stops at once")
+{
+    duty_lease lease("a", 7);
+    lease.observe({}, false, at(1000));
+    lease.step(at(1000));
+    lease.written(5, at(1010));
+    lease.observe(held_by("b", 2, 1, 6), false, at(1500));
+    CHECK_FALSE(lease.holds(at(1500)));
+    lease.observe(held_by("a", 1, 1, 5), false, at(1600)); // an older read
+    CHECK_FALSE(lease.holds(at(1600)));
+}
+
+TEST_CASE("a released duty is neither held nor renewed")
+{
+    duty_lease lease("a", 7);
+    lease.observe({}, false, at(1000));
+    lease.step(at(1000));
+    lease.written(5, at(1010));
+    auto const write = lease.release();
+    REQUIRE(write.has_value());
+    CHECK(write->m_record.m_holder.empty());
+    CHECK(write->m_record.m_token == 1);
+    CHECK_FALSE(lease.holds(at(1020)));
+    CHECK_FALSE(lease.step(at(3000)).has_value());
+}
--- /dev/null
+++ b/packages/coordination/test/primary/primary_permit_test.cpp
@@ -0,0 +1,88 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/primary/primary_permit.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::permit_lease;
+using coordination::primary_permit;
+using coordination::primary_standing;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+primary_standing open(std::uint64_t revision, int proven)
+{
+    return {3, "m1", true, false, false, revision, at(proven)};
+}
+
+primary_standing closing(std::uint64_t revision, int proven)
+{
+    return {3, "m1", false, true, false, revision, at(proven)};
+}
+
+} // namespace
+
+TEST_CASE("a permit lapses with the proof that it rests on")
+{
+    primary_permit permit;
+    CHECK_FALSE(permit.allows(at(0)));
+    permit.renew(open(5, 1000));
+    CHECK(permit.allows(at(1000)));
+    CHECK(permit.allows(at(999) + permit_lease));
+    CHECK_FALSE(permit.allows(at(1000) + permit_lease));
+    CHECK_FALSE(permit.still_allows(5, at(1000) + permit_lease));
+    permit.renew(open(5, 2000));
+    CHECK(permit.still_allows(5, at(1000) + permit_lease));
+}
+
+TEST_CASE("older proofs change nothing")
+{
+    primary_permit permit;
+    permit.renew(open(5, 2000));
+    permit.renew(open(5, 1000));
+    permit.renew(open(4, 9000));
+    CHECK(permit.allows(at(1999) + permit_lease));
+    CHECK_FALSE(permit.allows(at(2000) + permit_lease));
+}
+
+TEST_CASE("a closed record stays closed, its successor opens")
+{
+    primary_permit permit;
+    permit.renew(open(5, 0));
+    permit.close(6);
+    CHECK_FALSE(permit.allows(at(1)));
+    CHECK_FALSE(permit.still_allows(5, at(1)));
+    permit.renew(open(5, 100)); // a proof that was under way
+    CHECK_FALSE(permit.allows(at(101)));
+    permit.renew(open(7, 50));
+    CHECK(permit.allows(at(101)));
+}
+
+TEST_CASE("what has begun may end after an orderly closing began")
+{
+    primary_permit permit;
+    permit.renew(open(5, 0));
+    permit.stop(6);
+    CHECK_FALSE(permit.allows(at(10)));
+    CHECK(permit.still_allows(5, at(10)));
+    permit.renew(closing(6, 20));
+    CHECK(permit.still_allows(5, at(30)));
+    CHECK_FALSE(permit.still_allows(5, at(0) + permit_lease));
+    permit.close(6);
+    CHECK_FALSE(permit.still_allows(5, at(30)));
+}
+
+TEST_CASE("what began under an earlier record doesn't go on under a later one")
+{
+    primary_permit permit;
+    permit.renew(open(5, 0));
+    permit.renew(open(9, 10));
+    CHECK_FALSE(permit.still_allows(5, at(20)));
+    CHECK(permit.still_allows(9, at(20)));
+}
--- /dev/null
+++ b/packages/coordination/test/primary/primary_watch_test.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/primary/primary_watch.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::primary_loss;
+using coordination::primary_watch;
+
+namespace
+{
+
+constexpr std::size_t fleet = 7;
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+void tick(primary_watch& watch, int from, int to)
+{
+    for (int time = from; time <= to; time += 40)
+    {
+        watch.tick(at(time));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a primary that answers is not lost")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    for (int time = 0; time < 5000; time += 200)
+    {
+        tick(watch, time, time + 160);
+        watch.note_answer(at(time + 180));
+        CHECK(watch.judge(fleet, at(time + 199)) == primary_loss::none);
+    }
+}
+
+TEST_CASE("two refusals tell of a loss, one doesn't")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    watch.note_refusal(at(100));
+    CHECK(watch.judge(fleet, at(110)) == primary_loss::none);
+    SUBCASE("the connection was reset, a new one is answered")
+    {
+        watch.note_answer(at(120));
+        watch.note_refusal(at(130));
+        CHECK(watch.judge(fleet, at(140)) == primary_loss::none);
+    }
+    SUBCASE("the address refuses")
+    {
+        watch.note_refusal(at(140));
+        CHECK(watch.judge(fleet, at(140)) == primary_loss::refuses);
+    }
+}
+
+TEST_CASE("silence tells of a loss unless this process stood still")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    tick(watch, 0, 680);
+    CHECK(watch.judge(fleet, at(699)) == primary_loss::none);
+    CHECK(watch.judge(fleet, at(700)) == primary_loss::silent);
+    watch.tick(at(4000)); // suspended in between
+    CHECK(watch.judge(fleet, at(4000)) == primary_loss::none);
+}
+
+TEST_CASE("several instances that go on saying so tell of a loss")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    for (int time = 0; time <= 1000; time += 200)
+    {
+        watch.note_answer(at(time));
+        watch.tick(at(time));
+        watch.note_word("a", at(time));
+        watch.note_word("a", at(time + 1));
+    }
+    CHECK(watch.judge(fleet, at(1000)) == primary_loss::none);
+    for (int time = 1000; time <= 1400; time += 200)
+    {
+        watch.note_answer(at(time));
+        watch.tick(at(time));
+        watch.note_word("a", at(time));
+        watch.note_word("b", at(time));
+        watch.note_word("c", at(time));
+    }
+    CHECK(watch.judge(fleet, at(1410)) == primary_loss::lost_to_others);
+    CHECK(watch.judge(20, at(1410)) == primary_loss::none);
+    watch.note_answer(at(3000));
+    CHECK(watch.judge(fleet, at(3000)) == primary_loss::none);
+}
--- /dev/null
+++ b/packages/coordination/test/primary/replacement_explorer_test.cpp
@@ -0,0 +1,52 @@
+#include <doctest/doctest.h>
+
+#include "replacement_world.hpp"
+
+using replacement_explorer::findings;
+using replacement_explorer::left_out;
+using replacement_explorer::world;
+
+namespace
+{
+
+constexpr std::uint64_t schedules = 1500;
+constexpr camphortide::state::duration length{45000};
+
+/// @return the first schedule that breaks a promise; 0 if none does
+std::uint64_t first_broken(left_out variant, findings& sum)
+{
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+    {
+        auto const found = world(seed, variant).run(length);
+        sum.m_promotions += found.m_promotions;
+        sum.m_acknowledged += found.m_acknowledged;
+        if (found.broken())
+        {
+            return seed;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("no schedule breaks a promise of the change of primary")
+{
+    findings sum;
+    CHECK(first_broken(left_out::nothing, sum) == 0);
+    // The schedules do what they are for.
+    CHECK(sum.m_promotions > static_cast<int>(schedules));
+    CHECK(sum.m_acknowledged > static_cast<int>(schedules) * 100);
+}
+
+TEST_CASE("each guard that is left out breaks a promise in some schedule")
+{
+    for (auto const variant :
+         {left_out::permit_at_answer, left_out::proof_from_sending,
+          left_out::wait_for_silent, left_out::takeover_bar})
+    {
+        CAPTURE(static_cast<int>(variant));
+        findings sum;
+        CHECK(first_broken(variant, sum) != 0);
+    }
+}
--- /dev/null
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -0,0 +1,297 @@
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/primary/replacement.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::permit_lease;
+using coordination::replacement;
+using coordination::replacement_action;
+using coordination::replacement_facts;
+using coordination::replacement_reason;
+using kind = replacement_action::kind;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+coordination::reported_member member(std::string const& id, bool primary,
+                                     std::uint64_t term, std::uint64_t index,
+                                     int asked)
+{
+    coordination::reported_member value;
+    value.m_entry.m_id = id;
+    value.m_report.emplace();
+    value.m_report->m_primary = primary;
+    value.m_report->m_term = term;
+    value.m_report->m_received = {state::term(term), index};
+    value.m_asked = at(asked);
+    return value;
+}
+
+/// Two instances, a primary m1 of term 3 and two replicas.
+replacement_facts facts_at(int now)
+{
+    replacement_facts facts;
+    facts.m_record = {{"g", 3, "m1", state::term_phase::open, false}, 10};
+    for (std::string const name : {"a", "b"})
+    {
+        facts.m_instances[name] = {{name, 7, name + ":1", "dc", false, {}}, 2};
+    }
+    facts.m_holds_duty = true;
+    facts.m_now = at(now);
+    return facts;
+}
+
+void report(replacement_facts& facts, int asked)
+{
+    facts.m_members = {member("m2", false, 3, 20, asked),
+                       member("m3", false, 3, 25, asked)};
+}
+
+void close(replacement_facts& facts, std::uint64_t revision)
+{
+    facts.m_record.m_record.m_phase = state::term_phase::closing;
+    facts.m_record.m_revision = revision;
+}
+
+std::vector<kind> kinds(std::vector<replacement_action> const& actions)
+{
+    std::vector<kind> result;
+    for (auto const& action : actions)
+    {
+        result.push_back(action.m_kind);
+    }
+    return result;
+}
+
+/// A replacement that wrote its own closing record.
+replacement closing_of_own(replacement_facts& facts)
+{
+    replacement value;
+    facts.m_reason = replacement_reason::lost;
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::write_record});
+    CHECK(actions[0].m_record.m_phase == state::term_phase::closing);
+    value.wrote(11);
+    close(facts, 11);
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("nothing happens without a reason, or without the duty")
+{
+    replacement value;
+    auto facts = facts_at(0);
+    CHECK(value.step(facts).empty());
+    facts.m_reason = replacement_reason::lost;
+    facts.m_holds_duty = false;
+    CHECK(value.step(facts).empty());
+}
+
+TEST_CASE("a promotion waits until every permit has ended")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_now = at(20);
+    report(facts, 20);
+    CHECK(kinds(value.step(facts)) ==
+          std::vector{kind::ask_close, kind::ask_close});
+    facts.m_answers["a"] = {7, 11};
+    facts.m_now = at(400);
+    report(facts, 400);
+    auto const again = value.step(facts);
+    REQUIRE(kinds(again) == std::vector{kind::ask_close});
+    CHECK(again[0].m_name == "b");
+    SUBCASE("the last instance answers")
+    {
+        facts.m_answers["b"] = {7, 11};
+    }
+    SUBCASE("the last instance says so in its record")
+    {
+        facts.m_instances["b"].m_record.m_closed["g"] = 11;
+    }
+    SUBCASE("a younger process answers under its name")
+    {
+        facts.m_answers["b"] = {8, 0};
+    }
+    facts.m_now = at(420);
+    report(facts, 420);
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::promote});
+    CHECK(actions[0].m_name == "m3");
+}
+
+TEST_CASE("an answer about an earlier closing doesn't count")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers["a"] = {7, 11};
+    facts.m_answers["b"] = {7, 9};
+    facts.m_instances["b"].m_record.m_closed["g"] = 9;
+    facts.m_now = at(100);
+    report(facts, 100);
+    CHECK(value.step(facts).size() == 1);
+    CHECK(value.unfinished(facts) == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a silent instance is waited out, then expelled")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers["a"] = {7, 11};
+    facts.m_now = at(100);
+    value.step(facts);
+    facts.m_now = at(99) + permit_lease;
+    CHECK(kinds(value.step(facts)) == std::vector{kind::ask_close});
+    facts.m_now = at(100) + permit_lease;
+    report(facts, 100 + static_cast<int>(permit_lease.count()));
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::expel, kind::promote});
+    CHECK(actions[0].m_name == "b");
+}
+
+TEST_CASE("a call that may take effect bars the others and the old primary")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    REQUIRE(kinds(value.step(facts)) == std::vector{kind::promote});
+    value.promoted("m3", coordination::promotion_result::may_take_effect,
+                   at(600));
+    facts.m_now = at(700);
+    facts.m_members = {member("m1", true, 3, 30, 700),
+                       member("m2", false, 3, 20, 700)};
+    CHECK(value.step(facts).empty());
+    facts.m_now = at(3200);
+    auto const again = value.step(facts);
+    REQUIRE(kinds(again) == std::vector{kind::promote});
+    CHECK(again[0].m_name == "m3");
+    value.promoted("m3", coordination::promotion_result::member_cannot,
+                   at(3210));
+    facts.m_now = at(3500);
+    facts.m_members[0] = member("m3", false, 3, 25, 3500);
+    facts.m_members[1] = member("m2", false, 3, 20, 3500);
+    auto const other = value.step(facts);
+    REQUIRE(kinds(other) == std::vector{kind::promote});
+    CHECK(other[0].m_name == "m2");
+}
+
+TEST_CASE("the old primary is opened again if it answers and none was called")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    facts.m_members.push_back(member("m1", true, 3, 30, 100));
+    SUBCASE("by whoever wrote the closing")
+    {
+        auto const actions = value.step(facts);
+        REQUIRE(kinds(actions) == std::vector{kind::write_record});
+        CHECK(actions[0].m_record.m_primary == "m1");
+        CHECK(actions[0].m_record.m_phase == state::term_phase::open);
+    }
+    SUBCASE("not if others don't reach it")
+    {
+        facts.m_avoid = "m1";
+        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+    }
+    SUBCASE("not if it leaves")
+    {
+        facts.m_members.back().m_entry.m_leaving = true;
+        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+    }
+    SUBCASE("not by another holder, whose predecessor may have called")
+    {
+        replacement taken_over;
+        CHECK(taken_over.step(facts).empty());
+        facts.m_now = at(1599);
+        report(facts, 1599);
+        facts.m_members.push_back(member("m1", true, 3, 30, 1599));
+        CHECK(taken_over.step(facts).empty());
+        facts.m_now = at(1600);
+        CHECK(kinds(taken_over.step(facts)) == std::vector{kind::promote});
+    }
+    SUBCASE("not by one who lost the duty in between")
+    {
+        facts.m_holds_duty = false;
+        value.step(facts);
+        facts.m_holds_duty = true;
+        facts.m_now = at(2000);
+        report(facts, 2000);
+        facts.m_members.push_back(member("m1", true, 3, 30, 2000));
+        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+    }
+}
+
+TEST_CASE("the record opens for the member that leads a later term")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_now = at(50);
+    facts.m_members = {member("m3", true, 4, 25, 40)};
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::write_record});
+    CHECK(actions[0].m_record ==
+          state::term_record{"g", 4, "m3", state::term_phase::open, false});
+}
+
+TEST_CASE("a leaving primary is replaced once a replica holds everything")
+{
+    replacement value;
+    auto facts = facts_at(0);
+    facts.m_reason = replacement_reason::leaving;
+    auto const actions = value.step(facts);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].m_record.m_orderly);
+    value.wrote(11);
+    close(facts, 11);
+    facts.m_record.m_record.m_orderly = true;
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    auto const step_at = [&](int now, std::uint64_t index)
+    {
+        facts.m_now = at(now);
+        facts.m_members = {member("m1", true, 3, 30, now),
+                           member("m2", false, 3, index, now),
+                           member("m3", false, 3, 20, now)};
+        facts.m_members[0].m_entry.m_leaving = true;
+        return kinds(value.step(facts));
+    };
+    CHECK(step_at(100, 29).empty());
+    SUBCASE("it does")
+    {
+        CHECK(step_at(150, 30) == std::vector{kind::promote});
+    }
+    SUBCASE("or none does in time")
+    {
+        CHECK(step_at(1599, 29).empty());
+        CHECK(step_at(1600, 29) == std::vector{kind::promote});
+    }
+}
+
+TEST_CASE("with acknowledging replicas enough of them must be heard")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_sync_replicas = 1;
+    facts.m_now = at(100);
+    report(facts, 100);
+    facts.m_members[1].m_report.reset();
+    CHECK(value.step(facts).empty());
+    facts.m_now = at(9000);
+    CHECK(value.step(facts).empty());
+    report(facts, 9000);
+    CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+}
