primary: the store knows who may come to lead before a promotion is called

Cause: the explorer found four ways to two primaries: a reopening write that was still under way beside a call; a repeated call that did nothing taken for proof that the first did nothing; a new holder that knew neither its predecessor's call nor its writes; a second member called while the first call was still out. Ruled out: permits and their proofs (schedules with these guards in place broke only by the ways named). Change: the member is written into the closing record before the call; a new holder claims the record with its token; a record that may still be written bars everything else; another member only after the fate of every call is known.

--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +55,7 @@
     replacement_reason m_reason = replacement_reason::none;
     std::string m_avoid; ///< a member that others don't reach
     bool m_holds_duty = false;
+    std::uint64_t m_token = 0; ///< of the duty, if it is held
     state::time_point m_now;
 };
 
@@ -78,10 +78,11 @@
                             replacement_action const&) = default;
 };
 
-/// How a promotion call ended, as far as the decision cares.
+/// How a promotion call ended.
 enum class promotion_result
 {
-    may_take_effect,
+    accepted, ///< it takes effect within the longest promotion
+    unknown,  ///< it may take effect
     nothing_done,
     member_cannot
 };
@@ -95,8 +96,8 @@
     state::duration m_report_wait{250};
     /// how long an orderly change waits for a replica to hold everything
     state::duration m_catch_up_wait{1500};
-    /// when a promotion that doesn't show is called again; several times the
-    /// longest promotion of the sheets (1 s)
+    /// when a promotion that doesn't show is called again, or another member
+    /// chosen; several times the longest promotion of the sheets (1 s)
     state::duration m_promotion_wait{3000};
     /// how long a call of the duty's last holder may take to show: its time
     /// limit of half a second and the longest promotion of the sheets (1 s)
@@ -110,8 +111,11 @@
 ///
 /// A promotion is called only when nobody may use the old primary any more:
 /// each registered instance answered that it stopped, or said so in its
-/// record, or was replaced by a new process, or its permit has lapsed. A call
-/// that may still take effect bars every other member and the old primary.
+/// record, or was replaced by a new process, or its permit has lapsed. The
+/// member is written into the record before, so that every later holder knows
+/// which member may come to lead. A new holder first writes its token into a
+/// closing record: what its predecessor has under way to the store then fails
+/// by its condition. A record that may still be written bars everything else.
 class replacement
 {
 public:
@@ -123,9 +127,6 @@
     /// Decides what to do now.
     std::vector<replacement_action> step(replacement_facts const& facts);
 
-    /// Notes that this instance wrote the record of a revision.
-    void wrote(std::uint64_t revision) { m_own_revision = revision; }
-
     /// Takes the end of a promotion call.
     void promoted(std::string const& member, promotion_result result,
                   state::time_point now);
@@ -138,13 +139,13 @@
 
     void follow_record(replacement_facts const& facts);
     void close_if_needed(replacement_facts const& facts, actions& into);
-    bool open_new_primary(replacement_facts const& facts, actions& into);
+    bool claim(replacement_facts const& facts, actions& into);
     void end_permits(replacement_facts const& facts,
                      std::vector<std::string> const& missing, actions& into);
     void expel_silent(replacement_facts const& facts, actions& into);
-    void choose(replacement_facts const& facts, actions& into);
-    void call(std::string const& member, state::time_point now, actions& into);
-    bool settled(state::time_point now) const;
+    bool choose_target(replacement_facts const& facts, actions& into);
+    void promote_target(replacement_facts const& facts, actions& into);
+    bool target_failed(replacement_facts const& facts) const;
     bool heard_enough(replacement_facts const& facts) const;
     bool fresh(reported_member const& member) const;
     bool reopen(replacement_facts const& facts, actions& into);
@@ -154,17 +155,28 @@
     bool ended(replacement_facts const& facts,
                state::instance_entry const& instance) const;
     bool due(std::string const& action, state::time_point now);
+    void open(replacement_facts const& facts, state::term_record record,
+              actions& into);
     void write(replacement_facts const& facts, state::term_record record,
                actions& into);
 
     replacement_settings m_settings;
     std::uint64_t m_revision = 0;
-    state::time_point m_seen; ///< when the record's revision was first seen
+    bool m_closing = false; ///< the record, as last seen
+    /// the record is closing at least since this revision, without a break
+    std::uint64_t m_closing_since = 0;
+    state::time_point m_seen;    ///< when that was first seen
+    state::time_point m_claimed; ///< when this holder's token was first seen
     std::optional<state::time_point> m_clear; ///< when no permit was left
-    std::uint64_t m_own_revision = 0; ///< last record that was written here
-    /// a call that may take effect: the member, and when it was called
-    std::string m_target;
-    std::optional<state::time_point> m_called;
+    std::string m_called_for;                    ///< the member
+    std::optional<state::time_point> m_called;   ///< the last call
+    std::optional<state::time_point> m_accepted; ///< the last accepted call
+    bool m_uncertain = false;     ///< a call of unknown fate is out
+    bool m_was_uncertain = false; ///< before the last call
+    bool m_target_cannot = false;
+    /// a record that may be written, now or later: nothing else is done
+    /// until the record changes
+    std::optional<state::term_record> m_opening;
     std::map<std::string, state::time_point> m_left_out; ///< until then
     std::map<std::string, state::time_point> m_tried;    ///< by action
 };
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <camphortide/coordination/primary/replacement.hpp>
@@ -15,8 +16,6 @@
     follow_record(facts);
     if (!facts.m_holds_duty)
     {
-        // Another holder may call a promotion that is not known here.
-        m_own_revision = 0;
         return result;
     }
     if (facts.m_record.m_record.m_phase == term_phase::open)
@@ -24,7 +23,12 @@
         close_if_needed(facts, result);
         return result;
     }
-    if (open_new_primary(facts, result))
+    if (m_opening)
+    {
+        write(facts, *m_opening, result);
+        return result;
+    }
+    if (claim(facts, result))
     {
         return result;
     }
@@ -39,7 +43,14 @@
         m_clear = facts.m_now;
     }
     expel_silent(facts, result);
-    choose(facts, result);
+    if (!facts.m_record.m_record.m_target.empty())
+    {
+        promote_target(facts, result);
+    }
+    else if (!reopen(facts, result))
+    {
+        choose_target(facts, result);
+    }
     return result;
 }
 
@@ -49,18 +60,41 @@
     {
         return;
     }
+    auto const& record = facts.m_record.m_record;
+    bool const closing = record.m_phase == term_phase::closing;
+    // A closing record with the own token was written under the condition
+    // that it still was as seen before.
+    bool const goes_on =
+        m_closing && closing && record.m_token == facts.m_token;
     m_revision = facts.m_record.m_revision;
-    m_seen = facts.m_now;
-    m_clear.reset();
-    m_target.clear();
+    m_closing = closing;
     m_called.reset();
-    m_tried.clear();
+    m_accepted.reset();
+    m_uncertain = false;
+    m_target_cannot = false;
+    m_opening.reset();
+    m_tried.erase("write");
+    m_claimed = goes_on && m_claimed != state::time_point() ? m_claimed
+                                                            : facts.m_now;
+    if (!goes_on)
+    {
+        m_closing_since = m_revision;
+        m_seen = facts.m_now;
+        m_clear.reset();
+        m_tried.clear();
+    }
 }
 
-bool replacement::settled(state::time_point now) const
+bool replacement::claim(replacement_facts const& facts, actions& into)
 {
-    return m_revision == m_own_revision ||
-           now - m_seen >= m_settings.m_takeover_wait;
+    auto record = facts.m_record.m_record;
+    if (record.m_token == facts.m_token)
+    {
+        return false;
+    }
+    m_claimed = facts.m_now;
+    write(facts, std::move(record), into);
+    return true;
 }
 
 void replacement::close_if_needed(replacement_facts const& facts, actions& into)
@@ -72,39 +106,10 @@
     auto record = facts.m_record.m_record;
     record.m_phase = term_phase::closing;
     record.m_orderly = facts.m_reason == replacement_reason::leaving;
+    record.m_target.clear();
     write(facts, std::move(record), into);
 }
 
-bool replacement::open_new_primary(replacement_facts const& facts,
-                                   actions& into)
-{
-    reported_member const* leader = nullptr;
-    for (auto const& member : facts.m_members)
-    {
-        bool const leads = member.m_report && member.m_report->m_primary &&
-                           member.m_report->m_term >
-                               facts.m_record.m_record.m_term;
-        if (leads && (leader == nullptr ||
-                      member.m_report->m_term > leader->m_report->m_term))
-        {
-            leader = &member;
-        }
-    }
-    bool const other_called =
-        leader != nullptr && m_called && m_target != leader->m_entry.m_id &&
-        facts.m_now - *m_called < m_settings.m_promotion_wait;
-    if (leader == nullptr || other_called || !settled(facts.m_now))
-    {
-        return false;
-    }
-    state::term_record record;
-    record.m_group = facts.m_record.m_record.m_group;
-    record.m_term = leader->m_report->m_term;
-    record.m_primary = leader->m_entry.m_id;
-    write(facts, std::move(record), into);
-    return true;
-}
-
 bool replacement::ended(replacement_facts const& facts,
                         state::instance_entry const& instance) const
 {
@@ -114,7 +119,7 @@
     }
     auto const& group = facts.m_record.m_record.m_group;
     auto const said = instance.m_closed.find(group);
-    if (said != instance.m_closed.end() && said->second >= m_revision)
+    if (said != instance.m_closed.end() && said->second >= m_closing_since)
     {
         return true;
     }
@@ -126,7 +131,7 @@
     // A younger process proves that the registered one has ended.
     return answer->second.m_born > instance.m_born ||
            (answer->second.m_born == instance.m_born &&
-            answer->second.m_revision >= m_revision);
+            answer->second.m_revision >= m_closing_since);
 }
 
 std::vector<std::string>
@@ -192,13 +197,12 @@
             member.m_report->m_primary &&
             member.m_report->m_term == record.m_term;
         if (still_leads && !member.m_entry.m_leaving &&
-            member.m_entry.m_id != facts.m_avoid &&
-            m_revision == m_own_revision)
+            member.m_entry.m_id != facts.m_avoid)
         {
-            auto open = record;
-            open.m_phase = term_phase::open;
-            open.m_orderly = false;
-            write(facts, std::move(open), into);
+            auto again = record;
+            again.m_phase = term_phase::open;
+            again.m_orderly = false;
+            open(facts, std::move(again), into);
             return true;
         }
     }
@@ -235,20 +239,22 @@
 replacement::candidate(replacement_facts const& facts) const
 {
     reported_member const* best = nullptr;
-    auto const better = [](reported_member const& left,
-                           reported_member const& right)
+    auto const& record = facts.m_record.m_record;
+    auto const rank = [&](reported_member const& member)
     {
-        return std::pair(!left.m_entry.m_leaving, left.m_report->m_received) >
-               std::pair(!right.m_entry.m_leaving, right.m_report->m_received);
+        bool const leads_later =
+            member.m_report->m_primary && member.m_report->m_term > record.m_term;
+        return std::tuple(leads_later ? member.m_report->m_term : 0,
+                          !member.m_entry.m_leaving,
+                          member.m_report->m_received);
     };
     for (auto const& member : facts.m_members)
     {
         auto const left_out = m_left_out.find(member.m_entry.m_id);
         bool const usable =
-            fresh(member) && !member.m_report->m_primary &&
-            member.m_entry.m_id != facts.m_record.m_record.m_primary &&
+            fresh(member) && member.m_entry.m_id != record.m_primary &&
             (left_out == m_left_out.end() || left_out->second <= facts.m_now);
-        if (usable && (best == nullptr || better(member, *best)))
+        if (usable && (best == nullptr || rank(member) > rank(*best)))
         {
             best = &member;
         }
@@ -275,50 +281,97 @@
     return true;
 }
 
-void replacement::choose(replacement_facts const& facts, actions& into)
+bool replacement::choose_target(replacement_facts const& facts, actions& into)
 {
-    if (m_called)
-    {
-        if (facts.m_now - *m_called >= m_settings.m_promotion_wait)
-        {
-            call(m_target, facts.m_now, into);
-        }
-        return;
-    }
-    if (!settled(facts.m_now) || reopen(facts, into) || !heard_enough(facts))
+    auto const* chosen = heard_enough(facts) ? candidate(facts) : nullptr;
+    if (chosen == nullptr || !caught_up(facts, *chosen))
     {
-        return;
+        return false;
     }
-    auto const* chosen = candidate(facts);
-    if (chosen != nullptr && caught_up(facts, *chosen))
+    auto record = facts.m_record.m_record;
+    record.m_target = chosen->m_entry.m_id;
+    write(facts, std::move(record), into);
+    return true;
+}
+
+bool replacement::target_failed(replacement_facts const& facts) const
+{
+    // A call of this holder, or of the one before, may still arrive.
+    if (m_uncertain || facts.m_now - m_claimed < m_settings.m_takeover_wait)
     {
-        call(chosen->m_entry.m_id, facts.m_now, into);
+        return false;
     }
+    return m_target_cannot ||
+           (m_accepted &&
+            facts.m_now - *m_accepted >= m_settings.m_promotion_wait);
 }
 
-void replacement::call(std::string const& member, state::time_point now,
-                       actions& into)
+void replacement::promote_target(replacement_facts const& facts, actions& into)
 {
-    if (due("promote", now))
+    auto record = facts.m_record.m_record;
+    for (auto const& member : facts.m_members)
     {
-        m_called = now;
-        m_target = member;
-        into.push_back({replacement_action::kind::promote, member, {}});
+        bool const leads = member.m_entry.m_id == record.m_target &&
+                           fresh(member) && member.m_report->m_primary &&
+                           member.m_report->m_term > record.m_term;
+        if (leads)
+        {
+            record.m_term = member.m_report->m_term;
+            record.m_primary = record.m_target;
+            record.m_phase = term_phase::open;
+            record.m_orderly = false;
+            record.m_target.clear();
+            open(facts, std::move(record), into);
+            return;
+        }
+    }
+    if (target_failed(facts))
+    {
+        // Another one, if there is one; never none: the old primary may have
+        // been replaced, though the new one isn't reached from here.
+        m_left_out[record.m_target] = facts.m_now + m_settings.m_leave_out;
+        if (choose_target(facts, into))
+        {
+            return;
+        }
+        m_target_cannot = false;
+    }
+    bool const again =
+        !m_called || facts.m_now - m_accepted.value_or(*m_called) >=
+                         m_settings.m_promotion_wait;
+    if (again && !m_target_cannot)
+    {
+        m_called = facts.m_now;
+        m_called_for = record.m_target;
+        m_was_uncertain = std::exchange(m_uncertain, true);
+        into.push_back(
+            {replacement_action::kind::promote, record.m_target, {}});
     }
 }
 
 void replacement::promoted(std::string const& member, promotion_result result,
                            state::time_point now)
 {
-    if (result == promotion_result::may_take_effect || member != m_target)
+    if (member != m_called_for)
     {
         return;
     }
-    m_called.reset();
-    m_target.clear();
-    if (result == promotion_result::member_cannot)
+    switch (result)
     {
-        m_left_out[member] = now + m_settings.m_leave_out;
+    case promotion_result::accepted:
+        m_uncertain = false;
+        m_accepted = now;
+        return;
+    case promotion_result::unknown:
+        return; // it is called again until the answer is known
+    case promotion_result::nothing_done:
+        m_uncertain = m_was_uncertain;
+        m_called = now - m_settings.m_promotion_wait + m_settings.m_retry;
+        return;
+    case promotion_result::member_cannot:
+        m_uncertain = false;
+        m_target_cannot = true;
+        return;
     }
 }
 
@@ -333,11 +386,19 @@
     return true;
 }
 
+void replacement::open(replacement_facts const& facts,
+                       state::term_record record, actions& into)
+{
+    m_opening = record;
+    write(facts, std::move(record), into);
+}
+
 void replacement::write(replacement_facts const& facts,
                         state::term_record record, actions& into)
 {
     if (due("write", facts.m_now))
     {
+        record.m_token = facts.m_token;
         into.push_back({replacement_action::kind::write_record, {},
                         std::move(record)});
     }
--- a/packages/coordination/test/primary/replacement_explorer_test.cpp
+++ b/packages/coordination/test/primary/replacement_explorer_test.cpp
@@ -43,7 +43,8 @@
 {
     for (auto const variant :
          {left_out::permit_at_answer, left_out::proof_from_sending,
-          left_out::wait_for_silent, left_out::takeover_bar})
+          left_out::wait_for_silent, left_out::target,
+          left_out::claim})
     {
         CAPTURE(static_cast<int>(variant));
         findings sum;
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -40,12 +40,13 @@
 replacement_facts facts_at(int now)
 {
     replacement_facts facts;
-    facts.m_record = {{"g", 3, "m1", state::term_phase::open, false}, 10};
+    facts.m_record = {{"g", 3, "m1", state::term_phase::open, false, 4, ""}, 10};
     for (std::string const name : {"a", "b"})
     {
         facts.m_instances[name] = {{name, 7, name + ":1", "dc", false, {}}, 2};
     }
     facts.m_holds_duty = true;
+    facts.m_token = 5;
     facts.m_now = at(now);
     return facts;
 }
@@ -58,6 +59,7 @@
 
 void close(replacement_facts& facts, std::uint64_t revision)
 {
+    facts.m_record.m_record.m_token = facts.m_token;
     facts.m_record.m_record.m_phase = state::term_phase::closing;
     facts.m_record.m_revision = revision;
 }
@@ -72,6 +74,17 @@
     return result;
 }
 
+/// Writes the target that the replacement chose into the record.
+void target(replacement_facts& facts, std::vector<replacement_action> const& by,
+            std::uint64_t revision)
+{
+    REQUIRE(kinds(by) == std::vector{kind::write_record});
+    CHECK(by[0].m_record.m_phase == state::term_phase::closing);
+    REQUIRE_FALSE(by[0].m_record.m_target.empty());
+    facts.m_record.m_record = by[0].m_record;
+    facts.m_record.m_revision = revision;
+}
+
 /// A replacement that wrote its own closing record.
 replacement closing_of_own(replacement_facts& facts)
 {
@@ -80,7 +93,7 @@
     auto const actions = value.step(facts);
     REQUIRE(kinds(actions) == std::vector{kind::write_record});
     CHECK(actions[0].m_record.m_phase == state::term_phase::closing);
-    value.wrote(11);
+    CHECK(actions[0].m_record.m_token == 5);
     close(facts, 11);
     return value;
 }
@@ -125,6 +138,7 @@
     }
     facts.m_now = at(420);
     report(facts, 420);
+    target(facts, value.step(facts), 12);
     auto const actions = value.step(facts);
     REQUIRE(kinds(actions) == std::vector{kind::promote});
     CHECK(actions[0].m_name == "m3");
@@ -155,7 +169,7 @@
     facts.m_now = at(100) + permit_lease;
     report(facts, 100 + static_cast<int>(permit_lease.count()));
     auto const actions = value.step(facts);
-    REQUIRE(kinds(actions) == std::vector{kind::expel, kind::promote});
+    REQUIRE(kinds(actions) == std::vector{kind::expel, kind::write_record});
     CHECK(actions[0].m_name == "b");
 }
 
@@ -166,25 +180,85 @@
     facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
     facts.m_now = at(100);
     report(facts, 100);
+    target(facts, value.step(facts), 12);
+    facts.m_now = at(110);
     REQUIRE(kinds(value.step(facts)) == std::vector{kind::promote});
-    value.promoted("m3", coordination::promotion_result::may_take_effect,
-                   at(600));
-    facts.m_now = at(700);
-    facts.m_members = {member("m1", true, 3, 30, 700),
-                       member("m2", false, 3, 20, 700)};
-    CHECK(value.step(facts).empty());
-    facts.m_now = at(3200);
-    auto const again = value.step(facts);
+    value.promoted("m3", coordination::promotion_result::unknown, at(600));
+    auto const without_target = [&](int now)
+    {
+        facts.m_now = at(now);
+        facts.m_members = {member("m1", true, 3, 30, now),
+                           member("m2", false, 3, 20, now)};
+        return value.step(facts);
+    };
+    CHECK(without_target(700).empty());
+    auto const again = without_target(3200);
     REQUIRE(kinds(again) == std::vector{kind::promote});
     CHECK(again[0].m_name == "m3");
-    value.promoted("m3", coordination::promotion_result::member_cannot,
-                   at(3210));
-    facts.m_now = at(3500);
-    facts.m_members[0] = member("m3", false, 3, 25, 3500);
-    facts.m_members[1] = member("m2", false, 3, 20, 3500);
-    auto const other = value.step(facts);
-    REQUIRE(kinds(other) == std::vector{kind::promote});
-    CHECK(other[0].m_name == "m2");
+    value.promoted("m3", coordination::promotion_result::nothing_done,
+                   at(3205));
+    CHECK(without_target(3210).empty());
+    CHECK(kinds(without_target(3500)) == std::vector{kind::promote});
+    SUBCASE("until the member can't lead")
+    {
+        value.promoted("m3", coordination::promotion_result::member_cannot,
+                       at(3510));
+        auto const other = without_target(3520);
+        target(facts, other, 13);
+        CHECK(facts.m_record.m_record.m_target == "m2");
+    }
+    SUBCASE("until it should have led long since")
+    {
+        value.promoted("m3", coordination::promotion_result::accepted,
+                       at(3510));
+        CHECK(without_target(6509).empty());
+        auto const other = without_target(6510);
+        target(facts, other, 13);
+        CHECK(facts.m_record.m_record.m_target == "m2");
+    }
+}
+
+TEST_CASE("a new holder claims the record and goes on with its target")
+{
+    auto facts = facts_at(0);
+    close(facts, 11);
+    facts.m_record.m_record.m_token = 4;
+    facts.m_record.m_record.m_target = "m2";
+    replacement value;
+    auto const claim = value.step(facts);
+    REQUIRE(kinds(claim) == std::vector{kind::write_record});
+    CHECK(claim[0].m_record.m_token == 5);
+    CHECK(claim[0].m_record.m_target == "m2");
+    facts.m_record = {claim[0].m_record, 12};
+    // Answers from before the claim hold: the record was never open since.
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    facts.m_members.push_back(member("m1", true, 3, 30, 100));
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::promote});
+    CHECK(actions[0].m_name == "m2");
+    value.promoted("m2", coordination::promotion_result::member_cannot,
+                   at(110));
+    facts.m_now = at(1400);
+    CHECK(value.step(facts).empty()); // the predecessor's call may come yet
+    facts.m_now = at(1600);
+    CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
+}
+
+TEST_CASE("answers from before the record was open in between don't count")
+{
+    auto facts = facts_at(0);
+    auto value = closing_of_own(facts);
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    value.step(facts);
+    facts.m_now = at(100);
+    close(facts, 14); // under the condition that it was as at 11
+    value.step(facts);
+    CHECK(value.unfinished(facts).empty());
+    replacement later;
+    later.step(facts);
+    CHECK(later.unfinished(facts).size() == 2);
 }
 
 TEST_CASE("the old primary is opened again if it answers and none was called")
@@ -195,7 +269,7 @@
     facts.m_now = at(100);
     report(facts, 100);
     facts.m_members.push_back(member("m1", true, 3, 30, 100));
-    SUBCASE("by whoever wrote the closing")
+    SUBCASE("it does")
     {
         auto const actions = value.step(facts);
         REQUIRE(kinds(actions) == std::vector{kind::write_record});
@@ -205,46 +279,42 @@
     SUBCASE("not if others don't reach it")
     {
         facts.m_avoid = "m1";
-        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+        target(facts, value.step(facts), 12);
     }
     SUBCASE("not if it leaves")
     {
         facts.m_members.back().m_entry.m_leaving = true;
-        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
-    }
-    SUBCASE("not by another holder, whose predecessor may have called")
-    {
-        replacement taken_over;
-        CHECK(taken_over.step(facts).empty());
-        facts.m_now = at(1599);
-        report(facts, 1599);
-        facts.m_members.push_back(member("m1", true, 3, 30, 1599));
-        CHECK(taken_over.step(facts).empty());
-        facts.m_now = at(1600);
-        CHECK(kinds(taken_over.step(facts)) == std::vector{kind::promote});
+        target(facts, value.step(facts), 12);
     }
-    SUBCASE("not by one who lost the duty in between")
+    SUBCASE("and then nothing else is done, whatever becomes of the write")
     {
-        facts.m_holds_duty = false;
-        value.step(facts);
-        facts.m_holds_duty = true;
-        facts.m_now = at(2000);
-        report(facts, 2000);
-        facts.m_members.push_back(member("m1", true, 3, 30, 2000));
-        CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+        CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
+        facts.m_members.pop_back();
+        facts.m_now = at(9000);
+        report(facts, 9000);
+        auto const again = value.step(facts);
+        REQUIRE(kinds(again) == std::vector{kind::write_record});
+        CHECK(again[0].m_record.m_primary == "m1");
     }
 }
 
-TEST_CASE("the record opens for the member that leads a later term")
+TEST_CASE("the record opens for its target alone, once that leads")
 {
     auto facts = facts_at(0);
     auto value = closing_of_own(facts);
-    facts.m_now = at(50);
-    facts.m_members = {member("m3", true, 4, 25, 40)};
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    target(facts, value.step(facts), 12);
+    facts.m_now = at(150);
+    facts.m_members = {member("m2", true, 4, 25, 140)};
+    CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+    facts.m_members = {member("m3", true, 4, 25, 140)};
     auto const actions = value.step(facts);
     REQUIRE(kinds(actions) == std::vector{kind::write_record});
     CHECK(actions[0].m_record ==
-          state::term_record{"g", 4, "m3", state::term_phase::open, false});
+          state::term_record{"g", 4, "m3", state::term_phase::open, false, 5,
+                             ""});
 }
 
 TEST_CASE("a leaving primary is replaced once a replica holds everything")
@@ -255,7 +325,6 @@
     auto const actions = value.step(facts);
     REQUIRE(actions.size() == 1);
     CHECK(actions[0].m_record.m_orderly);
-    value.wrote(11);
     close(facts, 11);
     facts.m_record.m_record.m_orderly = true;
     facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
@@ -271,12 +340,12 @@
     CHECK(step_at(100, 29).empty());
     SUBCASE("it does")
     {
-        CHECK(step_at(150, 30) == std::vector{kind::promote});
+        CHECK(step_at(150, 30) == std::vector{kind::write_record});
     }
     SUBCASE("or none does in time")
     {
         CHECK(step_at(1599, 29).empty());
-        CHECK(step_at(1600, 29) == std::vector{kind::promote});
+        CHECK(step_at(1600, 29) == std::vector{kind::write_record});
     }
 }
 
@@ -293,5 +362,5 @@
     facts.m_now = at(9000);
     CHECK(value.step(facts).empty());
     report(facts, 9000);
-    CHECK(kinds(value.step(facts)) == std::vector{kind::promote});
+    target(facts, value.step(facts), 12);
 }
--- a/packages/coordination/test/primary/replacement_world.cpp
+++ b/packages/coordination/test/primary/replacement_world.cpp
@@ -13,7 +13,7 @@
 constexpr int instances = 3;
 constexpr int members = 3;
 constexpr int tick_ms = 40;
-constexpr int promotion_ms = 300;
+constexpr int promotion_ms = 600;
 constexpr char const* group = "g";
 
 std::string numbered(char letter, int number)
@@ -36,6 +36,7 @@
     bool m_leads = false;
     std::uint64_t m_term = 1;
     std::uint64_t m_index = 0;
+    time_point m_alone_until; ///< cut off from the other members
 };
 
 struct world::instance
@@ -53,6 +54,7 @@
     std::unique_ptr<coordination::replacement> m_replacement;
     coordination::primary_watch m_watch = coordination::primary_watch();
     std::uint64_t m_watched = 0;
+    std::uint64_t m_target_token = 0; ///< under which it chose a target
     state::fleet_records m_records;
     bool m_known = false;
     time_point m_last_read;
@@ -131,13 +133,7 @@
     place.m_name = name;
     place.m_lease = std::make_unique<coordination::duty_lease>(
         name, static_cast<std::int64_t>(life));
-    coordination::replacement_settings settings;
-    if (m_variant == left_out::takeover_bar)
-    {
-        settings.m_takeover_wait = ms(0);
-    }
-    place.m_replacement =
-        std::make_unique<coordination::replacement>(settings);
+    place.m_replacement = std::make_unique<coordination::replacement>();
     at_instance(index, life, draw(1, 100),
                 [this](instance& self) { read_store(self); });
     at_instance(index, life, draw(1, tick_ms),
@@ -186,16 +182,20 @@
 
 void world::read_store(instance& self)
 {
-    auto const index = self.m_index;
-    auto const life = self.m_life;
-    auto const asked = m_now;
     bool const reached = m_store_up && m_now >= self.m_no_store_until;
-    at_instance(index, life, reached ? draw(250, 500) : 100,
+    at_instance(self.m_index, self.m_life, reached ? draw(250, 500) : 100,
                 [this](instance& later) { read_store(later); });
-    if (!reached)
+    if (reached)
     {
-        return;
+        ask_store(self);
     }
+}
+
+void world::ask_store(instance& self)
+{
+    auto const index = self.m_index;
+    auto const life = self.m_life;
+    auto const asked = m_now;
     after(draw(2, 60),
           [this, index, life, asked]
           {
@@ -205,7 +205,7 @@
                           {
                               auto const proven =
                                   m_variant == left_out::proof_from_sending
-                                      ? m_now + ms(2000)
+                                      ? m_now
                                       : asked;
                               take_records(later, records, proven);
                           });
@@ -319,13 +319,7 @@
             m_records.m_terms[group] = {record, revision};
             return true;
         },
-        [](instance& later, std::optional<std::uint64_t> revision)
-        {
-            if (revision)
-            {
-                later.m_replacement->wrote(*revision);
-            }
-        });
+        [](instance&, std::optional<std::uint64_t>) {});
 }
 
 bool world::reaches(instance const& from, int index) const
@@ -403,7 +397,7 @@
     {
         if (holds && self.m_reports.contains("m0"))
         {
-            write_term(self, {group, 1, "m0", state::term_phase::open, false},
+            write_term(self, {group, 1, "m0", state::term_phase::open, false, 0, {}},
                        0);
         }
         return;
@@ -437,9 +431,15 @@
                           : coordination::replacement_reason::none;
     facts.m_holds_duty = holds;
     facts.m_now = m_now;
-    if (m_variant == left_out::takeover_bar)
+    facts.m_token = self.m_lease->token();
+    if (m_variant == left_out::claim)
+    {
+        facts.m_record.m_record.m_token = facts.m_token;
+    }
+    if (m_variant == left_out::target &&
+        self.m_target_token != self.m_lease->token())
     {
-        self.m_replacement->wrote(term->second.m_revision);
+        facts.m_record.m_record.m_target.clear();
     }
     for (auto const& action : self.m_replacement->step(facts))
     {
@@ -453,6 +453,10 @@
     switch (action.m_kind)
     {
     case replacement_action::kind::write_record:
+        if (!action.m_record.m_target.empty())
+        {
+            self.m_target_token = self.m_lease->token();
+        }
         write_term(self, action.m_record, term.m_revision);
         return;
     case replacement_action::kind::ask_close:
@@ -503,9 +507,30 @@
         return;
     }
     auto const token = self.m_lease->token();
-    after(draw(1, 20),
-          [this, token, name]
+    if (chance(0.15))
+    {
+        // Whoever acted last is struck first.
+        after(draw(1, 300),
+              [this, index = self.m_index, life = self.m_life]
+              {
+                  auto& caller = *m_instances[static_cast<std::size_t>(index)];
+                  if (caller.m_up && caller.m_life == life)
+                  {
+                      stop_instance(caller);
+                  }
+              });
+    }
+    after(chance(0.3) ? draw(20, 500) : draw(1, 20),
+          [this, token, name, index = self.m_index, life = self.m_life]
           {
+              at_instance(index, life, draw(1, 20),
+                          [this, name](instance& later)
+                          {
+                              later.m_replacement->promoted(
+                                  name,
+                                  coordination::promotion_result::accepted,
+                                  m_now);
+                          });
               m_findings.m_tokens += token < m_highest_token ? 1 : 0;
               m_highest_token = std::max(m_highest_token, token);
               after(promotion_ms,
@@ -520,6 +545,8 @@
                             {
                                 continue;
                             }
+                            m_members[static_cast<std::size_t>(m_leader)]
+                                ->m_alone_until = m_now + ms(draw(0, 15000));
                             m_leader = i;
                             chosen.m_leads = true;
                             chosen.m_term = ++m_term;
@@ -542,8 +569,8 @@
         {
             continue;
         }
-        // An old primary learns of the new one only some time later.
-        if (each.m_leads && !chance(0.02))
+        // An old primary learns of the new one only once it reaches it.
+        if (m_now < each.m_alone_until)
         {
             continue;
         }
@@ -583,7 +610,8 @@
     }
     bool const writes = chance(0.5);
     auto const known = m_acknowledged;
-    after(draw(1, 40),
+    // Some are held up on the way.
+    after(chance(0.01) ? draw(500, 15000) : draw(1, 40),
           [this, index, life, target, writes, known,
            revision = standing.m_revision]
           {
@@ -625,20 +653,46 @@
           });
 }
 
+void world::stop_instance(instance& victim)
+{
+    if (auto const write = victim.m_lease->release(); write && chance(0.7))
+    {
+        write_duty(victim, *write);
+    }
+    victim.m_up = false;
+    after(draw(100, 2000), [this, index = victim.m_index]
+          { start_instance(index); });
+}
+
 void world::make_trouble()
 {
     after(draw(200, 2500), [this] { make_trouble(); });
     auto& victim =
         *m_instances[static_cast<std::size_t>(draw(0, instances - 1))];
     int const length = draw(200, 12000);
-    switch (draw(0, 7))
+    switch (draw(0, 10))
     {
     case 0:
         m_store_up = false;
         after(draw(200, 5000), [this] { m_store_up = true; });
         break;
     case 1:
-        victim.m_frozen_until = m_now + ms(length);
+        victim.m_frozen_until = m_now + ms(draw(200, 20000));
+        break;
+    case 9:
+    case 10:
+        // Long enough for its permit to lapse while the others go on, and
+        // while an answer of the store is on its way.
+        if (victim.m_up)
+        {
+            ask_store(victim);
+        }
+        victim.m_frozen_until = m_now + ms(draw(10500, 16000));
+        for (auto const& each : m_instances)
+        {
+            each->m_no_member_until[m_leader] = m_now + ms(draw(1000, 9000));
+        }
+        victim.m_no_member_until.clear();
         break;
     case 2:
         victim.m_no_store_until = m_now + ms(length);
@@ -650,9 +704,8 @@
         victim.m_no_member_until[m_leader] = m_now + ms(length);
         break;
     case 5:
-        victim.m_up = false;
-        after(draw(300, 3000), [this, index = victim.m_index]
-              { start_instance(index); });
+    case 6:
+        stop_instance(victim);
         break;
     default:
     {
--- a/packages/coordination/test/primary/replacement_world.hpp
+++ b/packages/coordination/test/primary/replacement_world.hpp
@@ -28,7 +28,8 @@
     permit_at_answer,   ///< the permit isn't asked when the answer comes
     proof_from_sending, ///< a proof counts from its arrival
     wait_for_silent,    ///< a silent instance is taken for closed
-    takeover_bar        ///< a new holder trusts that no call is under way
+    target,             ///< a new holder doesn't know who may come to lead
+    claim               ///< a new holder trusts that no write is under way
 };
 
 /// What a schedule broke.
@@ -85,6 +86,7 @@
     void start_instance(int index);
     void tick(instance& self);
     void read_store(instance& self);
+    void ask_store(instance& self);
     void take_records(instance& self, state::fleet_records const& records,
                       time_point asked);
     void write_term(instance& self, state::term_record const& record,
@@ -104,6 +106,7 @@
     void probe(instance& self);
     void call_primary(instance& self);
     void make_trouble();
+    void stop_instance(instance& victim);
     bool reaches(instance const& from, int member_index) const;
 
     left_out m_variant;
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -252,6 +252,7 @@
     }
     state::term_record record;
     record.m_group = name;
+    record.m_token = m_lease.token();
     for (auto const& [id, member] : group.m_members)
     {
         if (member.m_report && member.m_report->m_primary &&
@@ -350,6 +351,7 @@
     }
     facts.m_avoid = group.m_avoid;
     facts.m_holds_duty = m_lease.holds(now);
+    facts.m_token = m_lease.token();
     facts.m_now = now;
     return facts;
 }
@@ -385,26 +387,18 @@
                          {"term", record.m_term},
                          {"primary", record.m_primary},
                          {"open", open},
+                         {"target", record.m_target},
                          {"orderly", record.m_orderly},
                          {"at_revision", revision}});
     m_store.call(
         platform::write_call(record, revision),
-        [this, name](store_outcome outcome,
-                     std::optional<platform::http_answer> const& answer)
+        [name](store_outcome outcome,
+               std::optional<platform::http_answer> const&)
         {
-            auto const written = outcome == store_outcome::done
-                                     ? platform::parse_written(*answer)
-                                     : std::nullopt;
-            auto const place = m_groups.find(name);
-            if (written && place != m_groups.end())
-            {
-                place->second->m_replacement.wrote(*written);
-            }
-            transport::log_info(
-                log_part::group, "term's record written",
-                {{"group", name},
-                 {"outcome", platform::to_string(outcome)},
-                 {"revision", written.value_or(0)}});
+            // What was written comes back with the records.
+            transport::log_info(log_part::group, "term's record written",
+                                {{"group", name},
+                                 {"outcome", platform::to_string(outcome)}});
         });
 }
 
@@ -479,9 +473,13 @@
         promotion_limit,
         [this, name, member](call_result const& result)
         {
-            auto outcome = promotion_result::may_take_effect;
+            auto outcome = promotion_result::unknown;
             auto const said = platform::promotion_outcome_of(result.m_answer);
-            if (said == platform::promotion_outcome::not_running)
+            if (said == platform::promotion_outcome::accepted)
+            {
+                outcome = promotion_result::accepted;
+            }
+            else if (said == platform::promotion_outcome::not_running)
             {
                 outcome = promotion_result::member_cannot;
             }
--- a/packages/state/include/camphortide/state/fleet_records.hpp
+++ b/packages/state/include/camphortide/state/fleet_records.hpp
@@ -25,6 +25,10 @@
     term_phase m_phase = term_phase::open;
     /// of a closing: the primary still serves, what is in flight may end
     bool m_orderly = false;
+    std::uint64_t m_token = 0; ///< of the duty's holder that wrote it
+    /// of a closing: the member whose promotion may have been called; empty:
+    /// none was
+    std::string m_target;
 
     friend auto operator<=>(term_record const&, term_record const&) = default;
 };
