lanes: a statement ends in the lane that it began in

Cause: when a member's entry lapsed and came back, its lane was made anew; a statement of the old lane then ended in the new one, whose count of statements fell below zero: full for ever, until a restart. Ruled out: a permit (its age was below 3 s), the record (not changed). Change: a statement keeps its lane. Answers to a closing count on after the target is written. Conclusion: counts belong to the object that they are about.

--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -97,7 +97,7 @@
     void release(bound_connection const& use, bool clean);
     void watch_time(request_pointer const& request,
                     bound_connection const& use);
-    member_lane* lane_of(std::string const& member);
+    std::shared_ptr<member_lane> lane_of(std::string const& member) const;
     void finish_closings();
     bool primary_in_use(std::uint64_t revision) const;
 
@@ -106,9 +106,9 @@
     traffic_report& m_report;
     boost::asio::steady_timer m_timer;
     std::optional<state::time_point> m_timer_at;
-    std::vector<std::unique_ptr<member_lane>> m_lanes;
-    /// lanes of members that are gone, until their connections have ended
-    std::vector<std::unique_ptr<member_lane>> m_old_lanes;
+    std::vector<std::shared_ptr<member_lane>> m_lanes;
+    /// lanes of members that are gone, until their statements have ended
+    std::vector<std::shared_ptr<member_lane>> m_old_lanes;
     coordination::primary_permit m_permit;
     coordination::primary_positions m_positions;
     coordination::statement_queue m_queue;
--- a/packages/proxy/include/camphortide/proxy/member_lane.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_lane.hpp
@@ -27,7 +27,7 @@
 };
 
 /// The connections of this instance to one member, and what is known of it.
-class member_lane
+class member_lane : public std::enable_shared_from_this<member_lane>
 {
 public:
     using changed_handler = std::function<void()>;
@@ -92,7 +92,7 @@
 
 private:
     void opened(std::shared_ptr<member_connection> const& connection,
-                opening_result result, changed_handler const& changed);
+                opening_result result);
     void forget(std::shared_ptr<member_connection> const& connection);
     std::size_t most() const;
 
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -9,7 +9,7 @@
 #include <camphortide/coordination/placing/member_choice.hpp>
 #include <camphortide/coordination/session/reply_verdict.hpp>
 #include <camphortide/coordination/session/session_state.hpp>
-#include <camphortide/proxy/member_connection.hpp>
+#include <camphortide/proxy/member_lane.hpp>
 #include <camphortide/state/route.hpp>
 #include <camphortide/state/statement.hpp>
 
@@ -19,8 +19,8 @@
 /// A member's connection that a transaction is bound to.
 struct bound_connection
 {
+    std::shared_ptr<member_lane> m_lane;
     std::shared_ptr<member_connection> m_connection;
-    std::string m_member;             ///< its id
     std::uint64_t m_permit_revision = 0; ///< 0: not used as the primary
     std::uint64_t m_term = 0;            ///< of the primary; 0: a replica
 };
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -93,7 +93,7 @@
     static std::vector<state::member_entry> const none;
     auto const& members =
         place == view.m_members.end() ? none : place->second;
-    std::vector<std::unique_ptr<member_lane>> lanes;
+    std::vector<std::shared_ptr<member_lane>> lanes;
     for (auto const& member : members)
     {
         auto const same = [&](auto const& lane)
@@ -104,7 +104,7 @@
         auto const old = std::find_if(m_lanes.begin(), m_lanes.end(), same);
         if (old == m_lanes.end())
         {
-            lanes.push_back(std::make_unique<member_lane>(m_context, member));
+            lanes.push_back(std::make_shared<member_lane>(m_context, member));
         }
         else
         {
@@ -200,8 +200,7 @@
 {
     if (request->m_bound)
     {
-        auto* lane = lane_of(request->m_bound->m_member);
-        if (lane == nullptr || !request->m_bound->m_connection->alive())
+        if (!request->m_bound->m_connection->alive())
         {
             answered(request, *request->m_bound, std::nullopt);
             return;
@@ -331,30 +330,24 @@
         });
 }
 
-member_lane* group_traffic::lane_of(std::string const& member)
+std::shared_ptr<member_lane>
+group_traffic::lane_of(std::string const& member) const
 {
-    for (auto* lanes : {&m_lanes, &m_old_lanes})
-    {
-        for (auto const& lane : *lanes)
-        {
-            if (lane->member().m_id == member)
-            {
-                return lane.get();
-            }
-        }
-    }
-    return nullptr;
+    auto const same = [&](auto const& lane)
+    { return lane->member().m_id == member; };
+    auto const place = std::find_if(m_lanes.begin(), m_lanes.end(), same);
+    return place == m_lanes.end() ? nullptr : *place;
 }
 
 void group_traffic::start(request_pointer const& request, std::size_t index)
 {
-    auto& lane = *m_lanes[index];
+    auto const lane = m_lanes[index];
     m_queue.erase(request->m_number);
     m_waiting.erase(request->m_number);
     bound_connection use;
-    use.m_connection = lane.take(request->m_values);
-    use.m_member = lane.member().m_id;
-    if (is_primary(use.m_member))
+    use.m_lane = lane;
+    use.m_connection = lane->take(request->m_values);
+    if (is_primary(lane->member().m_id))
     {
         use.m_permit_revision = m_permit.standing().m_revision;
         use.m_term = m_permit.standing().m_term;
@@ -369,7 +362,7 @@
 {
     ++request->m_sendings;
     request->m_sent = state::clock::now();
-    lane_of(use.m_member)->started();
+    use.m_lane->started();
     watch_time(request, use);
     send_preamble(request, use);
 }
@@ -461,8 +454,7 @@
                                     bound_connection const& use,
                                     std::optional<statement_reply> reply)
 {
-    auto* lane = lane_of(use.m_member);
-    lane->finished(std::nullopt);
+    use.m_lane->finished(std::nullopt);
     request->m_timer.reset();
     auto const now = state::clock::now();
     if (reply)
@@ -471,7 +463,7 @@
     }
     else
     {
-        lane->note_failure(now);
+        use.m_lane->note_failure(now);
     }
     // What was laid on the connection is not known any more.
     bool const only_begin = request->m_begins && reply &&
@@ -508,11 +500,10 @@
         {
             if (*alive)
             {
-                lane_of(use.m_member)
-                    ->finished(reply && reply->ok()
-                                   ? std::optional(state::clock::now() -
-                                                   request->m_sent)
-                                   : std::nullopt);
+                use.m_lane->finished(
+                    reply && reply->ok()
+                        ? std::optional(state::clock::now() - request->m_sent)
+                        : std::nullopt);
                 answered(request, use, std::move(reply));
                 dispatch();
             }
@@ -528,17 +519,13 @@
     bool const permit_lost =
         use.m_permit_revision != 0 &&
         !m_permit.still_allows(use.m_permit_revision, now);
-    auto* lane = lane_of(use.m_member);
-    if (lane != nullptr)
+    if (reply)
     {
-        if (reply)
-        {
-            lane->note_answer();
-        }
-        else
-        {
-            lane->note_failure(now);
-        }
+        use.m_lane->note_answer();
+    }
+    else
+    {
+        use.m_lane->note_failure(now);
     }
     if (reply && reply->ok() && !permit_lost)
     {
@@ -569,15 +556,10 @@
         }
         return;
     }
-    auto* lane = lane_of(use.m_member);
-    if (lane == nullptr)
-    {
-        return;
-    }
     auto const next = state::log_position{reply.m_position->m_term,
                                           reply.m_position->m_index + 1};
     auto const passed = m_positions.reached(next);
-    lane->note_applied(*reply.m_position,
+    use.m_lane->note_applied(*reply.m_position,
                        passed ? std::max(state::clock::now() - *passed,
                                          state::duration(0))
                               : state::duration(0));
@@ -588,23 +570,18 @@
                                   statement_failure const& failure)
 {
     request.m_last_error = failure.m_error;
-    auto* lane = lane_of(use.m_member);
-    if (lane == nullptr)
-    {
-        return;
-    }
     auto const now = state::clock::now();
     if (failure.m_error == statement_error::lagging)
     {
         auto const need = need_of(request, now);
-        lane->note_lagging(need.m_covered_since
+        use.m_lane->note_lagging(need.m_covered_since
                                ? std::max(now - *need.m_covered_since,
                                           state::duration(1))
                                : state::duration(1));
     }
     else if (failure.m_error == statement_error::busy)
     {
-        lane->note_busy(now);
+        use.m_lane->note_busy(now);
         request.m_tried = 0;
     }
 }
@@ -671,7 +648,7 @@
     {
         release(use, reply.m_phase == session_phase::idle);
     }
-    m_report.statement_ended({m_group, *request, use.m_member,
+    m_report.statement_ended({m_group, *request, use.m_lane->member().m_id,
                               use.m_permit_revision != 0, reply,
                               state::clock::now(),
                               state::clock::now() -
@@ -728,15 +705,7 @@
         }
         finish_closings();
     }
-    auto* lane = lane_of(use.m_member);
-    if (lane != nullptr)
-    {
-        lane->give_back(use.m_connection, clean);
-    }
-    else
-    {
-        use.m_connection->close();
-    }
+    use.m_lane->give_back(use.m_connection, clean);
 }
 
 void group_traffic::roll_back(bound_connection const& use)
@@ -798,8 +767,8 @@
     for (auto const& each : finished)
     {
         m_permit.close(each.m_revision);
-        auto* lane = lane_of(each.m_primary);
-        if (lane != nullptr && primary_in_use(each.m_revision))
+        auto const lane = lane_of(each.m_primary);
+        if (lane && primary_in_use(each.m_revision))
         {
             lane->close_all();
         }
--- a/packages/proxy/src/member_lane.cpp
+++ b/packages/proxy/src/member_lane.cpp
@@ -55,12 +55,16 @@
     m_all.insert(connection);
     ++m_opening;
     connection->open(m_member,
-                     [this, connection, changed](opening_result result)
-                     { opened(connection, result, changed); });
+                     [self = shared_from_this(), connection,
+                      changed](opening_result result)
+                     {
+                         self->opened(connection, result);
+                         changed();
+                     });
 }
 
 void member_lane::opened(std::shared_ptr<member_connection> const& connection,
-                         opening_result result, changed_handler const& changed)
+                         opening_result result)
 {
     auto const now = state::clock::now();
     --m_opening;
@@ -69,9 +73,14 @@
         m_opening_pause = {};
         note_answer();
         m_idle.push_back(connection);
-        connection->on_end([this, weak = std::weak_ptr(connection)]
-                           { forget(weak.lock()); });
-        changed();
+        connection->on_end(
+            [lane = weak_from_this(), ended = std::weak_ptr(connection)]
+            {
+                if (auto const self = lane.lock())
+                {
+                    self->forget(ended.lock());
+                }
+            });
         return;
     }
     m_all.erase(connection);
@@ -89,7 +98,6 @@
     {
         note_failure(now);
     }
-    changed();
 }
 
 void member_lane::note_failure(state::time_point now)
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -320,9 +320,9 @@
         group.m_watched_revision = facts.m_record.m_revision;
         group.m_watched = record.m_primary;
         group.m_watch.begin(now);
-        group.m_answers.clear();
         if (record.m_phase == state::term_phase::open)
         {
+            group.m_answers.clear();
             group.m_avoid.clear();
         }
     }
