admission: what can't be sent in its goal is refused as it comes

Cause: above the members' capacity statements waited to their timeout and were refused then; replicas that had lagged got no reads that would tell that they were back, so that their group stayed on its primary until a restart; members count the connections of machines without power for 3 s, and had no room for those that came back. Change: start_pace refuses by the pace of the last starts; lagging replicas are asked for their position; half of an instance's connections close when idle.

--- /dev/null
+++ b/packages/coordination/test/placing/start_pace_test.cpp
@@ -0,0 +1,92 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/placing/start_pace.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::start_pace;
+using state::duration;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(duration(ms));
+}
+
+/// Members that take a statement each 10 ms.
+start_pace busy_members()
+{
+    start_pace pace;
+    for (int time = 0; time <= 1000; time += 10)
+    {
+        pace.started(5, at(time));
+    }
+    return pace;
+}
+
+} // namespace
+
+TEST_CASE("a statement that waits behind none is taken")
+{
+    start_pace const pace;
+    CHECK(pace.in_time(0, duration(0), at(0)));
+    CHECK(busy_members().in_time(0, duration(1), at(1000)));
+}
+
+TEST_CASE("under load above what members take, what would be late is refused")
+{
+    auto const pace = busy_members();
+    CHECK(pace.expected_wait(10, at(1000)) == duration(100));
+    CHECK(pace.in_time(12, duration(120), at(1000)));
+    CHECK_FALSE(pace.in_time(13, duration(120), at(1000)));
+}
+
+TEST_CASE("callers of a load twice as high get their answers in time")
+{
+    // One statement each 5 ms for members that take one each 10 ms.
+    auto pace = busy_members();
+    int waiting = 5;
+    int taken = 0;
+    int late = 0;
+    int refused = 0;
+    for (int time = 1000; time < 5000; time += 5)
+    {
+        if (time % 10 == 0 && waiting > 0)
+        {
+            --waiting;
+            pace.started(static_cast<std::size_t>(waiting), at(time));
+        }
+        if (pace.in_time(static_cast<std::size_t>(waiting), duration(120),
+                         at(time)))
+        {
+            ++waiting;
+            ++taken;
+            late += waiting * 10 > 140 ? 1 : 0;
+        }
+        else
+        {
+            ++refused;
+        }
+    }
+    CHECK(late == 0);
+    CHECK(taken >= 390); // the members are kept busy
+    CHECK(refused >= 380);
+}
+
+TEST_CASE("members that take nothing any more make waits as long as that")
+{
+    auto const pace = busy_members();
+    CHECK(pace.in_time(2, duration(120), at(1050)));
+    CHECK_FALSE(pace.in_time(2, duration(120), at(1200)));
+}
+
+TEST_CASE("after a pause without waiting statements the pace is kept")
+{
+    auto pace = busy_members();
+    pace.started(0, at(1010));
+    CHECK(pace.in_time(5, duration(120), at(9000)));
+    pace.started(3, at(9000));
+    CHECK(pace.expected_wait(10, at(9000)) < duration(120));
+}
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <camphortide/coordination/placing/primary_positions.hpp>
+#include <camphortide/coordination/placing/start_pace.hpp>
 #include <camphortide/coordination/placing/statement_queue.hpp>
 #include <camphortide/proxy/fleet_view.hpp>
 #include <camphortide/proxy/member_lane.hpp>
@@ -68,6 +70,9 @@
                                        state::time_point now) const;
     std::vector<coordination::member_condition>
     conditions(state::time_point now) const;
+    bool admit(statement_request const& request);
+    bool needs_primary(statement_request const& request,
+                       state::time_point now) const;
     void dispatch();
     void expire(state::time_point now);
     void set_timer();
@@ -98,6 +103,8 @@
     void watch_time(request_pointer const& request,
                     bound_connection const& use);
     std::shared_ptr<member_lane> lane_of(std::string const& member) const;
+    void probe_if_stale(member_lane& lane, state::time_point now);
+    void note_replica(member_lane& lane, state::log_position position);
     void finish_closings();
     bool primary_in_use(std::uint64_t revision) const;
 
@@ -112,6 +119,8 @@
     coordination::primary_permit m_permit;
     coordination::primary_positions m_positions;
     coordination::statement_queue m_queue;
+    /// of statements that replicas may run, and of those for the primary
+    std::array<coordination::start_pace, 2> m_paces;
     std::unordered_map<std::uint64_t, request_pointer> m_waiting;
     /// transactions and statements that use the primary, by revision
     std::map<std::uint64_t, std::size_t> m_primary_uses;
--- a/packages/proxy/include/camphortide/proxy/member_lane.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_lane.hpp
@@ -80,6 +80,8 @@
     std::size_t connections() const { return m_all.size(); }
     std::uint32_t in_flight() const { return m_in_flight; }
     state::duration lag() const { return m_lag; }
+    /// @return when the member last told its position, or that it lags
+    state::time_point last_heard() const { return m_last_heard; }
 
     /// @return since when every try to reach the member fails
     std::optional<state::time_point> failing_since() const
@@ -110,6 +112,7 @@
     coordination::moving_mean m_response;
     std::optional<state::log_position> m_applied;
     state::duration m_lag{};
+    state::time_point m_last_heard;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -24,6 +24,10 @@
 constexpr std::uint32_t reserved_connections = 2;
 /// Connections above an instance's part while callers wait for them.
 constexpr std::size_t extra_connections = 1;
+/// One in so many of an instance's part is kept while idle. A member counts
+/// the connections of machines that lost power for seconds: the others are
+/// the room that these find when they come back.
+constexpr std::size_t kept_part = 2;
 /// Statements of one instance at a member, at least.
 constexpr std::uint32_t least_statements = 2;
 /// Statements of all instances for each slot of a member: as one ends the
@@ -35,6 +39,10 @@
 constexpr state::duration repeat_pause{8};
 /// How long an orderly change of primary waits for what has begun.
 constexpr state::duration orderly_wait{1500};
+/// A replica that was seen so far behind gets few reads that would tell when
+/// it is back: it is asked for its position, a few times a second.
+constexpr state::duration stale_lag{150};
+constexpr state::duration stale_probe_interval{250};
 /// How long a primary fails before others are told.
 constexpr state::duration unreachable_after{300};
 /// Added to the age of a position: reading the clocks takes part of a ms.
@@ -134,8 +142,9 @@
                             : m_connection_cap;
     auto const instances = static_cast<std::uint32_t>(m_instances);
     lane_limits limits;
-    limits.m_connections = std::max<std::size_t>(1, shared / instances);
-    limits.m_extra = extra_connections;
+    auto const share = std::max<std::size_t>(1, shared / instances);
+    limits.m_connections = std::max<std::size_t>(1, share / kept_part);
+    limits.m_extra = share + extra_connections - limits.m_connections;
     limits.m_statements =
         std::max(least_statements,
                  (member.m_slots * statements_per_slot + instances - 1) /
@@ -208,6 +217,11 @@
         run(request, *request->m_bound);
         return;
     }
+    if (request->m_sendings == 0 && !admit(*request))
+    {
+        refuse(request, "no member in time");
+        return;
+    }
     m_waiting[request->m_number] = request;
     coordination::waiting_statement item;
     item.m_number = request->m_number;
@@ -220,6 +234,38 @@
     dispatch();
 }
 
+bool group_traffic::admit(statement_request const& request)
+{
+    auto const now = state::clock::now();
+    bool const primary = needs_primary(request, now);
+    std::size_t ahead = 0;
+    auto const target = request.m_arrived + request.m_route->m_target_latency;
+    for (auto const& item : m_queue.in_order(now))
+    {
+        auto const place = m_waiting.find(item.m_number);
+        bool const before = item.m_target > now && item.m_target <= target;
+        if (before && place != m_waiting.end() &&
+            needs_primary(*place->second, now) == primary)
+        {
+            ++ahead;
+        }
+    }
+    return m_paces[primary ? 1 : 0].in_time(ahead, target - now, now);
+}
+
+bool group_traffic::needs_primary(statement_request const& request,
+                                  state::time_point now) const
+{
+    auto members = conditions(now);
+    for (auto& member : members)
+    {
+        member.m_free = true;
+    }
+    auto const ideal =
+        coordination::choose_member(need_of(request, now), members, now);
+    return !ideal.m_member || members[*ideal.m_member].m_primary;
+}
+
 void group_traffic::dispatch()
 {
     if (m_dispatching)
@@ -347,7 +393,9 @@
     bound_connection use;
     use.m_lane = lane;
     use.m_connection = lane->take(request->m_values);
-    if (is_primary(lane->member().m_id))
+    bool const primary = is_primary(lane->member().m_id);
+    m_paces[primary ? 1 : 0].started(m_waiting.size(), state::clock::now());
+    if (primary)
     {
         use.m_permit_revision = m_permit.standing().m_revision;
         use.m_term = m_permit.standing().m_term;
@@ -556,13 +604,7 @@
         }
         return;
     }
-    auto const next = state::log_position{reply.m_position->m_term,
-                                          reply.m_position->m_index + 1};
-    auto const passed = m_positions.reached(next);
-    use.m_lane->note_applied(*reply.m_position,
-                       passed ? std::max(state::clock::now() - *passed,
-                                         state::duration(0))
-                              : state::duration(0));
+    note_replica(*use.m_lane, *reply.m_position);
 }
 
 void group_traffic::learn_failure(statement_request& request,
@@ -782,6 +824,47 @@
     }
 }
 
+void group_traffic::probe_if_stale(member_lane& lane, state::time_point now)
+{
+    bool const stale = lane.lag() >= stale_lag &&
+                       now - lane.last_heard() >= stale_probe_interval;
+    auto const connection =
+        stale && !is_primary(lane.member().m_id) ? lane.take({}) : nullptr;
+    if (!connection)
+    {
+        return;
+    }
+    auto const self = lane.shared_from_this();
+    self->started();
+    connection->send(
+        platform::member_ask_report(),
+        [this, self, connection,
+         alive = m_alive](std::optional<statement_reply> reply)
+        {
+            self->finished(std::nullopt);
+            self->give_back(connection,
+                            reply && reply->m_phase == session_phase::idle);
+            if (*alive && reply && reply->m_position)
+            {
+                note_replica(*self, *reply->m_position);
+                dispatch();
+            }
+        });
+}
+
+void group_traffic::note_replica(member_lane& lane,
+                                 state::log_position position)
+{
+    auto const next =
+        state::log_position{position.m_term, position.m_index + 1};
+    auto const passed = m_positions.reached(next);
+    auto const now = state::clock::now();
+    lane.note_applied(position, passed
+                                    ? std::max(now - *passed,
+                                               state::duration(0))
+                                    : state::duration(0));
+}
+
 void group_traffic::sweep()
 {
     auto const now = state::clock::now();
@@ -789,6 +872,7 @@
     for (auto const& lane : m_lanes)
     {
         lane->close_surplus(now);
+        probe_if_stale(*lane, now);
         bool const cut = is_primary(lane->member().m_id) &&
                          lane->failing_since() &&
                          now - *lane->failing_since() >= unreachable_after;
--- a/packages/proxy/src/member_lane.cpp
+++ b/packages/proxy/src/member_lane.cpp
@@ -194,6 +194,7 @@
 
 void member_lane::note_lagging(state::duration behind)
 {
+    m_last_heard = state::clock::now();
     auto const grown = state::duration(static_cast<state::duration::rep>(
         static_cast<double>(m_lag.count()) * lagging_growth));
     m_lag = std::max(behind, std::min(grown, behind * 2));
@@ -202,6 +203,7 @@
 void member_lane::note_applied(state::log_position position,
                                state::duration behind)
 {
+    m_last_heard = state::clock::now();
     if (!m_applied || position > *m_applied)
     {
         m_applied = position;
