primary: silent instances are expelled before a primary is lost

Cause: an instance that was replaced by one of another name stayed registered; when a primary was lost later, the promotion waited 10 s for its permit, and once more after a change of the holder. Change: the holder asks the instances whether they are there, and expels silent ones at once; their permits lapse from when that is seen. What is known of a replacement is kept while the token is the same. Conclusion: the wait remains for instances that fall silent with the primary.

--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -50,6 +50,8 @@
     /// every registered instance, as of the record's revision or later
     std::map<std::string, state::stored<state::instance_entry>> m_instances;
     std::map<std::string, closing_answer> m_answers; ///< by instance
+    /// since when instances were seen expelled: they got no permit since
+    std::map<std::string, state::time_point> m_expelled;
     std::vector<reported_member> m_members;
     std::uint32_t m_sync_replicas = 0;
     replacement_reason m_reason = replacement_reason::none;
@@ -66,8 +68,7 @@
     {
         write_record, ///< m_record, at the revision of the facts' record
         ask_close,    ///< m_name: an instance
-        promote,      ///< m_name: a member
-        expel         ///< m_name: an instance that never answered
+        promote       ///< m_name: a member
     };
 
     kind m_kind = kind::write_record;
@@ -142,7 +143,6 @@
     bool claim(replacement_facts const& facts, actions& into);
     void end_permits(replacement_facts const& facts,
                      std::vector<std::string> const& missing, actions& into);
-    void expel_silent(replacement_facts const& facts, actions& into);
     bool choose_target(replacement_facts const& facts, actions& into);
     void promote_target(replacement_facts const& facts, actions& into);
     bool target_failed(replacement_facts const& facts) const;
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -42,7 +42,6 @@
     {
         m_clear = facts.m_now;
     }
-    expel_silent(facts, result);
     if (!facts.m_record.m_record.m_target.empty())
     {
         promote_target(facts, result);
@@ -117,6 +116,12 @@
     {
         return true;
     }
+    auto const expelled = facts.m_expelled.find(instance.m_name);
+    if (instance.m_expelled && expelled != facts.m_expelled.end() &&
+        facts.m_now - expelled->second >= permit_lease)
+    {
+        return true;
+    }
     auto const& group = facts.m_record.m_record.m_group;
     auto const said = instance.m_closed.find(group);
     if (said != instance.m_closed.end() && said->second >= m_closing_since)
@@ -162,26 +167,6 @@
     }
 }
 
-void replacement::expel_silent(replacement_facts const& facts, actions& into)
-{
-    if (facts.m_now - m_seen < permit_lease)
-    {
-        return;
-    }
-    for (auto const& [name, instance] : facts.m_instances)
-    {
-        auto const answer = facts.m_answers.find(name);
-        bool const silent = answer == facts.m_answers.end() &&
-                            !instance.m_record.m_closed.contains(
-                                facts.m_record.m_record.m_group);
-        if (silent && !instance.m_record.m_expelled &&
-            due("expel " + name, facts.m_now))
-        {
-            into.push_back({replacement_action::kind::expel, name, {}});
-        }
-    }
-}
-
 bool replacement::fresh(reported_member const& member) const
 {
     return member.m_report && member.m_asked >= *m_clear;
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -157,7 +157,7 @@
     CHECK(value.unfinished(facts) == std::vector<std::string>{"b"});
 }
 
-TEST_CASE("a silent instance is waited out, then expelled")
+TEST_CASE("a silent instance is waited out")
 {
     auto facts = facts_at(0);
     auto value = closing_of_own(facts);
@@ -168,9 +168,21 @@
     CHECK(kinds(value.step(facts)) == std::vector{kind::ask_close});
     facts.m_now = at(100) + permit_lease;
     report(facts, 100 + static_cast<int>(permit_lease.count()));
-    auto const actions = value.step(facts);
-    REQUIRE(kinds(actions) == std::vector{kind::expel, kind::write_record});
-    CHECK(actions[0].m_name == "b");
+    CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
+}
+
+TEST_CASE("one that was expelled before is waited out from then on")
+{
+    auto facts = facts_at(20000);
+    auto value = closing_of_own(facts);
+    facts.m_answers["a"] = {7, 11};
+    facts.m_instances["b"].m_record.m_expelled = true;
+    facts.m_expelled["b"] = at(20001) - permit_lease;
+    report(facts, 20000);
+    CHECK(kinds(value.step(facts)) == std::vector{kind::ask_close});
+    facts.m_now = at(20001);
+    report(facts, 20001);
+    CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
 }
 
 TEST_CASE("a call that may take effect bars the others and the old primary")
--- a/packages/coordination/test/primary/replacement_world.cpp
+++ b/packages/coordination/test/primary/replacement_world.cpp
@@ -465,8 +465,6 @@
     case replacement_action::kind::promote:
         promote(self, action.m_name);
         return;
-    case replacement_action::kind::expel:
-        return; // needs no proof here: the record stays
     }
 }
 
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -54,6 +54,12 @@
     /// @return the members in force, by id
     std::map<std::string, state::member_entry> members() const;
 
+    /// @return since when this process has seen instances expelled
+    std::map<std::string, state::time_point> const& expelled() const
+    {
+        return m_expelled;
+    }
+
     /// @return true if an instance's registered process is known to be gone
     bool replaced(std::string const& name, std::int64_t born) const;
 
@@ -74,6 +80,7 @@
     void take_configuration(object_watch::news const& news);
     void take_members(object_watch::news const& news);
     void take_records(object_watch::news const& news);
+    void follow_expelled();
     bool registered() const;
     void register_if_due(state::time_point now);
     void write_own(std::uint64_t revision);
@@ -90,6 +97,7 @@
     std::shared_ptr<state::configuration const> m_configuration;
     std::map<std::string, known_member> m_members; ///< by id
     state::fleet_records m_records;
+    std::map<std::string, state::time_point> m_expelled; ///< by name
     state::time_point m_proven; ///< the records are at least as new as this
     bool m_records_known = false;
     state::instance_entry m_own;
--- a/packages/proxy/include/camphortide/proxy/peer_messages.hpp
+++ b/packages/proxy/include/camphortide/proxy/peer_messages.hpp
@@ -45,6 +45,8 @@
 
 inline constexpr char const* close_path = "/close";
 inline constexpr char const* unreachable_path = "/unreachable";
+/// Answered like a request to close, of no revision: the process is there.
+inline constexpr char const* ping_path = "/ping";
 
 platform::http_call encode(close_request const& message);
 platform::http_answer encode(close_response const& message);
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -56,6 +56,13 @@
 private:
     struct group_control;
 
+    /// When an instance was last asked, and last answered.
+    struct contact
+    {
+        state::time_point m_asked;
+        state::time_point m_answered;
+    };
+
     void step_lease(state::time_point now);
     void step_group(std::string const& name, state::time_point now);
     void create_record(std::string const& name, group_control& group);
@@ -76,6 +83,8 @@
     void ask_close(std::string const& name, std::string const& instance,
                    std::uint64_t revision);
     void promote(std::string const& name, std::string const& member);
+    void ping_instances(state::time_point now);
+    void ping(std::string const& name, std::string const& address);
     void expel(std::string const& instance);
     void remove_expelled(state::time_point now);
     http_client& peer(std::string const& address);
@@ -87,12 +96,13 @@
     local_close m_close_here;
     coordination::duty_lease m_lease;
     bool m_held = false;
+    std::uint64_t m_held_token = 0; ///< of the groups below
+    state::time_point m_last_tick;
     std::map<std::string, std::unique_ptr<group_control>> m_groups;
     std::map<std::string, std::shared_ptr<http_client>> m_peers;
     std::map<std::string, state::time_point> m_words_sent; ///< by group
-    /// expelled instances by name and revision, with when they were seen so
-    std::map<std::pair<std::string, std::uint64_t>, state::time_point>
-        m_expelled;
+    std::map<std::string, contact> m_contacts; ///< by instance
+    state::time_point m_last_removal;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -201,6 +201,7 @@
     }
     bool const changed = records != m_records;
     m_records = std::move(records);
+    follow_expelled();
     m_records_known = m_records_known || news.m_whole;
     if (news.m_whole)
     {
@@ -213,6 +214,26 @@
     m_on_records();
 }
 
+void fleet_control::follow_expelled()
+{
+    auto const now = state::clock::now();
+    auto const is_expelled = [this](std::string const& name)
+    {
+        auto const place = m_records.m_instances.find(name);
+        return place != m_records.m_instances.end() &&
+               place->second.m_record.m_expelled;
+    };
+    std::erase_if(m_expelled, [&](auto const& entry)
+                  { return !is_expelled(entry.first); });
+    for (auto const& entry : m_records.m_instances)
+    {
+        if (entry.second.m_record.m_expelled)
+        {
+            m_expelled.try_emplace(entry.first, now);
+        }
+    }
+}
+
 bool fleet_control::registered() const
 {
     auto const place = m_records.m_instances.find(m_own.m_name);
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -146,6 +146,13 @@
     m_server.on(close_path, [this](platform::http_call const& request,
                                    http_server::respond done)
                 { answer_close(request, std::move(done)); });
+    m_server.on(ping_path,
+                [this](platform::http_call const&,
+                       http_server::respond const& done)
+                {
+                    done(encode(close_response{m_fleet.name(),
+                                               m_fleet.born(), 0}));
+                });
     m_server.on(unreachable_path,
                 [this](platform::http_call const& request,
                        http_server::respond const& done)
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <camphortide/proxy/replacement_control.hpp>
@@ -30,6 +31,20 @@
 /// Least pause between two words about one group; they count for 1.2 s.
 constexpr state::duration word_pause{400};
 constexpr state::duration word_limit{500};
+/// How often an instance is asked whether it is there; in a large fleet, less
+/// often, so that the holder asks no more than fifty a second.
+constexpr state::duration ping_interval{1000};
+constexpr state::duration ping_spread{20};
+constexpr state::duration ping_limit{800};
+/// An instance that is silent for longer gets no new permits: those that it
+/// has then lapse before a primary is lost, and not while it is missed.
+constexpr state::duration silence_limit{2000};
+/// Pause before an instance that registers anew, but stays silent to the
+/// holder, is expelled again.
+constexpr state::duration expelling_pause{20000};
+constexpr state::duration removal_pause{1000};
+/// A longer pause between two ticks means that this process stood still.
+constexpr state::duration own_pause{400};
 /// Pause between two tries to create a group's record.
 constexpr state::duration creation_pause{300};
 
@@ -119,8 +134,18 @@
         transport::log_info(log_part::group,
                             holds ? "duty taken" : "duty ended",
                             {{"token", m_lease.token()}});
+    }
+    if (holds && m_held_token != m_lease.token())
+    {
+        m_held_token = m_lease.token();
         m_groups.clear();
+        m_contacts.clear();
+    }
+    if (now - m_last_tick > own_pause)
+    {
+        m_contacts.clear(); // answers that came meanwhile are still unread
     }
+    m_last_tick = now;
     auto const configuration = m_fleet.configuration();
     if (!holds || !configuration)
     {
@@ -130,9 +155,56 @@
     {
         step_group(entry.first, now);
     }
+    ping_instances(now);
     remove_expelled(now);
 }
 
+void replacement_control::ping_instances(state::time_point now)
+{
+    auto const& instances = m_fleet.records().m_instances;
+    std::erase_if(m_contacts, [&](auto const& entry)
+                  { return !instances.contains(entry.first); });
+    auto const interval = std::max(
+        ping_interval,
+        ping_spread * static_cast<state::duration::rep>(instances.size()));
+    for (auto const& [name, stored] : instances)
+    {
+        if (name == m_fleet.name() || stored.m_record.m_expelled)
+        {
+            m_contacts.erase(name);
+            continue;
+        }
+        auto& known = m_contacts.try_emplace(name, contact{now, now})
+                          .first->second;
+        if (now - known.m_answered >= interval + silence_limit)
+        {
+            expel(name);
+            known.m_answered = now + expelling_pause;
+        }
+        else if (now - known.m_asked >= interval)
+        {
+            known.m_asked = now;
+            ping(name, stored.m_record.m_address);
+        }
+    }
+}
+
+void replacement_control::ping(std::string const& name,
+                               std::string const& address)
+{
+    peer(address).call({"GET", ping_path, {}, {}}, ping_limit,
+                       [this, name](call_result const& result)
+                       {
+                           auto const place = m_contacts.find(name);
+                           if (result.m_answer && place != m_contacts.end())
+                           {
+                               place->second.m_answered =
+                                   std::max(place->second.m_answered,
+                                            state::clock::now());
+                           }
+                       });
+}
+
 void replacement_control::step_lease(state::time_point now)
 {
     auto const write = m_lease.step(now);
@@ -329,6 +401,7 @@
     group.m_watch.tick(now);
     facts.m_instances = m_fleet.records().m_instances;
     facts.m_answers = group.m_answers;
+    facts.m_expelled = m_fleet.expelled();
     auto const members = m_fleet.members();
     for (auto const& [id, member] : group.m_members)
     {
@@ -371,9 +444,6 @@
     case replacement_action::kind::promote:
         promote(name, action.m_name);
         return;
-    case replacement_action::kind::expel:
-        expel(action.m_name);
-        return;
     }
 }
 
@@ -526,20 +596,21 @@
 
 void replacement_control::remove_expelled(state::time_point now)
 {
-    for (auto const& [name, stored] : m_fleet.records().m_instances)
+    if (now - m_last_removal < removal_pause)
     {
-        if (!stored.m_record.m_expelled)
-        {
-            continue;
-        }
-        auto const key = std::pair(name, stored.m_revision);
-        auto const seen = m_expelled.try_emplace(key, now).first->second;
+        return;
+    }
+    for (auto const& [name, since] : m_fleet.expelled())
+    {
+        auto const place = m_fleet.records().m_instances.find(name);
         // Until then it may hold permits that were proven before.
-        if (now - seen >= coordination::permit_lease)
+        if (now - since >= coordination::permit_lease &&
+            place != m_fleet.records().m_instances.end())
         {
-            m_expelled[key] = now;
+            m_last_removal = now;
             m_store.call(
-                platform::remove_call(stored.m_record, stored.m_revision),
+                platform::remove_call(place->second.m_record,
+                                      place->second.m_revision),
                 [](store_outcome, std::optional<platform::http_answer> const&)
                 {
                     // The records show whether it was done.
