--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -11,6 +11,7 @@
 #include <camphortide/coordination/session/session_state.hpp>
 #include <camphortide/platform/caller_protocol.hpp>
 #include <camphortide/platform/text_lines.hpp>
+#include <camphortide/proxy/socket_writer.hpp>
 #include <camphortide/proxy/statement_request.hpp>
 
 namespace camphortide::proxy
@@ -90,18 +91,17 @@
     void answer(state::statement_reply const& reply);
     void release_transaction();
     void write(std::string bytes);
-    void write_next();
+    void written(bool ok);
     void end();
 
     boost::asio::ip::tcp::socket m_socket;
     session_host& m_host;
+    socket_writer m_writer;
     std::uint64_t m_number;
     std::uint64_t m_statements = 0;
     end_handler m_ended;
     platform::text_lines m_lines;
     std::array<char, 4096> m_received;
-    std::string m_unsent;
-    std::string m_writing;
     bool m_open = false;    ///< the caller named its database
     bool m_waiting = false; ///< for the first configuration
     bool m_busy = false;    ///< a request is not answered yet
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -70,14 +70,20 @@
     void apply_members(fleet_view const& view);
     lane_limits limits_for(state::member_entry const& member) const;
     bool is_primary(std::string const& member) const;
-    coordination::placing_need need_of(statement_request const& request,
-                                       state::time_point now) const;
+    coordination::placing_need need_of(statement_request const& request) const;
     std::vector<coordination::member_condition>
     conditions(state::time_point now) const;
     bool admit(statement_request const& request);
     bool needs_primary(statement_request const& request,
                        state::time_point now) const;
     void dispatch();
+    /// Sends what can be sent.
+    /// @return for each lane, the statements that would use one more of its
+    ///     connections
+    std::vector<std::size_t> send_waiting(state::time_point now);
+    std::optional<std::size_t> ideal_member(statement_request const& request,
+                                            state::time_point now) const;
+    void open_connections(std::vector<std::size_t> const& wanted);
     void expire(state::time_point now);
     void set_timer();
     void start(request_pointer const& request, std::size_t lane);
--- a/packages/proxy/include/camphortide/proxy/member_connection.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_connection.hpp
@@ -15,6 +15,7 @@
 #include <camphortide/coordination/session/connection_layout.hpp>
 #include <camphortide/platform/member_protocol.hpp>
 #include <camphortide/platform/text_lines.hpp>
+#include <camphortide/proxy/socket_writer.hpp>
 #include <camphortide/state/clock.hpp>
 #include <camphortide/state/member_entry.hpp>
 #include <camphortide/state/statement_reply.hpp>
@@ -74,17 +75,15 @@
     void read();
     void take_lines();
     void take_line(std::string const& line);
-    void write();
     void end();
 
     boost::asio::ip::tcp::socket m_socket;
+    socket_writer m_writer;
     boost::asio::steady_timer m_opening_timer;
     platform::text_lines m_lines;
     platform::member_reply_parser m_parser;
     coordination::connection_layout m_layout;
     std::string m_greeting;
-    std::string m_unsent;
-    std::string m_writing;
     std::array<char, 8192> m_received;
     std::deque<reply_handler> m_handlers;
     open_handler m_opening;
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <boost/asio/write.hpp>
-
 #include <camphortide/proxy/caller_session.hpp>
 
 namespace camphortide::proxy
@@ -30,6 +28,7 @@
                                std::uint64_t number)
     : m_socket(std::move(socket)),
       m_host(host),
+      m_writer(m_socket, [this](bool ok) { written(ok); }),
       m_number(number),
       m_received()
 {
@@ -310,7 +309,7 @@
 void caller_session::close_if_idle()
 {
     if (!m_busy && m_state.phase() == state::session_phase::idle &&
-        m_writing.empty() && !m_lines.partial())
+        !m_writer.busy() && !m_lines.partial())
     {
         end();
     }
@@ -318,36 +317,18 @@
 
 void caller_session::write(std::string bytes)
 {
-    m_unsent += bytes;
-    write_next();
+    if (!m_gone)
+    {
+        m_writer.write(std::move(bytes), shared_from_this());
+    }
 }
 
-void caller_session::write_next()
+void caller_session::written(bool ok)
 {
-    if (!m_writing.empty() || m_gone)
-    {
-        return;
-    }
-    if (m_unsent.empty())
+    if (!ok || m_close_when_written)
     {
-        if (m_close_when_written)
-        {
-            end();
-        }
-        return;
+        end();
     }
-    m_writing = std::exchange(m_unsent, {});
-    asio::async_write(m_socket, asio::buffer(m_writing),
-                      [self = shared_from_this()](error_code error, std::size_t)
-                      {
-                          self->m_writing.clear();
-                          if (error)
-                          {
-                              self->end();
-                              return;
-                          }
-                          self->write_next();
-                      });
 }
 
 void caller_session::end()
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -33,10 +33,6 @@
 /// Statements of all instances for each slot of a member: as one ends the
 /// next is there.
 constexpr std::uint32_t statements_per_slot = 3;
-/// How often a statement is sent before it is refused.
-constexpr std::uint32_t most_sendings = 8;
-/// Pause before a statement that found no slot is sent again.
-constexpr state::duration repeat_pause{8};
 /// How long an orderly change of primary waits for what has begun.
 constexpr state::duration orderly_wait{1500};
 /// A replica that was seen so far behind gets few reads that would tell when
@@ -48,11 +44,6 @@
 /// Added to the age of a position: reading the clocks takes part of a ms.
 constexpr state::duration position_margin{5};
 
-statement_failure again_later(std::string_view why)
-{
-    return {statement_error::busy, std::string(why)};
-}
-
 } // namespace
 
 group_traffic::group_traffic(boost::asio::io_context& context,
@@ -156,8 +147,7 @@
 }
 
 coordination::placing_need
-group_traffic::need_of(statement_request const& request,
-                       state::time_point) const
+group_traffic::need_of(statement_request const& request) const
 {
     coordination::placing_need need;
     need.m_tried = request.m_tried;
@@ -254,14 +244,8 @@
 bool group_traffic::needs_primary(statement_request const& request,
                                   state::time_point now) const
 {
-    auto members = conditions(now);
-    for (auto& member : members)
-    {
-        member.m_free = true;
-    }
-    auto const ideal =
-        coordination::choose_member(need_of(request, now), members, now);
-    return !ideal.m_member || members[*ideal.m_member].m_primary;
+    auto const ideal = ideal_member(request, now);
+    return !ideal || is_primary(m_lanes[*ideal]->member().m_id);
 }
 
 void group_traffic::dispatch()
@@ -277,58 +261,69 @@
         m_dispatch_again = false;
         auto const now = state::clock::now();
         expire(now);
-        std::vector<std::size_t> wanted(m_lanes.size(), 0);
-        for (auto const& item : m_queue.in_order(now))
+        open_connections(send_waiting(now));
+    } while (m_dispatch_again);
+    m_dispatching = false;
+    set_timer();
+}
+
+std::vector<std::size_t> group_traffic::send_waiting(state::time_point now)
+{
+    std::vector<std::size_t> wanted(m_lanes.size(), 0);
+    for (auto const& item : m_queue.in_order(now))
+    {
+        auto const place = m_waiting.find(item.m_number);
+        if (place == m_waiting.end())
         {
-            auto const place = m_waiting.find(item.m_number);
-            if (place == m_waiting.end())
-            {
-                continue;
-            }
-            auto const request = place->second;
-            auto const need = need_of(*request, now);
-            auto members = conditions(now);
-            auto const choice = coordination::choose_member(need, members, now);
-            if (choice.m_member)
-            {
-                count_read(*request, need, members,
-                           members[*choice.m_member].m_primary, now);
-                start(request, *choice.m_member);
-                continue;
-            }
-            if (!choice.m_possible)
-            {
-                if (request->m_tried != 0)
-                {
-                    request->m_tried = 0;
-                }
-                continue;
-            }
-            // Ask for a connection where it would go if all were free.
-            for (auto& member : members)
-            {
-                member.m_free = true;
-            }
-            auto const ideal = coordination::choose_member(need, members, now);
-            if (ideal.m_member)
-            {
-                ++wanted[*ideal.m_member];
-            }
+            continue; // it left the queue while others were sent
         }
-        for (std::size_t i = 0; i < m_lanes.size(); ++i)
+        auto const request = place->second;
+        auto const need = need_of(*request);
+        auto const members = conditions(now);
+        auto const choice = coordination::choose_member(need, members, now);
+        if (choice.m_member)
         {
-            m_lanes[i]->open_wanted(wanted[i],
-                                    [this, alive = m_alive]
-                                    {
-                                        if (*alive)
-                                        {
-                                            dispatch();
-                                        }
-                                    });
+            count_read(*request, need, members,
+                       members[*choice.m_member].m_primary, now);
+            start(request, *choice.m_member);
         }
-    } while (m_dispatch_again);
-    m_dispatching = false;
-    set_timer();
+        else if (!choice.m_possible)
+        {
+            request->m_tried = 0; // all that could run it are tried again
+        }
+        else if (auto const ideal = ideal_member(*request, now))
+        {
+            ++wanted[*ideal];
+        }
+    }
+    return wanted;
+}
+
+std::optional<std::size_t>
+group_traffic::ideal_member(statement_request const& request,
+                            state::time_point now) const
+{
+    auto members = conditions(now);
+    for (auto& member : members)
+    {
+        member.m_free = true;
+    }
+    return coordination::choose_member(need_of(request), members, now).m_member;
+}
+
+void group_traffic::open_connections(std::vector<std::size_t> const& wanted)
+{
+    for (std::size_t i = 0; i < m_lanes.size(); ++i)
+    {
+        m_lanes[i]->open_wanted(wanted[i],
+                                [this, alive = m_alive]
+                                {
+                                    if (*alive)
+                                    {
+                                        dispatch();
+                                    }
+                                });
+    }
 }
 
 void group_traffic::count_read(
@@ -415,395 +410,6 @@
     return place == m_lanes.end() ? nullptr : *place;
 }
 
-void group_traffic::start(request_pointer const& request, std::size_t index)
-{
-    auto const lane = m_lanes[index];
-    m_queue.erase(request->m_number);
-    m_waiting.erase(request->m_number);
-    bound_connection use;
-    use.m_lane = lane;
-    use.m_connection = lane->take(request->m_values);
-    bool const primary = is_primary(lane->member().m_id);
-    m_paces[primary ? 1 : 0].started(m_waiting.size(), state::clock::now());
-    if (primary)
-    {
-        use.m_permit_revision = m_permit.standing().m_revision;
-        use.m_term = m_permit.standing().m_term;
-        ++m_primary_uses[use.m_permit_revision];
-    }
-    request->m_tried |= std::uint32_t{1} << index;
-    run(request, use);
-}
-
-void group_traffic::run(request_pointer const& request,
-                        bound_connection const& use)
-{
-    ++request->m_sendings;
-    request->m_sent = state::clock::now();
-    use.m_lane->started();
-    watch_time(request, use);
-    send_preamble(request, use);
-}
-
-void group_traffic::watch_time(request_pointer const& request,
-                               bound_connection const& use)
-{
-    auto const left = request->m_latest - state::clock::now();
-    request->m_timer = std::make_unique<boost::asio::steady_timer>(m_context);
-    request->m_timer->expires_after(std::max(left, state::duration(1)));
-    request->m_timer->async_wait(
-        [connection = use.m_connection](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                connection->close();
-            }
-        });
-}
-
-void group_traffic::send_preamble(request_pointer const& request,
-                                  bound_connection const& use)
-{
-    auto const commands =
-        use.m_connection->layout().lay(request->m_values, request->m_shape);
-    std::vector<std::string> texts;
-    for (auto const& command : commands)
-    {
-        switch (command.m_kind)
-        {
-        case layout_command::kind::reset:
-            texts.push_back(platform::member_reset());
-            break;
-        case layout_command::kind::set_value:
-            texts.push_back(
-                platform::member_set_value(command.m_name, command.m_text));
-            break;
-        case layout_command::kind::prepare:
-            texts.push_back(platform::member_prepare(
-                command.m_name, command.m_write, command.m_text));
-            break;
-        }
-    }
-    if (request->m_begins)
-    {
-        std::optional<state::log_position> covered;
-        if (use.m_permit_revision == 0)
-        {
-            covered = need_of(*request, request->m_sent).m_covered;
-        }
-        texts.push_back(platform::member_begin(request->m_read_only, covered));
-    }
-    if (texts.empty())
-    {
-        send_statement(request, use);
-        return;
-    }
-    // The statement follows only when all of these have succeeded: it must
-    // not run without them.
-    auto const left = std::make_shared<std::size_t>(texts.size());
-    auto const failed = std::make_shared<bool>(false);
-    for (auto const& text : texts)
-    {
-        use.m_connection->send(
-            text,
-            [this, request, use, left, failed,
-             alive = m_alive](std::optional<statement_reply> reply)
-            {
-                if (!*alive || *failed)
-                {
-                    return;
-                }
-                if (!reply || !reply->ok())
-                {
-                    *failed = true;
-                    preamble_failed(request, use, std::move(reply));
-                    return;
-                }
-                if (--*left == 0)
-                {
-                    send_statement(request, use);
-                }
-            });
-    }
-}
-
-void group_traffic::preamble_failed(request_pointer const& request,
-                                    bound_connection const& use,
-                                    std::optional<statement_reply> reply)
-{
-    use.m_lane->finished(std::nullopt);
-    request->m_timer.reset();
-    auto const now = state::clock::now();
-    if (reply)
-    {
-        learn_failure(*request, use, *reply->m_failure);
-    }
-    else
-    {
-        use.m_lane->note_failure(now);
-    }
-    // What was laid on the connection is not known any more.
-    bool const only_begin =
-        request->m_begins && reply && use.m_connection->outstanding() == 0;
-    release(use, only_begin);
-    if (request->m_bound)
-    {
-        tell(request, {statement_error::aborted, "transaction rolled back"});
-        return;
-    }
-    send_again(request);
-}
-
-void group_traffic::send_statement(request_pointer const& request,
-                                   bound_connection const& use)
-{
-    auto const& statement = request->m_statement;
-    auto const text =
-        request->m_shape
-            ? platform::execute_text(
-                  use.m_connection->layout().name_of(*request->m_shape),
-                  statement.m_argument)
-            : statement.m_text;
-    std::optional<state::log_position> covered;
-    if (use.m_permit_revision == 0 && request->m_kind == sent_kind::single_read)
-    {
-        covered = need_of(*request, request->m_sent).m_covered;
-    }
-    use.m_connection->send(
-        platform::member_statement(statement.m_id, covered, text),
-        [this, request, use,
-         alive = m_alive](std::optional<statement_reply> reply)
-        {
-            if (*alive)
-            {
-                use.m_lane->finished(
-                    reply && reply->ok()
-                        ? std::optional(state::clock::now() - request->m_sent)
-                        : std::nullopt);
-                answered(request, use, std::move(reply));
-                dispatch();
-            }
-        });
-}
-
-void group_traffic::answered(request_pointer const& request,
-                             bound_connection const& use,
-                             std::optional<statement_reply> reply)
-{
-    auto const now = state::clock::now();
-    request->m_timer.reset();
-    bool const permit_lost = use.m_permit_revision != 0 &&
-                             !m_permit.still_allows(use.m_permit_revision, now);
-    if (reply)
-    {
-        use.m_lane->note_answer();
-    }
-    else
-    {
-        use.m_lane->note_failure(now);
-    }
-    if (reply && reply->ok() && !permit_lost)
-    {
-        learn(*request, use, *reply);
-    }
-    else if (reply && !reply->ok())
-    {
-        learn_failure(*request, use, *reply->m_failure);
-    }
-    auto const verdict =
-        coordination::judge_reply({request->m_kind, reply, permit_lost});
-    act(request, use, verdict, std::move(reply));
-}
-
-void group_traffic::learn(statement_request const& request,
-                          bound_connection const& use,
-                          statement_reply const& reply)
-{
-    if (!reply.m_position)
-    {
-        return;
-    }
-    if (use.m_permit_revision != 0)
-    {
-        if (use.m_term == m_positions.term())
-        {
-            m_positions.note(*reply.m_position, request.m_sent);
-        }
-        return;
-    }
-    note_replica(*use.m_lane, *reply.m_position);
-}
-
-void group_traffic::learn_failure(statement_request& request,
-                                  bound_connection const& use,
-                                  statement_failure const& failure)
-{
-    request.m_last_error = failure.m_error;
-    auto const now = state::clock::now();
-    if (failure.m_error == statement_error::lagging)
-    {
-        auto const need = need_of(request, now);
-        use.m_lane->note_lagging(
-            need.m_covered_since
-                ? std::max(now - *need.m_covered_since, state::duration(1))
-                : state::duration(1));
-    }
-    else if (failure.m_error == statement_error::busy)
-    {
-        use.m_lane->note_busy(now);
-        request.m_tried = 0;
-    }
-}
-
-void group_traffic::act(request_pointer const& request,
-                        bound_connection const& use,
-                        reply_verdict const& verdict,
-                        std::optional<statement_reply> reply)
-{
-    switch (verdict.m_action)
-    {
-    case reply_verdict::action::deliver:
-        deliver(request, use, std::move(*reply));
-        return;
-    case reply_verdict::action::repeat_there:
-        if (state::clock::now() + repeat_pause < request->m_latest)
-        {
-            auto const timer =
-                std::make_shared<boost::asio::steady_timer>(m_context);
-            timer->expires_after(repeat_pause);
-            timer->async_wait(
-                [this, timer, request, use,
-                 alive = m_alive](boost::system::error_code)
-                {
-                    if (*alive)
-                    {
-                        run(request, use);
-                    }
-                });
-            return;
-        }
-        release(use, false);
-        tell(request, again_later("no slot in time"));
-        return;
-    case reply_verdict::action::send_again:
-        release(use, verdict.m_keep_connection);
-        send_again(request);
-        return;
-    case reply_verdict::action::tell:
-        release(use, false);
-        tell(request, *verdict.m_failure);
-        return;
-    }
-}
-
-void group_traffic::deliver(request_pointer const& request,
-                            bound_connection const& use, statement_reply reply)
-{
-    statement_result result;
-    bool const in_transaction =
-        request->m_kind == sent_kind::in_transaction && reply.ok();
-    bool const commits = request->m_kind == sent_kind::single_write ||
-                         request->m_kind == sent_kind::commit_of_writes;
-    if (commits && reply.ok() && reply.m_position && use.m_term != 0)
-    {
-        result.m_commit =
-            coordination::session_position{use.m_term, *reply.m_position};
-    }
-    if (in_transaction)
-    {
-        result.m_bound = use;
-    }
-    else
-    {
-        release(use, reply.m_phase == session_phase::idle);
-    }
-    m_report.statement_ended(
-        {m_group,
-         *request,
-         use.m_lane->member().m_id,
-         use.m_permit_revision != 0,
-         reply,
-         state::clock::now(),
-         state::clock::now() - m_permit.standing().m_proven,
-         {}});
-    result.m_reply = std::move(reply);
-    auto const done = std::exchange(request->m_done, nullptr);
-    done(std::move(result));
-}
-
-void group_traffic::send_again(request_pointer const& request)
-{
-    auto const now = state::clock::now();
-    if (now >= request->m_latest || request->m_sendings >= most_sendings)
-    {
-        refuse(request, "no member ran it in time");
-        return;
-    }
-    m_report.statement_sent_again(
-        m_group, *request, std::string(to_string(request->m_last_error)));
-    submit(request);
-}
-
-void group_traffic::refuse(request_pointer const& request, std::string_view why)
-{
-    tell(request, again_later(why));
-}
-
-void group_traffic::tell(request_pointer const& request, statement_failure why)
-{
-    statement_result result;
-    result.m_reply.m_failure = std::move(why);
-    m_report.statement_ended(
-        {m_group,
-         *request,
-         {},
-         false,
-         result.m_reply,
-         state::clock::now(),
-         state::clock::now() - m_permit.standing().m_proven,
-         result.m_reply.m_failure->m_text});
-    auto const done = std::exchange(request->m_done, nullptr);
-    if (done)
-    {
-        done(std::move(result));
-    }
-}
-
-void group_traffic::release(bound_connection const& use, bool clean)
-{
-    if (use.m_permit_revision != 0)
-    {
-        auto const place = m_primary_uses.find(use.m_permit_revision);
-        if (place != m_primary_uses.end() && --place->second == 0)
-        {
-            m_primary_uses.erase(place);
-        }
-        finish_closings();
-    }
-    use.m_lane->give_back(use.m_connection, clean);
-}
-
-void group_traffic::roll_back(bound_connection const& use)
-{
-    if (!use.m_connection->alive())
-    {
-        release(use, false);
-        dispatch();
-        return;
-    }
-    use.m_connection->send(
-        platform::member_roll_back(),
-        [this, use, alive = m_alive](std::optional<statement_reply> reply)
-        {
-            if (*alive)
-            {
-                release(use, reply && reply->ok() &&
-                                 reply->m_phase == session_phase::idle);
-                dispatch();
-            }
-        });
-}
-
 bool group_traffic::primary_in_use(std::uint64_t revision) const
 {
     return !m_primary_uses.empty() && m_primary_uses.begin()->first <= revision;
--- a/packages/proxy/src/member_connection.cpp
+++ b/packages/proxy/src/member_connection.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <camphortide/proxy/member_connection.hpp>
 
@@ -27,6 +26,14 @@
 
 member_connection::member_connection(asio::io_context& context)
     : m_socket(context),
+      m_writer(m_socket,
+               [this](bool ok)
+               {
+                   if (!ok)
+                   {
+                       end();
+                   }
+               }),
       m_opening_timer(context),
       m_received()
 {
@@ -75,8 +82,7 @@
 void member_connection::connected()
 {
     guard_socket(m_socket, connection_silence);
-    m_unsent = std::move(m_greeting);
-    write();
+    m_writer.write(std::move(m_greeting), shared_from_this());
     read();
 }
 
@@ -122,28 +128,7 @@
     }
     m_last_used = state::clock::now();
     m_handlers.push_back(std::move(done));
-    m_unsent += bytes;
-    write();
-}
-
-void member_connection::write()
-{
-    if (!m_writing.empty() || m_unsent.empty() || m_ended)
-    {
-        return;
-    }
-    m_writing = std::exchange(m_unsent, {});
-    asio::async_write(m_socket, asio::buffer(m_writing),
-                      [self = shared_from_this()](error_code error, std::size_t)
-                      {
-                          self->m_writing.clear();
-                          if (error)
-                          {
-                              self->end();
-                              return;
-                          }
-                          self->write();
-                      });
+    m_writer.write(bytes, shared_from_this());
 }
 
 void member_connection::read()
