proxy: a read keeps the position that its member was chosen by

Cause: found by reading. A read for a replica asked anew what it needs when it was sent; had the term changed while the connection was prepared, nothing was known, and it would have gone out without any position: an answer of any age. No run showed it, and no test does: it needs a change of term between two answers of one member. Change: the position goes with the request from the choice on.

--- a/packages/coordination/include/camphortide/coordination/placing/primary_positions.hpp
+++ b/packages/coordination/include/camphortide/coordination/placing/primary_positions.hpp
@@ -30,7 +30,7 @@
 public:
     /// Least time between two positions that are kept.
     static constexpr state::duration grain{20};
-    /// Longest age that is kept; above the greatest staleness of the sheets.
+    /// Longest age that is kept; several times the staleness of any route.
     static constexpr state::duration horizon{10000};
 
     /// Forgets the positions of earlier primaries. A new primary's log may
--- a/packages/coordination/include/camphortide/coordination/primary/primary_permit.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/primary_permit.hpp
@@ -11,8 +11,8 @@
 
 /// How long a proof that a primary's term is open allows its use. Members
 /// acknowledge alone, so that only time ends the use by an instance that
-/// can't be told. Longer than the outages of the store that the sheets name
-/// (4 to 9 s), so that these stop nobody.
+/// can't be told. Longer than the usual outages of the store (4 to 9 s), so
+/// that these stop nobody.
 inline constexpr state::duration permit_lease{10000};
 
 /// What an instance knows of a group's primary.
--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -98,10 +98,10 @@
     /// how long an orderly change waits for a replica to hold everything
     state::duration m_catch_up_wait{1500};
     /// when a promotion that doesn't show is called again, or another member
-    /// chosen; several times the longest promotion of the sheets (1 s)
+    /// chosen; several times the longest promotion of members (1 s)
     state::duration m_promotion_wait{3000};
     /// how long a call of the duty's last holder may take to show: its time
-    /// limit of half a second and the longest promotion of the sheets (1 s)
+    /// limit of half a second and the longest promotion of members (1 s)
     state::duration m_takeover_wait{1500};
     /// how long a member that can't lead is left out
     state::duration m_leave_out{2000};
--- a/packages/coordination/test/placing/primary_positions_test.cpp
+++ b/packages/coordination/test/placing/primary_positions_test.cpp
@@ -78,9 +78,9 @@
 {
     primary_positions positions;
     positions.begin_term(1);
-    for (int i = 0; i < 100; ++i)
+    for (std::uint64_t i = 0; i < 100; ++i)
     {
-        positions.note(position(1, 1 + i), at(i * 1000));
+        positions.note(position(1, 1 + i), at(static_cast<int>(i) * 1000));
     }
     CHECK(positions.covering(at(0))->m_index >= 89);
 }
--- a/packages/coordination/test/primary/duty_lease_test.cpp
+++ b/packages/coordination/test/primary/duty_lease_test.cpp
@@ -56,10 +56,11 @@
 TEST_CASE("another's record is left alone while it changes")
 {
     duty_lease lease("b", 8);
-    for (int i = 0; i < 20; ++i)
+    for (std::uint64_t i = 0; i < 20; ++i)
     {
-        lease.observe(held_by("a", 1, 1 + i, 5 + i), false, at(i * 1000));
-        CHECK_FALSE(lease.step(at(i * 1000)).has_value());
+        auto const now = at(static_cast<int>(i) * 1000);
+        lease.observe(held_by("a", 1, 1 + i, 5 + i), false, now);
+        CHECK_FALSE(lease.step(now).has_value());
     }
 }
 
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -68,6 +68,7 @@
 std::vector<kind> kinds(std::vector<replacement_action> const& actions)
 {
     std::vector<kind> result;
+    result.reserve(actions.size());
     for (auto const& action : actions)
     {
         result.push_back(action.m_kind);
--- a/packages/coordination/test/primary/replacement_world.cpp
+++ b/packages/coordination/test/primary/replacement_world.cpp
@@ -101,7 +101,7 @@
 }
 
 void world::at_instance(int index, std::uint64_t life, int delay,
-                        std::function<void(instance&)> run)
+                        std::function<void(instance&)> const& run)
 {
     after(delay,
           [this, index, life, run]
@@ -142,8 +142,8 @@
 }
 
 void world::store_call(
-    instance& self, std::function<bool(std::uint64_t)> apply,
-    std::function<void(instance&, std::optional<std::uint64_t>)> done)
+    instance& self, std::function<bool(std::uint64_t)> const& apply,
+    std::function<void(instance&, std::optional<std::uint64_t>)> const& done)
 {
     auto const index = self.m_index;
     auto const life = self.m_life;
--- a/packages/coordination/test/primary/replacement_world.hpp
+++ b/packages/coordination/test/primary/replacement_world.hpp
@@ -81,7 +81,7 @@
     /// Runs at an instance, unless it was started anew; a frozen one runs it
     /// when it wakes.
     void at_instance(int index, std::uint64_t life, int ms,
-                     std::function<void(instance&)> run);
+                     std::function<void(instance&)> const& run);
 
     void start_instance(int index);
     void tick(instance& self);
@@ -97,8 +97,9 @@
     /// @param apply changes the records; false: the condition fails
     /// @param done gets the revision, or nothing
     void store_call(
-        instance& self, std::function<bool(std::uint64_t)> apply,
-        std::function<void(instance&, std::optional<std::uint64_t>)> done);
+        instance& self, std::function<bool(std::uint64_t)> const& apply,
+        std::function<void(instance&, std::optional<std::uint64_t>)> const&
+            done);
     void act(instance& self, coordination::replacement_action const& action);
     void ask_close(instance& self, std::string const& name);
     void promote(instance& self, std::string const& name);
--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -90,7 +90,7 @@
     void finished(state::statement const& statement, statement_result result);
     void answer(state::statement_reply const& reply);
     void release_transaction();
-    void write(std::string bytes);
+    void write(std::string const& bytes);
     void written(bool ok);
     void end();
 
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -88,6 +88,11 @@
     void set_timer();
     void start(request_pointer const& request, std::size_t lane);
     void run(request_pointer const& request, bound_connection const& use);
+    static std::vector<std::string> preamble(statement_request const& request,
+                                             bound_connection const& use);
+    /// @return the position that the log must hold, for a read at a replica
+    static std::optional<state::log_position>
+    covered_at(statement_request const& request, bound_connection const& use);
     void send_preamble(request_pointer const& request,
                        bound_connection const& use);
     void preamble_failed(request_pointer const& request,
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -53,7 +53,7 @@
     void serve_pages();
     void answer_readiness(http_server::respond const& done);
     void answer_close(platform::http_call const& request,
-                      http_server::respond done);
+                      http_server::respond const& done);
     void answer_metrics(http_server::respond const& done);
     void close_here(close_request const& request, std::function<void()> closed);
     void take_view(std::shared_ptr<fleet_view const> view);
--- a/packages/proxy/include/camphortide/proxy/socket_writer.hpp
+++ b/packages/proxy/include/camphortide/proxy/socket_writer.hpp
@@ -25,7 +25,7 @@
 
     /// Appends bytes to what is to be written.
     /// @param owner of the socket and the writer, kept until it is written
-    void write(std::string bytes, std::shared_ptr<void> owner);
+    void write(std::string const& bytes, std::shared_ptr<void> owner);
 
     /// @return true while something isn't written
     bool busy() const { return !m_writing.empty(); }
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -58,6 +58,8 @@
     handler m_done;
 
     std::uint32_t m_tried = 0; ///< members that can't run it now, by index
+    /// what a replica's log must hold, as when the member was chosen
+    std::optional<state::log_position> m_covered;
     std::uint32_t m_sendings = 0;
     state::time_point m_sent;
     std::unique_ptr<boost::asio::steady_timer> m_timer; ///< of the answer
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -315,11 +315,11 @@
     }
 }
 
-void caller_session::write(std::string bytes)
+void caller_session::write(std::string const& bytes)
 {
     if (!m_gone)
     {
-        m_writer.write(std::move(bytes), shared_from_this());
+        m_writer.write(bytes, shared_from_this());
     }
 }
 
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -285,6 +285,7 @@
         {
             count_read(*request, need, members,
                        members[*choice.m_member].m_primary, now);
+            request->m_covered = need.m_covered;
             start(request, *choice.m_member);
         }
         else if (!choice.m_possible)
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -76,12 +76,14 @@
         });
 }
 
-void group_traffic::send_preamble(request_pointer const& request,
-                                  bound_connection const& use)
+std::vector<std::string>
+group_traffic::preamble(statement_request const& request,
+                        bound_connection const& use)
 {
     auto const commands =
-        use.m_connection->layout().lay(request->m_values, request->m_shape);
+        use.m_connection->layout().lay(request.m_values, request.m_shape);
     std::vector<std::string> texts;
+    texts.reserve(commands.size() + 1);
     for (auto const& command : commands)
     {
         switch (command.m_kind)
@@ -99,15 +101,28 @@
             break;
         }
     }
-    if (request->m_begins)
+    if (request.m_begins)
     {
-        std::optional<state::log_position> covered;
-        if (use.m_permit_revision == 0)
-        {
-            covered = need_of(*request).m_covered;
-        }
-        texts.push_back(platform::member_begin(request->m_read_only, covered));
+        texts.push_back(platform::member_begin(request.m_read_only,
+                                               covered_at(request, use)));
     }
+    return texts;
+}
+
+std::optional<state::log_position>
+group_traffic::covered_at(statement_request const& request,
+                          bound_connection const& use)
+{
+    bool const replica = use.m_permit_revision == 0;
+    bool const begins_read = request.m_begins && request.m_read_only;
+    bool const asks = request.m_kind == sent_kind::single_read || begins_read;
+    return replica && asks ? request.m_covered : std::nullopt;
+}
+
+void group_traffic::send_preamble(request_pointer const& request,
+                                  bound_connection const& use)
+{
+    auto const texts = preamble(*request, use);
     if (texts.empty())
     {
         send_statement(request, use);
@@ -179,11 +194,8 @@
                   use.m_connection->layout().name_of(*request->m_shape),
                   statement.m_argument)
             : statement.m_text;
-    std::optional<state::log_position> covered;
-    if (use.m_permit_revision == 0 && request->m_kind == sent_kind::single_read)
-    {
-        covered = need_of(*request).m_covered;
-    }
+    auto const covered =
+        request->m_begins ? std::nullopt : covered_at(*request, use);
     use.m_connection->send(
         platform::member_statement(statement.m_id, covered, text),
         [this, request, use,
--- a/packages/proxy/src/member_connection.cpp
+++ b/packages/proxy/src/member_connection.cpp
@@ -82,7 +82,7 @@
 void member_connection::connected()
 {
     guard_socket(m_socket, connection_silence);
-    m_writer.write(std::move(m_greeting), shared_from_this());
+    m_writer.write(m_greeting, shared_from_this());
     read();
 }
 
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -187,15 +187,16 @@
 
 void proxy_instance::serve_pages()
 {
-    m_server.on(platform::readiness_path,
-                [this](platform::http_call const&, http_server::respond done)
-                { answer_readiness(done); });
-    m_server.on(metrics_path,
-                [this](platform::http_call const&, http_server::respond done)
+    m_server.on(
+        platform::readiness_path,
+        [this](platform::http_call const&, http_server::respond const& done)
+        { answer_readiness(done); });
+    m_server.on(metrics_path, [this](platform::http_call const&,
+                                     http_server::respond const& done)
                 { answer_metrics(done); });
     m_server.on(close_path, [this](platform::http_call const& request,
-                                   http_server::respond done)
-                { answer_close(request, std::move(done)); });
+                                   http_server::respond const& done)
+                { answer_close(request, done); });
     m_server.on(
         ping_path,
         [this](platform::http_call const&, http_server::respond const& done) {
@@ -221,7 +222,7 @@
 }
 
 void proxy_instance::answer_close(platform::http_call const& request,
-                                  http_server::respond done)
+                                  http_server::respond const& done)
 {
     auto const message = decode_close_request(request.m_body);
     if (!message)
@@ -231,7 +232,7 @@
     }
     m_fleet.note_asked(message->m_group, message->m_revision);
     close_here(*message,
-               [this, message = *message, done = std::move(done)]
+               [this, message = *message, done]
                {
                    done(encode(close_response{m_fleet.name(), m_fleet.born(),
                                               message.m_revision}));
--- a/packages/proxy/src/socket_writer.cpp
+++ b/packages/proxy/src/socket_writer.cpp
@@ -9,7 +9,7 @@
 
 namespace asio = boost::asio;
 
-void socket_writer::write(std::string bytes, std::shared_ptr<void> owner)
+void socket_writer::write(std::string const& bytes, std::shared_ptr<void> owner)
 {
     m_unsent += bytes;
     if (!busy())
