primary: a target must be seen to lead by its call

Ruled out: permits and claims (each instance had closed). Change: the record opens if the target was a replica before the call, or by a report asked for after an accepted call has had its time. Conclusion: a report says who leads only beside the call that it answers.

--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -146,6 +146,10 @@
     bool choose_target(replacement_facts const& facts, actions& into);
     void promote_target(replacement_facts const& facts, actions& into);
     bool target_failed(replacement_facts const& facts) const;
+    void note_target_before(replacement_facts const& facts);
+    /// @return true if the member leads by a call for this closing, and not
+    ///     by one of long ago that others have superseded since
+    bool leads_by_call(reported_member const& member) const;
     bool heard_enough(replacement_facts const& facts) const;
     bool fresh(reported_member const& member) const;
     bool reopen(replacement_facts const& facts, actions& into);
@@ -173,6 +177,7 @@
     std::optional<state::time_point> m_accepted; ///< the last accepted call
     bool m_uncertain = false;     ///< a call of unknown fate is out
     bool m_was_uncertain = false; ///< before the last call
+    bool m_was_replica = false;   ///< the target, before it was called for
     bool m_target_cannot = false;
     /// a record that may be written, now or later: nothing else is done
     /// until the record changes
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -70,6 +70,7 @@
     m_called.reset();
     m_accepted.reset();
     m_uncertain = false;
+    m_was_replica = false;
     m_target_cannot = false;
     m_opening.reset();
     m_tried.erase("write");
@@ -289,6 +290,25 @@
                                                  m_settings.m_promotion_wait);
 }
 
+void replacement::note_target_before(replacement_facts const& facts)
+{
+    m_was_replica = false;
+    for (auto const& member : facts.m_members)
+    {
+        if (member.m_entry.m_id == facts.m_record.m_record.m_target)
+        {
+            m_was_replica = fresh(member) && !member.m_report->m_primary;
+        }
+    }
+}
+
+bool replacement::leads_by_call(reported_member const& member) const
+{
+    return m_was_replica ||
+           (m_accepted &&
+            member.m_asked >= *m_accepted + m_settings.m_takeover_wait);
+}
+
 void replacement::promote_target(replacement_facts const& facts, actions& into)
 {
     auto record = facts.m_record.m_record;
@@ -297,7 +317,7 @@
         bool const leads = member.m_entry.m_id == record.m_target &&
                            fresh(member) && member.m_report->m_primary &&
                            member.m_report->m_term > record.m_term;
-        if (leads)
+        if (leads && leads_by_call(member))
         {
             record.m_term = member.m_report->m_term;
             record.m_primary = record.m_target;
@@ -319,6 +339,10 @@
         }
         m_target_cannot = false;
     }
+    if (!m_called)
+    {
+        note_target_before(facts);
+    }
     bool const again =
         !m_called || facts.m_now - m_accepted.value_or(*m_called) >=
                          m_settings.m_promotion_wait;
