proxy: admission counts without sorting the queue

Cause: found by reading the change. Change: the waiting statements are counted as they lie, by the same condition. Conclusion: what is counted needs no order.

--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -9,12 +9,8 @@
 namespace camphortide::proxy
 {
 
-using coordination::layout_command;
-using coordination::reply_verdict;
 using coordination::sent_kind;
 using state::session_phase;
-using state::statement_error;
-using state::statement_failure;
 using state::statement_reply;
 
 namespace
@@ -228,12 +224,11 @@
     bool const primary = needs_primary(request, now);
     std::size_t ahead = 0;
     auto const target = request.m_arrived + request.m_route->m_target_latency;
-    for (auto const& item : m_queue.in_order(now))
+    for (auto const& entry : m_waiting)
     {
-        auto const place = m_waiting.find(item.m_number);
-        bool const before = item.m_target > now && item.m_target <= target;
-        if (before && place != m_waiting.end() &&
-            needs_primary(*place->second, now) == primary)
+        auto const& other = entry.second;
+        auto const due = other->m_arrived + other->m_route->m_target_latency;
+        if (due > now && due <= target && needs_primary(*other, now) == primary)
         {
             ++ahead;
         }
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -10,8 +10,6 @@
 {
 
 using coordination::primary_loss;
-using coordination::promotion_result;
-using coordination::replacement_action;
 using coordination::replacement_reason;
 using platform::store_outcome;
 using transport::log_part;
