fleet: who watches the store, and who is a home of a group

An instance's record names its address for forwarded statements. Ruled out: fewer or longer watches of each instance (a silent connection would be noticed too late for the configuration's bound).

--- /dev/null
+++ b/packages/coordination/include/camphortide/coordination/fleet/news_source.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <camphortide/coordination/fleet/left_out.hpp>
+#include <camphortide/state/clock.hpp>
+#include <camphortide/state/fleet_records.hpp>
+
+namespace camphortide::coordination
+{
+
+/// An instance that passes on what it hears from the store.
+struct news_peer
+{
+    std::string m_name;
+    std::string m_address;
+
+    friend auto operator<=>(news_peer const&, news_peer const&) = default;
+};
+
+/// Whom an instance asks for what the store holds.
+struct news_plan
+{
+    bool m_store_first = true;      ///< the peers only if the store fails
+    std::vector<news_peer> m_peers; ///< the preferred one first
+
+    friend auto operator<=>(news_plan const&, news_plan const&) = default;
+};
+
+/// Instances of one data centre for each that asks the store itself. Each
+/// call to the store has its price, and its rates grow more slowly than the
+/// fleet; an answer to another instance takes about 0.1 ms of a core.
+inline constexpr std::size_t instances_per_watcher = 40;
+
+/// Plans whom an instance asks. In each data centre a few instances watch the
+/// store, the others ask these.
+/// @param self the instance's name
+/// @param instances all that are registered
+/// @param direct the instance needs the store's own answers
+news_plan
+plan_news(std::string_view self,
+          std::map<std::string, state::stored<state::instance_entry>> const&
+              instances,
+          bool direct);
+
+/// Chooses whom to ask next, after failures too.
+class news_source
+{
+public:
+    /// How long a peer that failed isn't asked: about a restart.
+    static constexpr state::duration peer_pause{2000};
+    /// How long a store that failed isn't asked while a peer answers. Its own
+    /// silence costs most of a second each time.
+    static constexpr state::duration store_pause{4000};
+
+    void set_plan(news_plan plan) { m_plan = std::move(plan); }
+
+    /// @return the peer to ask; nothing: the store
+    std::optional<news_peer> choose(state::time_point now) const;
+
+    /// Takes that a call has failed.
+    void failed(std::optional<news_peer> const& asked, state::time_point now);
+
+    /// Takes that a call has brought news.
+    void succeeded(std::optional<news_peer> const& asked);
+
+private:
+    news_plan m_plan;
+    left_out m_failed; ///< peers by name; the store's is empty
+};
+
+} // namespace camphortide::coordination
--- /dev/null
+++ b/packages/coordination/test/homes/group_homes_test.cpp
@@ -0,0 +1,133 @@
+#include <map>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/fleet/group_homes.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::choose_homes;
+using coordination::home_choice;
+using coordination::home_place;
+
+namespace
+{
+
+using instances = std::map<std::string, state::stored<state::instance_entry>>;
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// Instances of three data centres by turns.
+instances fleet(int count)
+{
+    instances all;
+    for (int number = 0; number < count; ++number)
+    {
+        state::instance_entry entry;
+        entry.m_name = "i";
+        entry.m_name += std::to_string(number);
+        entry.m_forwarding_address = "10.0.0." + std::to_string(number) + ":2";
+        entry.m_data_centre = "dc" + std::to_string(number % 3);
+        all[entry.m_name] = {entry, 1};
+    }
+    return all;
+}
+
+std::set<std::string> names_of(coordination::group_homes const& homes)
+{
+    std::set<std::string> names;
+    for (auto const& home : homes.m_homes)
+    {
+        names.insert(home.m_name);
+    }
+    return names;
+}
+
+home_place const first{"a", "10.0.0.1:2"};
+home_place const second{"b", "10.0.0.2:2"};
+
+} // namespace
+
+TEST_CASE("every instance is a home while each can have a connection")
+{
+    for (int const count : {1, 7, 14})
+    {
+        auto const homes = choose_homes("i0", "g", 14, fleet(count));
+        CHECK(homes.m_here);
+        CHECK(homes.m_homes.empty());
+        CHECK(homes.m_count == static_cast<std::size_t>(count));
+    }
+}
+
+TEST_CASE("an instance that knows of none serves by itself")
+{
+    auto const homes = choose_homes("i0", "g", 14, {});
+    CHECK(homes.m_here);
+    CHECK(homes.m_count == 1);
+}
+
+TEST_CASE("with fewer connections than instances all agree on few homes")
+{
+    auto const all = fleet(83);
+    auto const expected = names_of(choose_homes("i0", "g", 36, all));
+    CHECK(expected.size() == 3);
+    std::size_t here = 0;
+    for (auto const& [name, stored] : all)
+    {
+        auto const homes = choose_homes(name, "g", 36, all);
+        CHECK(names_of(homes) == expected);
+        CHECK(homes.m_count == 3);
+        CHECK(homes.m_here == expected.contains(name));
+        here += homes.m_here ? 1 : 0;
+        // The home of the own data centre comes first.
+        CHECK(all.at(homes.m_homes[0].m_name).m_record.m_data_centre ==
+              stored.m_record.m_data_centre);
+        CHECK(homes.m_homes[0].m_address ==
+              all.at(homes.m_homes[0].m_name).m_record.m_forwarding_address);
+    }
+    CHECK(here == 3);
+}
+
+TEST_CASE("a group has two homes even where connections are scarcest")
+{
+    CHECK(choose_homes("i0", "g", 3, fleet(20)).m_homes.size() == 2);
+}
+
+TEST_CASE("an expelled home is replaced by one other instance")
+{
+    auto all = fleet(83);
+    auto const before = names_of(choose_homes("i0", "g", 36, all));
+    all.at(*before.begin()).m_record.m_expelled = true;
+    auto const after = names_of(choose_homes("i0", "g", 36, all));
+    CHECK_FALSE(after.contains(*before.begin()));
+    std::size_t stayed = 0;
+    for (auto const& name : after)
+    {
+        stayed += before.contains(name) ? 1 : 0;
+    }
+    CHECK(stayed == 2);
+}
+
+TEST_CASE("statements go to the first home, after a failure to the next")
+{
+    home_choice choice;
+    choice.set_homes({first, second});
+    REQUIRE(choice.choose({}, at(0)) != nullptr);
+    CHECK(*choice.choose({}, at(0)) == first);
+    choice.failed("a", state::duration(1000), at(0));
+    CHECK(*choice.choose({}, at(999)) == second);
+    CHECK(*choice.choose({}, at(1000)) == first);
+}
+
+TEST_CASE("a statement is sent to each home once, also to one that failed")
+{
+    home_choice choice;
+    choice.set_homes({first, second});
+    choice.failed("b", state::duration(1000), at(0));
+    CHECK(*choice.choose({"a"}, at(1)) == second);
+    CHECK(choice.choose({"a", "b"}, at(1)) == nullptr);
+}
--- /dev/null
+++ b/packages/coordination/test/news/news_source_test.cpp
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/fleet/news_source.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+using coordination::news_peer;
+using coordination::news_source;
+using coordination::plan_news;
+
+namespace
+{
+
+using instances = std::map<std::string, state::stored<state::instance_entry>>;
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// Instances of three data centres by turns.
+instances fleet(int count)
+{
+    instances all;
+    for (int number = 0; number < count; ++number)
+    {
+        state::instance_entry entry;
+        entry.m_name = "i";
+        entry.m_name += std::to_string(number);
+        entry.m_address = "10.0.0." + std::to_string(number) + ":1";
+        entry.m_data_centre = "dc" + std::to_string(number % 3);
+        all[entry.m_name] = {entry, 1};
+    }
+    return all;
+}
+
+int store_first_count(instances const& all)
+{
+    int count = 0;
+    for (auto const& entry : all)
+    {
+        count += plan_news(entry.first, all, false).m_store_first ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a few instances of each data centre ask the store")
+{
+    CHECK(store_first_count(fleet(7)) == 3);
+    CHECK(store_first_count(fleet(83)) == 3);
+    CHECK(store_first_count(fleet(500)) == 15);
+}
+
+TEST_CASE("the others ask a watcher of their own data centre first")
+{
+    auto const all = fleet(83);
+    for (auto const& [name, stored] : all)
+    {
+        auto const plan = plan_news(name, all, false);
+        if (plan.m_store_first)
+        {
+            CHECK(plan.m_peers.size() == 2);
+            continue;
+        }
+        REQUIRE(plan.m_peers.size() == 3);
+        CHECK(all.at(plan.m_peers[0].m_name).m_record.m_data_centre ==
+              stored.m_record.m_data_centre);
+    }
+}
+
+TEST_CASE("an instance that isn't registered, or needs it, asks the store")
+{
+    auto const all = fleet(83);
+    CHECK(plan_news("unknown", all, false).m_store_first);
+    for (auto const& entry : all)
+    {
+        CHECK(plan_news(entry.first, all, true).m_store_first);
+    }
+}
+
+TEST_CASE("an expelled watcher is replaced by another one")
+{
+    auto all = fleet(83);
+    std::string watcher;
+    for (auto const& entry : all)
+    {
+        if (plan_news(entry.first, all, false).m_store_first)
+        {
+            watcher = entry.first;
+        }
+    }
+    all.at(watcher).m_record.m_expelled = true;
+    for (auto const& entry : all)
+    {
+        auto const plan = plan_news(entry.first, all, false);
+        for (auto const& peer : plan.m_peers)
+        {
+            CHECK(peer.m_name != watcher);
+        }
+    }
+    all.erase(watcher);
+    CHECK(store_first_count(all) == 3);
+}
+
+TEST_CASE("who fails is left out for a while, the store is asked last")
+{
+    news_peer const first{"a", "10.0.0.1:1"};
+    news_peer const second{"b", "10.0.0.2:1"};
+    news_source source;
+    source.set_plan({false, {first, second}});
+    CHECK(source.choose(at(0)) == first);
+    source.failed(first, at(0));
+    CHECK(source.choose(at(1)) == second);
+    source.failed(second, at(1));
+    CHECK(source.choose(at(2)) == std::nullopt);
+    CHECK(source.choose(at(0) + news_source::peer_pause) == first);
+}
+
+TEST_CASE("a watcher that the store refuses asks the other watchers")
+{
+    news_peer const other{"a", "10.0.0.1:1"};
+    news_source source;
+    source.set_plan({true, {other}});
+    CHECK(source.choose(at(0)) == std::nullopt);
+    source.failed(std::nullopt, at(0));
+    CHECK(source.choose(at(1)) == other);
+    // Nobody answers: the store may be back any moment.
+    source.failed(other, at(1));
+    CHECK(source.choose(at(2)) == std::nullopt);
+    source.succeeded(std::nullopt);
+    CHECK(source.choose(at(3)) == std::nullopt);
+}
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -44,7 +44,8 @@
                       10};
     for (std::string const name : {"a", "b"})
     {
-        facts.m_instances[name] = {{name, 7, name + ":1", "dc", false, {}}, 2};
+        facts.m_instances[name] = {{name, 7, name + ":1", "dc", false, {}, ""},
+                                   2};
     }
     facts.m_holds_duty = true;
     facts.m_token = 5;
--- a/packages/coordination/test/primary/replacement_world.cpp
+++ b/packages/coordination/test/primary/replacement_world.cpp
@@ -278,7 +278,8 @@
                         ? 0
                         : known->second.m_revision;
     state::instance_entry const entry{
-        self.m_name, static_cast<std::int64_t>(self.m_life), "", "", false, {}};
+        self.m_name, static_cast<std::int64_t>(self.m_life), "", "", false, {},
+        ""};
     store_call(
         self,
         [this, entry, at](std::uint64_t revision)
--- a/packages/state/include/camphortide/state/fleet_records.hpp
+++ b/packages/state/include/camphortide/state/fleet_records.hpp
@@ -43,6 +43,7 @@
     bool m_expelled = false; ///< gets no new permit until it registers anew
     /// revisions of the closing records that it obeys, by group
     std::map<std::string, std::uint64_t> m_closed;
+    std::string m_forwarding_address; ///< host:port for their statements
 
     friend auto operator<=>(instance_entry const&,
                             instance_entry const&) = default;
