proxy: news of the store from other instances, statements passed to homes

An instance that isn't a watcher asks one, which answers with what it knows and how old that is; a proof counts from the asking less its age there. Statements of groups that an instance is no home of go to one over a link between instances, with the session's values; the home decides on placing, queue, permit and outcome. What a lost link leaves unknown is judged like a lost member connection.

--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -41,6 +41,12 @@
     /// Notes that the holder of the duty asked about a closing record.
     void note_asked(std::string const& group, std::uint64_t revision);
 
+    /// Asks the store itself, or, where others do that, them.
+    void ask_store_directly(bool direct);
+
+    /// Answers another instance that asks for news of the store.
+    void serve(news_request const& request, object_watch::responder done);
+
     /// Removes this instance from the store.
     /// @param done called when that is done or has failed
     void leave(std::function<void()> done);
@@ -76,6 +82,7 @@
     void take_members(object_watch::news const& news);
     void take_records(object_watch::news const& news);
     void follow_expelled();
+    void plan_sources();
     bool must_say_closed(state::time_point now);
     bool registered() const;
     void register_if_due(state::time_point now);
@@ -99,6 +106,7 @@
     state::instance_entry m_own;
     bool m_writing = false;
     bool m_leaving = false;
+    bool m_direct = false; ///< the store's own answers are needed
     std::map<std::string, std::uint64_t> m_asked; ///< revisions, by group
     /// when closing records were first seen, by group, with their revision
     std::map<std::string, std::pair<std::uint64_t, state::time_point>>
--- a/packages/proxy/include/camphortide/proxy/fleet_view.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_view.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <camphortide/coordination/fleet/group_homes.hpp>
 #include <camphortide/coordination/primary/primary_permit.hpp>
 #include <camphortide/state/member_entry.hpp>
 #include <camphortide/state/route.hpp>
@@ -13,6 +14,16 @@
 namespace camphortide::proxy
 {
 
+/// Connections of a member that are left to whoever replaces primaries.
+inline constexpr std::uint32_t reserved_connections = 2;
+
+/// @param cap of a member's connections
+/// @return those that homes share
+constexpr std::uint32_t shared_connections(std::uint32_t cap)
+{
+    return cap > reserved_connections ? cap - reserved_connections : cap;
+}
+
 /// All that the traffic needs to know of the deployment, as the control
 /// thread hands it over: a value that never changes.
 struct fleet_view
@@ -22,7 +33,8 @@
     std::map<std::string, std::vector<state::member_entry>> m_members;
     /// what is known of the primaries, by group
     std::map<std::string, coordination::primary_standing> m_standings;
-    std::size_t m_instances = 1; ///< that share the members' connections
+    /// who has connections to the members, by group
+    std::map<std::string, coordination::group_homes> m_homes;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -85,6 +85,7 @@
                                             state::time_point now) const;
     void open_connections(std::vector<std::size_t> const& wanted);
     void expire(state::time_point now);
+    void refuse_waiting(std::string_view why);
     void set_timer();
     void start(request_pointer const& request, std::size_t lane);
     void run(request_pointer const& request, bound_connection const& use);
@@ -148,7 +149,8 @@
     read_counts m_reads;
     std::set<std::string> m_unreached;  ///< members that were reported so
     std::uint32_t m_connection_cap = 1; ///< of a member, over all instances
-    std::size_t m_instances = 1;
+    std::size_t m_homes = 1;            ///< instances that share it
+    bool m_home = true;                 ///< this instance is one of them
     bool m_dispatching = false;
     bool m_dispatch_again = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/packages/proxy/include/camphortide/proxy/message_stream.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <camphortide/proxy/socket_writer.hpp>
+#include <camphortide/proxy/v1/forwarding.pb.h>
+#include <camphortide/state/clock.hpp>
+
+namespace camphortide::proxy
+{
+
+/// Messages between two instances over a connection, each behind its length.
+class message_stream : public std::enable_shared_from_this<message_stream>
+{
+public:
+    using message_handler = std::function<void(v1::Message const&)>;
+    using end_handler = std::function<void()>;
+
+    explicit message_stream(boost::asio::ip::tcp::socket socket);
+
+    /// Begins to read from a connected socket.
+    /// @param ended called once, unless close() ended it
+    void start(message_handler on_message, end_handler ended);
+
+    /// Connects, then begins to read.
+    /// @param connected called with false if it fails
+    void connect(std::string const& address,
+                 std::function<void(bool)> connected);
+
+    void send(v1::Message const& message);
+
+    /// Ends the connection.
+    void close();
+
+    bool alive() const { return m_alive; }
+    /// @return when something was last received
+    state::time_point last_heard() const { return m_last_heard; }
+
+private:
+    void read();
+    /// @return false if a message can't be read
+    bool take_messages();
+    void end();
+
+    boost::asio::ip::tcp::socket m_socket;
+    socket_writer m_writer;
+    message_handler m_on_message;
+    end_handler m_ended;
+    std::string m_unread;
+    std::array<char, 16384> m_received;
+    state::time_point m_last_heard;
+    bool m_alive = false;
+    bool m_closed = false;
+};
+
+} // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/object_watch.hpp
+++ b/packages/proxy/include/camphortide/proxy/object_watch.hpp
@@ -6,14 +6,18 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <camphortide/coordination/fleet/news_source.hpp>
 #include <camphortide/coordination/group/jitter.hpp>
+#include <camphortide/proxy/peer_news.hpp>
 #include <camphortide/proxy/store_client.hpp>
 
 namespace camphortide::proxy
 {
 
-/// Follows all objects of a kind: lists them, then watches for changes, and
-/// lists again when the store has dropped its history.
+/// Follows all objects of a kind. Where it asks the store, it lists them, then
+/// watches for changes, and lists again when the store has dropped its history.
+/// Where it asks another instance, it takes what that one knows, with its age.
+/// Tells others in turn.
 class object_watch
 {
 public:
@@ -21,29 +25,64 @@
     struct news
     {
         std::vector<platform::store_object> m_objects;
-        bool m_whole = false; ///< a listing: what isn't in it doesn't exist
+        bool m_whole = false; ///< what isn't in it doesn't exist
         std::uint64_t m_revision = 0;
-        state::time_point m_asked; ///< all is at least as new as this
+        state::time_point m_asked; ///< of the call to the store
+        /// all that is known now is at least as new as m_asked
+        bool m_proves = false;
     };
 
     using news_handler = std::function<void(news const&)>;
     /// @param outcome of a call that failed; done when calls succeed again
-    using state_handler = std::function<void(platform::store_outcome outcome)>;
+    /// @param peer that was asked; empty: the store
+    using state_handler = std::function<void(platform::store_outcome outcome,
+                                             std::string const& peer)>;
+    using responder = std::function<void(platform::http_answer)>;
 
     /// @param wait how long the store holds a watch without news
     /// @param relist how often to list nevertheless: a listing proves what
     ///     is, a watch without news doesn't; zero: only when it has to be
+    /// @param process when this process started
     object_watch(boost::asio::io_context& context, store_client& store,
                  platform::object_kind kind, state::duration wait,
-                 state::duration relist, std::uint64_t seed);
+                 state::duration relist, std::uint64_t process);
 
     /// Begins.
     void start(news_handler on_news, state_handler on_state);
 
-    /// @return when the last call was sent that succeeded
+    /// Sets whom to ask from the next call on.
+    void set_plan(coordination::news_plan plan)
+    {
+        m_source.set_plan(std::move(plan));
+    }
+
+    /// Answers another instance, now or when there is news.
+    void serve(news_request const& request, responder done);
+
+    /// Ends waits of other instances that are over.
+    void tick(state::time_point now);
+
+    /// @return when the last call to the store was sent that succeeded, here
+    ///     or at the instance that was asked
     state::time_point last_success() const { return m_last_success; }
 
 private:
+    /// Another instance that waits for news.
+    struct waiting
+    {
+        news_cursor m_cursor;
+        state::time_point m_until;
+        responder m_done;
+    };
+
+    void ask_peer(coordination::news_peer const& peer);
+    void peer_answered(coordination::news_peer const& peer,
+                       call_result const& result, state::time_point sent);
+    bool use_peer_news(coordination::news_peer const& peer,
+                       news_response const& response, state::time_point sent);
+    void take(news const& value);
+    void answer_waiting(bool newer_proof);
+    void answer(responder const& done, mirror_page page) const;
     void list(std::string const& after);
     void listed(platform::store_outcome outcome,
                 std::optional<platform::http_answer> const& answer);
@@ -51,9 +90,11 @@
     void watch();
     void watched(platform::store_outcome outcome,
                  std::optional<platform::http_answer> const& answer);
-    void failed(platform::store_outcome outcome);
-    void succeeded();
+    void failed(platform::store_outcome outcome,
+                std::optional<coordination::news_peer> const& asked = {});
+    void succeeded(std::optional<coordination::news_peer> const& asked = {});
 
+    boost::asio::io_context& m_context;
     store_client& m_store;
     platform::object_kind m_kind;
     state::duration m_wait;
@@ -69,6 +110,14 @@
     state::time_point m_last_success;
     state::duration m_pause{};
     bool m_failing = false;
+    coordination::news_source m_source;
+    std::shared_ptr<http_client> m_peer; ///< that was asked last
+    std::string m_peer_name;             ///< whose cursor the next one is
+    news_cursor m_peer_cursor;
+    std::string m_heard_from; ///< peer of the last news; empty: the store
+    object_mirror m_mirror;
+    state::time_point m_proven; ///< of the last news that prove
+    std::vector<waiting> m_waiting;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -52,6 +52,8 @@
 
     void serve_pages();
     void answer_readiness(http_server::respond const& done);
+    void answer_news(platform::http_call const& request,
+                     http_server::respond const& done);
     void answer_close(platform::http_call const& request,
                       http_server::respond const& done);
     void answer_metrics(http_server::respond const& done);
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <camphortide/coordination/placing/member_choice.hpp>
 #include <camphortide/coordination/session/reply_verdict.hpp>
@@ -16,9 +17,14 @@
 namespace camphortide::proxy
 {
 
-/// A member's connection that a transaction is bound to.
+class home_link;
+
+/// What a transaction is bound to: a member's connection of this instance, or
+/// a transaction that another instance keeps at one of its own.
 struct bound_connection
 {
+    std::shared_ptr<home_link> m_home; ///< null: none of another instance
+    std::uint64_t m_transaction = 0;   ///< its number there
     std::shared_ptr<member_lane> m_lane;
     std::shared_ptr<member_connection> m_connection;
     std::uint64_t m_permit_revision = 0; ///< 0: not used as the primary
@@ -57,6 +63,8 @@
     std::optional<bound_connection> m_bound; ///< of the open transaction
     handler m_done;
 
+    /// homes that didn't run it, where this instance isn't one
+    std::vector<std::string> m_tried_homes;
     std::uint32_t m_tried = 0; ///< members that can't run it now, by index
     /// what a replica's log must hold, as when the member was chosen
     std::optional<state::log_position> m_covered;
--- a/packages/proxy/include/camphortide/proxy/traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -13,6 +13,8 @@
 #include <camphortide/proxy/caller_session.hpp>
 #include <camphortide/proxy/fleet_view.hpp>
 #include <camphortide/proxy/group_traffic.hpp>
+#include <camphortide/proxy/home_router.hpp>
+#include <camphortide/proxy/home_server.hpp>
 #include <camphortide/proxy/traffic_report.hpp>
 
 namespace camphortide::proxy
@@ -30,7 +32,7 @@
 
 /// All callers of this instance and the groups that serve them. Lives on the
 /// traffic thread: call it there only.
-class traffic final : public session_host
+class traffic final : public session_host, private home_host
 {
 public:
     traffic(boost::asio::io_context& context, traffic_report& report);
@@ -40,6 +42,13 @@
     /// @return false if the address can't be had
     bool listen(std::string const& address);
 
+    /// Listens for statements of other instances.
+    /// @return false if the address can't be had
+    bool listen_forwarded(std::string const& address)
+    {
+        return m_home_server.listen(address);
+    }
+
     /// Takes in what the control thread knows now.
     void apply(std::shared_ptr<fleet_view const> const& view);
 
@@ -56,6 +65,8 @@
     /// @return where the reads of each group went
     std::map<std::string, read_counts> reads() const;
     std::size_t sessions() const { return m_sessions.size(); }
+    /// @return other instances that send statements here
+    std::size_t links() const { return m_home_server.links(); }
 
     std::shared_ptr<state::configuration const> configuration() const override;
     void submit(std::shared_ptr<statement_request> const& request) override;
@@ -65,6 +76,8 @@
                       state::statement_failure const& why) override;
 
 private:
+    bool is_home(std::string const& group) const override;
+    void run_here(std::shared_ptr<statement_request> const& request) override;
     void accept();
     void sweep();
     void go_on_stopping(state::time_point now);
@@ -78,6 +91,8 @@
     std::map<std::string, std::unique_ptr<group_traffic>> m_groups;
     std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
         m_sessions;
+    home_router m_router;
+    home_server m_home_server;
     std::uint64_t m_last_session = 0;
     stop_times m_stop;
     state::time_point m_stop_began;
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -44,14 +44,15 @@
                             configuration_wait, relist_interval,
                             static_cast<std::uint64_t>(born)),
       m_member_watch(context, store, object_kind::members, member_wait,
-                     relist_interval, static_cast<std::uint64_t>(born) + 1),
+                     relist_interval, static_cast<std::uint64_t>(born)),
       m_record_watch(context, store, object_kind::fleet, record_wait,
-                     proof_interval, static_cast<std::uint64_t>(born) + 2)
+                     proof_interval, static_cast<std::uint64_t>(born))
 {
     m_own.m_name = place.m_name;
     m_own.m_born = born;
     m_own.m_address = place.m_listen_peers;
     m_own.m_data_centre = place.m_data_centre;
+    m_own.m_forwarding_address = place.m_listen_forwarded;
 }
 
 void fleet_control::start(view_handler on_view,
@@ -70,17 +71,19 @@
 
 object_watch::state_handler fleet_control::state_logger(char const* what)
 {
-    return [what](store_outcome outcome)
+    return [what](store_outcome outcome, std::string const& peer)
     {
+        std::string const from = peer.empty() ? "store" : peer;
         if (outcome == store_outcome::done)
         {
-            transport::log_info(log_part::platform, "store answers again",
-                                {{"kind", what}});
+            transport::log_info(log_part::platform, "news come",
+                                {{"kind", what}, {"from", from}});
             return;
         }
-        transport::log_warning(
-            log_part::platform, "store fails",
-            {{"kind", what}, {"outcome", platform::to_string(outcome)}});
+        transport::log_warning(log_part::platform, "news fail",
+                               {{"kind", what},
+                                {"from", from},
+                                {"outcome", platform::to_string(outcome)}});
     };
 }
 
@@ -206,17 +209,55 @@
     m_records = std::move(records);
     follow_expelled();
     m_records_known = m_records_known || news.m_whole;
-    if (news.m_whole)
+    if (news.m_proves)
     {
-        m_proven = news.m_asked;
+        m_proven = std::max(m_proven, news.m_asked);
     }
-    if (changed || news.m_whole)
+    if (changed)
+    {
+        plan_sources();
+    }
+    if (changed || news.m_proves)
     {
         publish();
     }
     m_on_records();
 }
 
+void fleet_control::ask_store_directly(bool direct)
+{
+    m_direct = direct;
+    plan_sources();
+}
+
+void fleet_control::plan_sources()
+{
+    auto const plan =
+        coordination::plan_news(m_own.m_name, m_records.m_instances, m_direct);
+    for (auto* const watch :
+         {&m_configuration_watch, &m_member_watch, &m_record_watch})
+    {
+        watch->set_plan(plan);
+    }
+}
+
+void fleet_control::serve(news_request const& request,
+                          object_watch::responder done)
+{
+    switch (request.m_kind)
+    {
+    case object_kind::configuration:
+        m_configuration_watch.serve(request, std::move(done));
+        return;
+    case object_kind::members:
+        m_member_watch.serve(request, std::move(done));
+        return;
+    case object_kind::fleet:
+        m_record_watch.serve(request, std::move(done));
+        return;
+    }
+}
+
 void fleet_control::follow_expelled()
 {
     auto const now = state::clock::now();
@@ -357,6 +398,11 @@
 {
     forget_missing(now);
     register_if_due(now);
+    for (auto* const watch :
+         {&m_configuration_watch, &m_member_watch, &m_record_watch})
+    {
+        watch->tick(now);
+    }
 }
 
 void fleet_control::publish()
@@ -385,9 +431,14 @@
         standing.m_proven = m_proven;
         view->m_standings.emplace(group, standing);
     }
-    view->m_instances = static_cast<std::size_t>(std::count_if(
-        m_records.m_instances.begin(), m_records.m_instances.end(),
-        [](auto const& entry) { return !entry.second.m_record.m_expelled; }));
+    for (auto const& [group, limits] : m_configuration->m_groups)
+    {
+        view->m_homes.emplace(group,
+                              coordination::choose_homes(
+                                  m_own.m_name, group,
+                                  shared_connections(limits.m_max_connections),
+                                  m_records.m_instances));
+    }
     m_on_view(std::move(view));
 }
 
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-/// Connections of a member that are left to whoever replaces primaries.
-constexpr std::uint32_t reserved_connections = 2;
 /// Connections above an instance's part while callers wait for them.
 constexpr std::size_t extra_connections = 1;
 /// One in so many of an instance's part is kept while idle. A member counts
@@ -63,7 +61,12 @@
     {
         m_connection_cap = limits->second.m_max_connections;
     }
-    m_instances = std::max<std::size_t>(view.m_instances, 1);
+    auto const homes = view.m_homes.find(m_group);
+    if (homes != view.m_homes.end())
+    {
+        m_homes = homes->second.m_count;
+        m_home = homes->second.m_here;
+    }
     auto const standing = view.m_standings.find(m_group);
     if (standing != view.m_standings.end())
     {
@@ -74,6 +77,10 @@
         }
     }
     apply_members(view);
+    if (!m_home)
+    {
+        refuse_waiting("no home of the group any more");
+    }
     if (standing != view.m_standings.end() && standing->second.m_closing)
     {
         close_primary(standing->second.m_revision, standing->second.m_orderly,
@@ -123,17 +130,20 @@
 
 lane_limits group_traffic::limits_for(state::member_entry const& member) const
 {
-    auto const shared = m_connection_cap > reserved_connections
-                            ? m_connection_cap - reserved_connections
-                            : m_connection_cap;
-    auto const instances = static_cast<std::uint32_t>(m_instances);
+    auto const shared = shared_connections(m_connection_cap);
+    auto const homes = static_cast<std::uint32_t>(m_homes);
     lane_limits limits;
-    auto const share = std::max<std::size_t>(1, shared / instances);
+    if (!m_home)
+    {
+        limits.m_connections = 0;
+        return limits;
+    }
+    auto const share = std::max<std::size_t>(1, shared / homes);
     limits.m_connections = std::max<std::size_t>(1, share / kept_part);
     limits.m_extra = share + extra_connections - limits.m_connections;
-    limits.m_statements = std::max(
-        least_statements,
-        (member.m_slots * statements_per_slot + instances - 1) / instances);
+    limits.m_statements =
+        std::max(least_statements,
+                 (member.m_slots * statements_per_slot + homes - 1) / homes);
     return limits;
 }
 
@@ -367,6 +377,15 @@
     }
 }
 
+void group_traffic::refuse_waiting(std::string_view why)
+{
+    for (auto const& [number, request] : std::exchange(m_waiting, {}))
+    {
+        m_queue.erase(number);
+        refuse(request, why);
+    }
+}
+
 void group_traffic::set_timer()
 {
     auto const next = m_queue.next_expiry();
--- /dev/null
+++ b/packages/proxy/src/home_link.cpp
@@ -0,0 +1,204 @@
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include <camphortide/proxy/forwarding_conversion.hpp>
+#include <camphortide/proxy/home_link.hpp>
+
+namespace camphortide::proxy
+{
+
+namespace
+{
+
+/// Time for a new connection: a few round trips, and a lost packet.
+constexpr state::duration opening_limit{400};
+/// A home that owes answers and is silent for so long is asked whether it is
+/// there: longer than most statements take.
+constexpr state::duration silence_before_ping{250};
+/// Time for the answer to that: a lost packet, a home that waits for its turn
+/// on its processor.
+constexpr state::duration ping_limit{400};
+
+} // namespace
+
+home_link::home_link(boost::asio::io_context& context, std::string address)
+    : m_context(context),
+      m_address(std::move(address)),
+      m_opening_timer(context)
+{
+}
+
+void home_link::open()
+{
+    m_opening = true;
+    m_stream = std::make_shared<message_stream>(
+        boost::asio::ip::tcp::socket(m_context));
+    m_opening_timer.expires_after(opening_limit);
+    m_opening_timer.async_wait(
+        [self = shared_from_this()](boost::system::error_code error)
+        {
+            if (!error && !self->m_open)
+            {
+                self->end();
+            }
+        });
+    m_stream->connect(m_address,
+                      [self = shared_from_this()](bool ok)
+                      {
+                          if (self->m_ended)
+                          {
+                              return;
+                          }
+                          ok ? self->opened() : self->end();
+                      });
+}
+
+void home_link::opened()
+{
+    m_open = true;
+    m_opening_timer.cancel();
+    m_stream->start(
+        [weak = weak_from_this()](v1::Message const& message)
+        {
+            if (auto const self = weak.lock())
+            {
+                self->take(message);
+            }
+        },
+        [weak = weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->end();
+            }
+        });
+    for (auto const& [number, what] : m_outstanding)
+    {
+        send(number, what);
+    }
+}
+
+void home_link::submit(std::shared_ptr<statement_request> const& request,
+                       result_handler done)
+{
+    if (m_ended)
+    {
+        done(forwarding_end::not_run, {});
+        return;
+    }
+    auto const number = ++m_last_number;
+    auto const place = m_outstanding.emplace(
+        number, outstanding{request, std::move(done), state::clock::now()});
+    if (m_open)
+    {
+        send(number, place.first->second);
+    }
+    else if (!m_opening)
+    {
+        open();
+    }
+}
+
+void home_link::send(std::uint64_t number, outstanding const& what)
+{
+    auto const& bound = what.m_request->m_bound;
+    m_stream->send(encode_statement(*what.m_request, number,
+                                    bound ? bound->m_transaction : 0,
+                                    state::clock::now()));
+}
+
+void home_link::roll_back(std::uint64_t transaction)
+{
+    if (m_open && !m_ended)
+    {
+        v1::Message message;
+        message.mutable_roll_back()->set_transaction(transaction);
+        m_stream->send(message);
+    }
+}
+
+void home_link::take(v1::Message const& message)
+{
+    if (message.has_reply())
+    {
+        take_reply(message.reply());
+    }
+    else if (message.has_leaving())
+    {
+        m_leaving = true;
+    }
+}
+
+void home_link::take_reply(v1::Reply const& reply)
+{
+    auto const place = m_outstanding.find(reply.number());
+    if (place == m_outstanding.end())
+    {
+        return;
+    }
+    auto const what = std::move(place->second);
+    m_outstanding.erase(place);
+    if (reply.not_run())
+    {
+        what.m_done(forwarding_end::not_run, {});
+        return;
+    }
+    auto result = decode_result(reply);
+    if (!result)
+    {
+        what.m_done(forwarding_end::lost, {});
+        return;
+    }
+    if (reply.transaction() != 0)
+    {
+        bound_connection bound;
+        bound.m_home = shared_from_this();
+        bound.m_transaction = reply.transaction();
+        result->m_bound = std::move(bound);
+    }
+    what.m_done(forwarding_end::answered, std::move(*result));
+}
+
+void home_link::check(state::time_point now)
+{
+    if (!m_open || m_ended || m_outstanding.empty())
+    {
+        return;
+    }
+    auto const since =
+        std::max(m_stream->last_heard(), m_outstanding.begin()->second.m_since);
+    if (m_pinged > since)
+    {
+        if (now - m_pinged >= ping_limit)
+        {
+            end();
+        }
+        return;
+    }
+    if (now - since >= silence_before_ping)
+    {
+        m_pinged = now;
+        v1::Message message;
+        message.mutable_ping();
+        m_stream->send(message);
+    }
+}
+
+void home_link::end()
+{
+    if (std::exchange(m_ended, true))
+    {
+        return;
+    }
+    auto const self = shared_from_this();
+    m_opening_timer.cancel();
+    m_stream->close();
+    auto const how = m_open ? forwarding_end::lost : forwarding_end::not_run;
+    for (auto const& [number, what] : std::exchange(m_outstanding, {}))
+    {
+        what.m_done(how, {});
+    }
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/home_server.cpp
@@ -0,0 +1,261 @@
+#include "listener.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include <camphortide/proxy/forwarding_conversion.hpp>
+#include <camphortide/proxy/home_server.hpp>
+#include <camphortide/proxy/message_stream.hpp>
+
+namespace camphortide::proxy
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Numbers of other instances' statements lie apart from the callers' own.
+constexpr std::uint64_t first_number = std::uint64_t{1} << 63;
+
+} // namespace
+
+/// The connection of one other instance.
+class home_server::link : public std::enable_shared_from_this<home_server::link>
+{
+public:
+    link(home_server& owner, asio::ip::tcp::socket socket)
+        : m_owner(owner),
+          m_stream(std::make_shared<message_stream>(std::move(socket)))
+    {
+    }
+
+    void start()
+    {
+        m_stream->start(
+            [weak = weak_from_this()](v1::Message const& message)
+            {
+                if (auto const self = weak.lock())
+                {
+                    self->take(message);
+                }
+            },
+            [weak = weak_from_this()]
+            {
+                if (auto const self = weak.lock())
+                {
+                    self->end();
+                }
+            });
+    }
+
+    void say_leaving()
+    {
+        v1::Message message;
+        message.mutable_leaving();
+        m_stream->send(message);
+    }
+
+    void close() { m_stream->close(); }
+
+    bool idle() const { return m_running == 0 && m_transactions.empty(); }
+
+private:
+    /// A transaction between two of its statements, or in one.
+    struct kept_transaction
+    {
+        std::string m_group;
+        bound_connection m_bound;
+        bool m_busy = false;
+        bool m_given_up = false;
+    };
+
+    void take(v1::Message const& message)
+    {
+        if (message.has_statement())
+        {
+            take_statement(message.statement());
+        }
+        else if (message.has_roll_back())
+        {
+            roll_back(message.roll_back().transaction());
+        }
+        else if (message.has_ping())
+        {
+            v1::Message answer;
+            answer.mutable_ping()->set_answer(true);
+            m_stream->send(answer);
+        }
+    }
+
+    void take_statement(v1::Statement const& message)
+    {
+        auto const request = decode_statement(message, state::clock::now());
+        auto const bound = m_transactions.find(message.transaction());
+        bool const unknown =
+            message.transaction() != 0 &&
+            (bound == m_transactions.end() || bound->second.m_busy);
+        bool const foreign = message.transaction() == 0 &&
+                             !m_owner.m_host.is_home(message.group());
+        if (!request || unknown || foreign)
+        {
+            m_stream->send(encode_not_run(message.number()));
+            return;
+        }
+        if (message.transaction() != 0)
+        {
+            bound->second.m_busy = true;
+            request->m_bound = bound->second.m_bound;
+        }
+        run(request, message.number(), message.transaction());
+    }
+
+    void run(std::shared_ptr<statement_request> const& request,
+             std::uint64_t number, std::uint64_t transaction)
+    {
+        request->m_number = first_number + ++m_owner.m_last_number;
+        ++m_running;
+        request->m_done =
+            [self = shared_from_this(), number, transaction,
+             group = request->m_route->m_group](statement_result result)
+        {
+            --self->m_running;
+            auto const left = self->settle(group, transaction, result.m_bound);
+            self->m_stream->send(encode_result(result, number, left));
+        };
+        m_owner.m_host.run_here(request);
+    }
+
+    /// Takes how a statement left its transaction.
+    /// @return the transaction that goes on; 0: none
+    std::uint64_t settle(std::string const& group, std::uint64_t number,
+                         std::optional<bound_connection> const& bound)
+    {
+        auto const place = m_transactions.find(number);
+        bool const given_up = m_ended || (place != m_transactions.end() &&
+                                          place->second.m_given_up);
+        if (place != m_transactions.end())
+        {
+            m_transactions.erase(place);
+        }
+        if (!bound)
+        {
+            return 0;
+        }
+        if (given_up)
+        {
+            m_owner.m_host.roll_back(group, *bound);
+            return 0;
+        }
+        auto const kept = number != 0 ? number : ++m_last_transaction;
+        m_transactions[kept] = {group, *bound};
+        return kept;
+    }
+
+    void roll_back(std::uint64_t number)
+    {
+        auto const place = m_transactions.find(number);
+        if (place == m_transactions.end())
+        {
+            return;
+        }
+        if (place->second.m_busy)
+        {
+            place->second.m_given_up = true;
+            return;
+        }
+        auto const ended = std::move(place->second);
+        m_transactions.erase(place);
+        m_owner.m_host.roll_back(ended.m_group, ended.m_bound);
+    }
+
+    void end()
+    {
+        auto const self = shared_from_this();
+        m_ended = true;
+        std::vector<std::uint64_t> numbers;
+        for (auto const& entry : m_transactions)
+        {
+            numbers.push_back(entry.first);
+        }
+        for (auto const number : numbers)
+        {
+            roll_back(number);
+        }
+        m_owner.m_links.erase(self);
+    }
+
+    home_server& m_owner;
+    std::shared_ptr<message_stream> m_stream;
+    std::map<std::uint64_t, kept_transaction> m_transactions;
+    std::uint64_t m_last_transaction = 0;
+    std::size_t m_running = 0;
+    bool m_ended = false;
+};
+
+home_server::home_server(asio::io_context& context, home_host& host)
+    : m_context(context),
+      m_host(host)
+{
+}
+
+home_server::~home_server()
+{
+    for (auto const& each : m_links)
+    {
+        each->close();
+    }
+}
+
+bool home_server::listen(std::string const& address)
+{
+    m_acceptor = open_listener(m_context, address);
+    if (!m_acceptor)
+    {
+        return false;
+    }
+    accept();
+    return true;
+}
+
+void home_server::accept()
+{
+    m_acceptor->async_accept(
+        [this](boost::system::error_code error, asio::ip::tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                auto const accepted =
+                    std::make_shared<link>(*this, std::move(socket));
+                m_links.insert(accepted);
+                accepted->start();
+                if (m_leaving)
+                {
+                    accepted->say_leaving();
+                }
+            }
+            accept();
+        });
+}
+
+void home_server::announce_leaving()
+{
+    m_leaving = true;
+    for (auto const& each : m_links)
+    {
+        each->say_leaving();
+    }
+}
+
+bool home_server::idle() const
+{
+    return std::ranges::all_of(m_links,
+                               [](auto const& each) { return each->idle(); });
+}
+
+} // namespace camphortide::proxy
--- /dev/null
+++ b/packages/proxy/src/message_stream.cpp
@@ -0,0 +1,175 @@
+#include "socket_options.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <camphortide/proxy/message_stream.hpp>
+
+namespace camphortide::proxy
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Bytes that the other machine doesn't acknowledge for so long are lost: many
+/// round trips, and about a caller's target.
+constexpr state::duration connection_silence{500};
+constexpr std::size_t length_bytes = 4;
+constexpr unsigned byte_bits = 8;
+/// A statement and its session's values are at most about 1 MiB each.
+constexpr std::size_t most_bytes = std::size_t{4} << 20;
+
+std::string length_prefix(std::size_t length)
+{
+    std::string prefix(length_bytes, '\0');
+    for (std::size_t place = length_bytes; place-- > 0;)
+    {
+        prefix[place] = static_cast<char>(length & 0xffU);
+        length >>= byte_bits;
+    }
+    return prefix;
+}
+
+std::size_t read_length(std::string const& bytes, std::size_t from)
+{
+    std::size_t length = 0;
+    for (std::size_t place = 0; place < length_bytes; ++place)
+    {
+        length = length << byte_bits |
+                 static_cast<unsigned char>(bytes[from + place]);
+    }
+    return length;
+}
+
+} // namespace
+
+message_stream::message_stream(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket)),
+      m_writer(m_socket,
+               [this](bool ok)
+               {
+                   if (!ok)
+                   {
+                       end();
+                   }
+               }),
+      m_received()
+{
+}
+
+void message_stream::start(message_handler on_message, end_handler ended)
+{
+    m_on_message = std::move(on_message);
+    m_ended = std::move(ended);
+    if (m_socket.is_open() && !m_closed && !m_alive)
+    {
+        m_alive = true;
+        m_last_heard = state::clock::now();
+        guard_socket(m_socket, connection_silence);
+        read();
+    }
+}
+
+void message_stream::connect(std::string const& address,
+                             std::function<void(bool)> connected)
+{
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        asio::post(m_socket.get_executor(),
+                   [connected = std::move(connected)] { connected(false); });
+        return;
+    }
+    m_socket.async_connect(*endpoint,
+                           [self = shared_from_this(),
+                            connected = std::move(connected)](error_code error)
+                           { connected(!error && !self->m_closed); });
+}
+
+void message_stream::send(v1::Message const& message)
+{
+    if (m_alive)
+    {
+        auto const body = message.SerializeAsString();
+        m_writer.write(length_prefix(body.size()) + body, shared_from_this());
+    }
+}
+
+void message_stream::read()
+{
+    m_socket.async_read_some(
+        asio::buffer(m_received),
+        [self = shared_from_this()](error_code error, std::size_t count)
+        {
+            if (!self->m_alive)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->end();
+                return;
+            }
+            self->m_last_heard = state::clock::now();
+            self->m_unread.append(self->m_received.data(), count);
+            if (!self->take_messages())
+            {
+                self->end();
+            }
+            else if (self->m_alive)
+            {
+                self->read();
+            }
+        });
+}
+
+bool message_stream::take_messages()
+{
+    std::size_t place = 0;
+    while (m_alive && m_unread.size() - place >= length_bytes)
+    {
+        auto const length = read_length(m_unread, place);
+        if (length > most_bytes)
+        {
+            return false;
+        }
+        if (m_unread.size() - place - length_bytes < length)
+        {
+            break;
+        }
+        v1::Message message;
+        if (!message.ParseFromArray(m_unread.data() + place + length_bytes,
+                                    static_cast<int>(length)))
+        {
+            return false;
+        }
+        place += length_bytes + length;
+        m_on_message(message);
+    }
+    m_unread.erase(0, place);
+    return true;
+}
+
+void message_stream::close()
+{
+    m_alive = false;
+    m_closed = true;
+    error_code ignored; // it is given up in any case
+    m_socket.close(ignored);
+}
+
+void message_stream::end()
+{
+    if (std::exchange(m_alive, false))
+    {
+        auto const self = shared_from_this();
+        close();
+        m_ended();
+    }
+}
+
+} // namespace camphortide::proxy
--- a/packages/proxy/src/object_watch.cpp
+++ b/packages/proxy/src/object_watch.cpp
@@ -15,19 +15,25 @@
 /// leaves a store that returns room to be found within the bounds.
 constexpr state::duration first_pause{50};
 constexpr state::duration longest_pause{400};
+/// A proof that is younger by so much is told to others at once. What two
+/// instances tell each other about one proof differs by less, so that they
+/// don't answer each other without end.
+constexpr state::duration least_proof_step{1000};
 
 } // namespace
 
 object_watch::object_watch(boost::asio::io_context& context,
                            store_client& store, platform::object_kind kind,
                            state::duration wait, state::duration relist,
-                           std::uint64_t seed)
-    : m_store(store),
+                           std::uint64_t process)
+    : m_context(context),
+      m_store(store),
       m_kind(kind),
       m_wait(wait),
       m_relist(relist),
       m_timer(context),
-      m_jitter(seed)
+      m_jitter(process + static_cast<std::uint64_t>(kind)),
+      m_mirror(process)
 {
 }
 
@@ -40,6 +46,7 @@
 
 void object_watch::list(std::string const& after)
 {
+    m_peer_name.clear(); // what it told is older than what is told now
     if (after.empty())
     {
         m_listing = {};
@@ -78,12 +85,31 @@
     m_revision = m_listing.m_revision;
     m_last_success = m_listed = m_listing.m_asked;
     succeeded();
-    m_on_news(std::exchange(m_listing, {}));
-    watch();
+    m_listing.m_proves = true;
+    take(std::exchange(m_listing, {}));
+    go_on();
+}
+
+void object_watch::take(news const& value)
+{
+    m_mirror.take(value.m_objects, value.m_whole, value.m_revision);
+    bool const newer =
+        value.m_proves && value.m_asked >= m_proven + least_proof_step;
+    if (value.m_proves)
+    {
+        m_proven = std::max(m_proven, value.m_asked);
+    }
+    m_on_news(value);
+    answer_waiting(newer);
 }
 
 void object_watch::go_on()
 {
+    if (auto const peer = m_source.choose(state::clock::now()))
+    {
+        ask_peer(*peer);
+        return;
+    }
     bool const due =
         m_relist.count() > 0 && state::clock::now() - m_listed >= m_relist;
     if (m_revision == 0 || due)
@@ -98,6 +124,7 @@
 
 void object_watch::watch()
 {
+    m_peer_name.clear();
     m_asked = state::clock::now();
     m_store.call(
         platform::watch_call(m_kind, m_revision, m_wait.count()),
@@ -127,24 +154,30 @@
     m_revision = std::max(m_revision, page->m_revision);
     m_last_success = m_asked;
     succeeded();
-    m_on_news({page->m_objects, false, m_revision, m_asked});
+    take({page->m_objects, false, m_revision, m_asked, false});
     go_on();
 }
 
-void object_watch::succeeded()
+void object_watch::succeeded(
+    std::optional<coordination::news_peer> const& asked)
 {
     m_pause = {};
-    if (std::exchange(m_failing, false))
+    m_source.succeeded(asked);
+    auto const from = asked ? asked->m_name : std::string();
+    bool const moved = std::exchange(m_heard_from, from) != from;
+    if (std::exchange(m_failing, false) || moved)
     {
-        m_on_state(store_outcome::done);
+        m_on_state(store_outcome::done, from);
     }
 }
 
-void object_watch::failed(store_outcome outcome)
+void object_watch::failed(store_outcome outcome,
+                          std::optional<coordination::news_peer> const& asked)
 {
+    m_source.failed(asked, state::clock::now());
     if (!std::exchange(m_failing, true))
     {
-        m_on_state(outcome);
+        m_on_state(outcome, asked ? asked->m_name : std::string());
     }
     m_pause = std::clamp(m_pause * 2, first_pause, longest_pause);
     m_timer.expires_after(m_pause / 2 + m_jitter.draw(m_pause / 2));
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -85,6 +85,10 @@
                    "sessions of callers",
                    {},
                    static_cast<double>(from.sessions())});
+    all.push_back({"forwarding_instances",
+                   "instances that send statements here",
+                   {},
+                   static_cast<double>(from.links())});
     for (auto const& lane : from.gauges())
     {
         add_lane(all, lane);
@@ -156,12 +160,14 @@
     serve_pages();
     if (!m_server.listen(m_place.m_listen_readiness) ||
         !m_server.listen(m_place.m_listen_peers) ||
+        !m_traffic.listen_forwarded(m_place.m_listen_forwarded) ||
         !m_traffic.listen(m_place.m_listen_callers))
     {
         transport::log_error(log_part::main, "an address can't be had",
                              {{"callers", m_place.m_listen_callers},
                               {"readiness", m_place.m_listen_readiness},
-                              {"peers", m_place.m_listen_peers}});
+                              {"peers", m_place.m_listen_peers},
+                              {"forwarded", m_place.m_listen_forwarded}});
         return false;
     }
     transport::log_info(log_part::main, "started",
@@ -202,6 +208,9 @@
         [this](platform::http_call const&, http_server::respond const& done) {
             done(encode(close_response{m_fleet.name(), m_fleet.born(), 0}));
         });
+    m_server.on(news_path, [this](platform::http_call const& request,
+                                  http_server::respond const& done)
+                { answer_news(request, done); });
     m_server.on(unreachable_path,
                 [this](platform::http_call const& request,
                        http_server::respond const& done)
@@ -221,6 +230,18 @@
     done({ready ? status_ok : status_unavailable, {}});
 }
 
+void proxy_instance::answer_news(platform::http_call const& request,
+                                 http_server::respond const& done)
+{
+    auto const message = decode_news_request(request.m_target);
+    if (!message)
+    {
+        done({status_bad_request, {}});
+        return;
+    }
+    m_fleet.serve(*message, done);
+}
+
 void proxy_instance::answer_close(platform::http_call const& request,
                                   http_server::respond const& done)
 {
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -101,6 +101,7 @@
     if (holds != m_held)
     {
         m_held = holds;
+        m_fleet.ask_store_directly(holds);
         transport::log_info(log_part::group,
                             holds ? "duty taken" : "duty ended",
                             {{"token", m_lease.token()}});
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -21,7 +21,9 @@
 traffic::traffic(asio::io_context& context, traffic_report& report)
     : m_context(context),
       m_report(report),
-      m_sweep_timer(context)
+      m_sweep_timer(context),
+      m_router(context, report),
+      m_home_server(context, *this)
 {
     sweep();
 }
@@ -78,6 +80,7 @@
 {
     bool const first = m_view == nullptr;
     m_view = view;
+    m_router.apply(*view);
     for (auto const& entry : view->m_configuration->m_groups)
     {
         group(entry.first);
@@ -109,14 +112,39 @@
 
 void traffic::submit(std::shared_ptr<statement_request> const& request)
 {
-    group(request->m_route->m_group).submit(request);
+    bool const elsewhere = request->m_bound
+                               ? request->m_bound->m_home != nullptr
+                               : m_router.forwards(request->m_route->m_group);
+    if (elsewhere)
+    {
+        m_router.submit(request);
+    }
+    else
+    {
+        run_here(request);
+    }
 }
 
 void traffic::roll_back(std::string const& name, bound_connection const& bound)
 {
+    if (bound.m_home)
+    {
+        home_router::roll_back(bound);
+        return;
+    }
     group(name).roll_back(bound);
 }
 
+bool traffic::is_home(std::string const& name) const
+{
+    return m_view && !m_router.forwards(name);
+}
+
+void traffic::run_here(std::shared_ptr<statement_request> const& request)
+{
+    group(request->m_route->m_group).submit(request);
+}
+
 void traffic::refused_here(std::string const& id, std::string const& database,
                            state::statement_failure const& why)
 {
@@ -138,6 +166,7 @@
     {
         entry.second->sweep();
     }
+    m_router.sweep(now);
     if (m_stopped)
     {
         go_on_stopping(now);
@@ -158,6 +187,7 @@
     m_stop = times;
     m_stop_began = state::clock::now();
     m_stopped = std::move(stopped);
+    m_home_server.announce_leaving();
 }
 
 void traffic::go_on_stopping(state::time_point now)
@@ -176,7 +206,7 @@
         }
         entry.second->close_if_idle();
     }
-    if (m_sessions.empty() || passed >= m_stop.m_end)
+    if ((m_sessions.empty() && m_home_server.idle()) || passed >= m_stop.m_end)
     {
         error_code ignored; // it is given up in any case
         m_acceptor->close(ignored);
--- /dev/null
+++ b/packages/proxy/test/forwarding/forwarding_path_test.cpp
@@ -0,0 +1,131 @@
+#include "../support/proxy_fixture.hpp"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using tests::deployment;
+using tests::running_instance;
+using tests::wait_for;
+
+namespace
+{
+
+/// Six instances before members that take four connections: two are homes,
+/// the others pass statements on to them.
+struct scarce_deployment : deployment
+{
+    scarce_deployment()
+    {
+        configure_connections(1, 4);
+        for (int number = 1; number <= 6; ++number)
+        {
+            m_instances.push_back(std::make_unique<running_instance>(
+                m_platform.address(), number));
+        }
+        m_ready = wait_for(
+            [this]
+            {
+                for (auto const& each : m_instances)
+                {
+                    if (!serves(*each))
+                    {
+                        return false;
+                    }
+                }
+                return true;
+            });
+    }
+
+    static bool serves(running_instance& instance)
+    {
+        try
+        {
+            return instance.connect().outcome("STORE ready yes") == "COMPLETE";
+        }
+        catch (boost::system::system_error const&)
+        {
+            return false; // it doesn't listen yet
+        }
+    }
+
+    std::vector<std::unique_ptr<running_instance>> m_instances;
+    bool m_ready = false;
+};
+
+} // namespace
+
+TEST_CASE("every instance serves, though members take few connections")
+{
+    scarce_deployment world;
+    REQUIRE(world.m_ready);
+    for (auto const& each : world.m_instances)
+    {
+        auto caller = each->connect();
+        CHECK(caller.outcome("STORE a 1") == "COMPLETE");
+        CHECK(caller.run("FETCH a")[0] == "ROW 1");
+    }
+    for (auto const* const member : {"m1", "m2", "m3"})
+    {
+        auto const state = world.m_group.state(member);
+        CHECK(state.m_connections > 0);
+        CHECK(state.m_connections <= 4);
+    }
+}
+
+TEST_CASE("a forwarded transaction keeps its connection and its values")
+{
+    scarce_deployment world;
+    REQUIRE(world.m_ready);
+    for (auto const& each : world.m_instances)
+    {
+        auto caller = each->connect();
+        CHECK(caller.outcome("SETPARAM lang pt") == "COMPLETE");
+        CHECK(caller.outcome("PREPARE p STORE s1") == "COMPLETE");
+        CHECK(caller.outcome("BEGIN") == "COMPLETE");
+        CHECK(caller.outcome("EXECUTE p a in") == "COMPLETE");
+        CHECK(caller.outcome("ROLLBACK") == "COMPLETE");
+        auto const rolled_back = caller.run("FETCH a")[0];
+        CHECK(rolled_back.find("ROW in") == std::string::npos);
+        // The member's rows show the session's values.
+        CHECK(rolled_back.find(" lang=pt") != std::string::npos);
+        CHECK(caller.outcome("BEGIN") == "COMPLETE");
+        CHECK(caller.outcome("STORE a kept") == "COMPLETE");
+        CHECK(caller.outcome("COMMIT") == "COMPLETE");
+        CHECK(caller.run("FETCH a")[0] == "ROW kept lang=pt");
+        CHECK(caller.outcome("STORE a other") == "COMPLETE");
+    }
+}
+
+TEST_CASE("a caller that leaves in a forwarded transaction leaves nothing")
+{
+    scarce_deployment world;
+    REQUIRE(world.m_ready);
+    // Far more than the primary's four connections.
+    for (int round = 0; round < 4; ++round)
+    {
+        for (auto const& each : world.m_instances)
+        {
+            auto caller = each->connect();
+            CHECK(caller.outcome("BEGIN") == "COMPLETE");
+            CHECK(wait_for(
+                [&]
+                { return caller.outcome("STORE left open") == "COMPLETE"; }));
+            caller.leave();
+        }
+    }
+    CHECK(world.m_instances[0]->connect().run("FETCH left")[0] == "ROW none");
+}
+
+TEST_CASE("homes that end one after the other are replaced")
+{
+    scarce_deployment world;
+    REQUIRE(world.m_ready);
+    // The last instance stays; among the others were at least one home.
+    while (world.m_instances.size() > 1)
+    {
+        world.m_instances.erase(world.m_instances.begin());
+        auto& last = *world.m_instances.back();
+        CHECK(wait_for([&] { return scarce_deployment::serves(last); }));
+    }
+}
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -47,6 +47,7 @@
         place.m_listen_callers = m_host + ":7001";
         place.m_listen_readiness = m_host + ":7002";
         place.m_listen_peers = m_host + ":7003";
+        place.m_listen_forwarded = m_host + ":7004";
         place.m_store_address = store;
         place.m_promotion_address = store;
         place.m_stop_grace = camphortide::state::duration(3000);
@@ -107,6 +108,26 @@
 
     void configure(int version, std::string const& consistency,
                    std::string const& database = "loans")
+    {
+        configure(version, consistency, database, 16);
+    }
+
+    /// @param connections that each member takes
+    void configure_connections(int version, int connections)
+    {
+        for (auto const& member : m_group.members())
+        {
+            m_group.change(member,
+                           [&](standin::text_member_state& state) {
+                               state.m_max_connections =
+                                   static_cast<std::size_t>(connections);
+                           });
+        }
+        configure(version, "read_your_writes", "loans", connections);
+    }
+
+    void configure(int version, std::string const& consistency,
+                   std::string const& database, int connections)
     {
         m_platform.put(
             "config", "main",
@@ -115,7 +136,9 @@
                 R"(","routeType":")" + consistency +
                 R"(","timeoutMs":800,"targetLatencyMs":400,"priority":1,)"
                 R"("service":"g","maxStalenessMs":2500}],)"
-                R"("services":[{"name":"g","maxConnections":16,)"
+                R"("services":[{"name":"g","maxConnections":)" +
+                std::to_string(connections) +
+                R"(,)"
                 R"("syncReplicas":0}],"limits":{"txIdleMs":3000}})");
     }
 
