homes: three a group where instances can't have three connections each

Cause: after power_off_all the members count the connections of the dead processes for 3 s. Three homes hold fewer connections for the same load, and each keeps room for its successor. Ruled out: the start itself (ready 20 ms after the process), the permit (old records hold), the store.

--- a/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
@@ -39,11 +39,17 @@
 /// and in better order, and the end of a home is felt by more callers.
 inline constexpr std::size_t connections_per_home = 12;
 
-/// Least number of homes of a group: one may end at any moment.
-inline constexpr std::size_t least_homes = 2;
+/// Least number of homes of a group: one in each of three data centres, and
+/// one of them may end at any moment.
+inline constexpr std::size_t least_homes = 3;
+
+/// Every instance is a home where each has so many connections to a member:
+/// one in use, one in a transaction, and one for an instance that comes back
+/// while the member still counts those of its dead process.
+inline constexpr std::size_t least_connections_each = 3;
 
 /// Chooses the homes of a group. Every instance is one as long as each can
-/// have a connection to each member.
+/// have enough connections to each member.
 /// @param self this instance's name
 /// @param group the group's name
 /// @param connections to each member that the instances share
--- a/packages/coordination/src/fleet/group_homes.cpp
+++ b/packages/coordination/src/fleet/group_homes.cpp
@@ -16,7 +16,7 @@
 {
     auto const live = live_instances(instances);
     group_homes result;
-    if (live.size() <= connections)
+    if (live.size() * least_connections_each <= connections)
     {
         result.m_count = std::max<std::size_t>(live.size(), 1);
         return result;
