news: stale news are refused at once, a silent watch is followed by a listing

While the store dropped its history its watches stayed silent. A watcher took its silent watch for a failing store and turned away from it for 4 s; the instances that asked it waited for their whole wait to learn that it had heard nothing, then asked the next such watcher: up to five seconds. Now a silent watch is followed by a listing, who has heard nothing for its wait and 1 s answers 503 at once, also to those that wait, and after the watchers of the own data centre comes the store, then the others. Ruled out: a lost change (all instances took version 10 in the end), the mirror of changes.

--- a/packages/coordination/include/camphortide/coordination/fleet/news_source.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/news_source.hpp
@@ -23,30 +23,26 @@
     friend auto operator<=>(news_peer const&, news_peer const&) = default;
 };
 
-/// Whom an instance asks for what the store holds.
-struct news_plan
-{
-    bool m_store_first = true;      ///< the peers only if the store fails
-    std::vector<news_peer> m_peers; ///< the preferred one first
-
-    friend auto operator<=>(news_plan const&, news_plan const&) = default;
-};
+/// Whom an instance asks for what the store holds, the preferred one first;
+/// nothing stands for the store itself.
+using news_order = std::vector<std::optional<news_peer>>;
 
 /// Instances of one data centre for each that asks the store itself. Each
 /// call to the store has its price, and its rates grow more slowly than the
 /// fleet; an answer to another instance takes about 0.1 ms of a core.
 inline constexpr std::size_t instances_per_watcher = 40;
 
-/// Plans whom an instance asks. In each data centre a few instances watch the
-/// store, the others ask these.
+/// Orders whom an instance asks. In each data centre a few instances watch the
+/// store, the others ask these. Where they fail the store comes next: news
+/// must not be late by the time that several silent instances take.
 /// @param self the instance's name
 /// @param instances all that are registered
 /// @param direct the instance needs the store's own answers
-news_plan
-plan_news(std::string_view self,
-          std::map<std::string, state::stored<state::instance_entry>> const&
-              instances,
-          bool direct);
+news_order
+order_news(std::string_view self,
+           std::map<std::string, state::stored<state::instance_entry>> const&
+               instances,
+           bool direct);
 
 /// Chooses whom to ask next, after failures too.
 class news_source
@@ -58,7 +54,7 @@
     /// silence costs most of a second each time.
     static constexpr state::duration store_pause{4000};
 
-    void set_plan(news_plan plan) { m_plan = std::move(plan); }
+    void set_order(news_order order) { m_order = std::move(order); }
 
     /// @return the peer to ask; nothing: the store
     std::optional<news_peer> choose(state::time_point now) const;
@@ -70,7 +66,7 @@
     void succeeded(std::optional<news_peer> const& asked);
 
 private:
-    news_plan m_plan;
+    news_order m_order;
     left_out m_failed; ///< peers by name; the store's is empty
 };
 
--- a/packages/coordination/src/fleet/news_source.cpp
+++ b/packages/coordination/src/fleet/news_source.cpp
@@ -27,29 +27,29 @@
 
 } // namespace
 
-news_plan
-plan_news(std::string_view self,
-          std::map<std::string, state::stored<state::instance_entry>> const&
-              instances,
-          bool direct)
+news_order
+order_news(std::string_view self,
+           std::map<std::string, state::stored<state::instance_entry>> const&
+               instances,
+           bool direct)
 {
     auto const live = live_instances(instances);
     auto const watchers = choose_watchers(live, watchers_for(live));
+    auto const is_watcher = [&](std::string_view name)
+    {
+        return std::ranges::binary_search(watchers, std::string(name));
+    };
     auto const own = instances.find(std::string(self));
+    bool const store_first =
+        direct || own == instances.end() || is_watcher(self);
     auto const here = own == instances.end()
                           ? std::string()
                           : own->second.m_record.m_data_centre;
-    news_plan plan;
-    plan.m_store_first =
-        direct || own == instances.end() ||
-        std::ranges::binary_search(watchers, std::string(self));
     std::vector<state::instance_record> peers;
     std::ranges::copy_if(live, std::back_inserter(peers),
-                         [&](auto const& each)
-                         {
+                         [&](auto const& each) {
                              return each.m_name != self &&
-                                    std::ranges::binary_search(watchers,
-                                                               each.m_name);
+                                    is_watcher(each.m_name);
                          });
     auto const rank = [&](state::instance_record const& peer)
     {
@@ -58,23 +58,28 @@
             rendezvous_score(hash_name(self), hash_name(peer.m_name)));
     };
     std::ranges::sort(peers, {}, rank);
+    news_order order;
     for (auto const& peer : peers)
     {
-        plan.m_peers.push_back({peer.m_name, peer.m_address});
+        order.emplace_back(news_peer{peer.m_name, peer.m_address});
     }
-    return plan;
+    auto const near =
+        std::ranges::count(peers, here, &state::instance_record::m_data_centre);
+    order.insert(store_first ? order.begin() : order.begin() + near,
+                 std::nullopt);
+    return order;
 }
 
 std::optional<news_peer> news_source::choose(state::time_point now) const
 {
-    if (m_plan.m_store_first && !m_failed.contains(store_name, now))
+    for (auto const& each : m_order)
     {
-        return std::nullopt;
+        if (!m_failed.contains(each ? each->m_name : store_name, now))
+        {
+            return each;
+        }
     }
-    auto const place =
-        std::ranges::find_if(m_plan.m_peers, [&](news_peer const& peer)
-                             { return !m_failed.contains(peer.m_name, now); });
-    return place == m_plan.m_peers.end() ? std::nullopt : std::optional(*place);
+    return std::nullopt;
 }
 
 void news_source::failed(std::optional<news_peer> const& asked,
--- a/packages/proxy/include/camphortide/proxy/object_watch.hpp
+++ b/packages/proxy/include/camphortide/proxy/object_watch.hpp
@@ -51,9 +51,9 @@
     void start(news_handler on_news, state_handler on_state);
 
     /// Sets whom to ask from the next call on.
-    void set_plan(coordination::news_plan plan)
+    void set_order(coordination::news_order order)
     {
-        m_source.set_plan(std::move(plan));
+        m_source.set_order(std::move(order));
     }
 
     /// Answers another instance, now or when there is news.
@@ -83,6 +83,8 @@
     void take(news const& value);
     void answer_waiting(bool newer_proof);
     void answer(responder const& done, mirror_page page) const;
+    /// @return the age from which on news are too old to be passed on
+    state::duration longest_age() const;
     void list(std::string const& after);
     void listed(platform::store_outcome outcome,
                 std::optional<platform::http_answer> const& answer);
@@ -108,6 +110,7 @@
     std::uint64_t m_revision = 0; ///< 0: list first
     state::time_point m_asked;
     state::time_point m_last_success;
+    state::time_point m_heard; ///< when the last call succeeded
     state::duration m_pause{};
     bool m_failing = false;
     coordination::news_source m_source;
--- a/packages/proxy/include/camphortide/proxy/peer_news.hpp
+++ b/packages/proxy/include/camphortide/proxy/peer_news.hpp
@@ -27,7 +27,7 @@
     mirror_page m_page;
     /// since a listing was sent that all of this is as new as
     state::duration m_proof_age{};
-    /// since the last call to the store was sent that succeeded
+    /// since the last call to the store succeeded
     state::duration m_heard_age{};
 
     friend auto operator<=>(news_response const&,
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -232,12 +232,12 @@
 
 void fleet_control::plan_sources()
 {
-    auto const plan =
-        coordination::plan_news(m_own.m_name, m_records.m_instances, m_direct);
+    auto const order =
+        coordination::order_news(m_own.m_name, m_records.m_instances, m_direct);
     for (auto* const watch :
          {&m_configuration_watch, &m_member_watch, &m_record_watch})
     {
-        watch->set_plan(plan);
+        watch->set_order(order);
     }
 }
 
--- a/packages/proxy/src/object_watch.cpp
+++ b/packages/proxy/src/object_watch.cpp
@@ -84,6 +84,7 @@
     }
     m_revision = m_listing.m_revision;
     m_last_success = m_listed = m_listing.m_asked;
+    m_heard = state::clock::now();
     succeeded();
     m_listing.m_proves = true;
     take(std::exchange(m_listing, {}));
@@ -146,6 +147,12 @@
     auto const page = outcome == store_outcome::done
                           ? platform::parse_page(*answer)
                           : std::nullopt;
+    if (!page && outcome == store_outcome::no_answer)
+    {
+        // A silent watch says little of the store; a listing tells.
+        list({});
+        return;
+    }
     if (!page)
     {
         failed(outcome);
@@ -153,6 +160,7 @@
     }
     m_revision = std::max(m_revision, page->m_revision);
     m_last_success = m_asked;
+    m_heard = state::clock::now();
     succeeded();
     take({page->m_objects, false, m_revision, m_asked, false});
     go_on();
--- a/packages/proxy/src/object_watch_peers.cpp
+++ b/packages/proxy/src/object_watch_peers.cpp
@@ -15,9 +15,9 @@
 /// Time for another instance's answer beyond the wait that it was asked for:
 /// many round trips, and one lost packet.
 constexpr state::duration peer_answer_limit{500};
-/// News of an instance that hasn't heard from the store for so long aren't
-/// used: the store, or another instance, may know more.
-constexpr state::duration longest_heard_age{3000};
+/// News of an instance that hasn't heard from the store for its wait and so
+/// long aren't used: an answer that was due by then, and another listing.
+constexpr state::duration longest_silence{1000};
 /// Added to ages: both ends count whole milliseconds.
 constexpr state::duration age_margin{2};
 constexpr unsigned status_ok = 200;
@@ -72,7 +72,7 @@
     bool const behind = page.m_whole && page.m_revision < m_revision;
     bool const unexpected =
         !page.m_whole && page.m_cursor.m_process != m_peer_cursor.m_process;
-    if (behind || unexpected || response.m_heard_age > longest_heard_age)
+    if (behind || unexpected || response.m_heard_age > longest_age())
     {
         return false;
     }
@@ -80,8 +80,8 @@
     m_revision = std::max(m_revision, page.m_revision);
     // The ages are as of the answer: counted from the question they are
     // greater than they need be, never less.
-    m_last_success =
-        std::max(m_last_success, sent - response.m_heard_age - age_margin);
+    m_heard = std::max(m_heard, sent - response.m_heard_age - age_margin);
+    m_last_success = std::max(m_last_success, m_heard);
     succeeded(peer);
     take({page.m_objects, page.m_whole, m_revision,
           sent - response.m_proof_age - age_margin, true});
@@ -90,7 +90,7 @@
 
 void object_watch::serve(news_request const& request, responder done)
 {
-    if (!m_mirror.complete())
+    if (!m_mirror.complete() || state::clock::now() - m_heard > longest_age())
     {
         done({status_unavailable, {}});
         return;
@@ -108,8 +108,7 @@
 void object_watch::answer(responder const& done, mirror_page page) const
 {
     auto const now = state::clock::now();
-    done(encode(
-        news_response{std::move(page), now - m_proven, now - m_last_success}));
+    done(encode(news_response{std::move(page), now - m_proven, now - m_heard}));
 }
 
 void object_watch::answer_waiting(bool newer_proof)
@@ -128,11 +127,21 @@
     }
 }
 
+state::duration object_watch::longest_age() const
+{
+    return m_wait + longest_silence;
+}
+
 void object_watch::tick(state::time_point now)
 {
+    bool const stale = now - m_heard > longest_age();
     for (auto const& each : std::exchange(m_waiting, {}))
     {
-        if (now >= each.m_until)
+        if (stale)
+        {
+            each.m_done({status_unavailable, {}});
+        }
+        else if (now >= each.m_until)
         {
             answer(each.m_done, m_mirror.since(each.m_cursor));
         }
