homes: waiting statements follow their group's homes, homes that start are asked again

Now there is no view before the records are known, statements that wait where their group has no home any more go to the homes, and homes of which none ran a statement are asked again each 40 ms as long as its goal allows.

--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -37,6 +37,9 @@
     /// Takes in what the control thread knows now.
     void apply(fleet_view const& view);
 
+    /// Gives back what waits here though other instances are the homes now.
+    std::vector<request_pointer> hand_over();
+
     /// Queues a statement, or runs it on its transaction's connection.
     void submit(request_pointer const& request);
 
@@ -85,7 +88,6 @@
                                             state::time_point now) const;
     void open_connections(std::vector<std::size_t> const& wanted);
     void expire(state::time_point now);
-    void refuse_waiting(std::string_view why);
     void set_timer();
     void start(request_pointer const& request, std::size_t lane);
     void run(request_pointer const& request, bound_connection const& use);
--- a/packages/proxy/include/camphortide/proxy/home_router.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_router.hpp
@@ -20,6 +20,9 @@
     using request_pointer = std::shared_ptr<statement_request>;
 
     home_router(boost::asio::io_context& context, traffic_report& report);
+    ~home_router();
+    home_router(home_router const&) = delete;
+    home_router& operator=(home_router const&) = delete;
 
     /// Takes in who the homes are now.
     void apply(fleet_view const& view);
@@ -38,6 +41,7 @@
 
 private:
     void place(request_pointer const& request);
+    void place_later(request_pointer const& request);
     void ended(request_pointer const& request, std::string const& home,
                forwarding_end how, statement_result result);
     void lost(request_pointer const& request, std::string const& home);
@@ -48,6 +52,7 @@
     traffic_report& m_report;
     std::map<std::string, coordination::home_choice, std::less<>> m_choices;
     std::map<std::string, std::shared_ptr<home_link>> m_links; ///< by home
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -407,7 +407,8 @@
 
 void fleet_control::publish()
 {
-    if (!m_configuration)
+    // Without the records nobody knows who the homes are.
+    if (!m_configuration || !m_records_known)
     {
         return;
     }
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -77,10 +77,6 @@
         }
     }
     apply_members(view);
-    if (!m_home)
-    {
-        refuse_waiting("no home of the group any more");
-    }
     if (standing != view.m_standings.end() && standing->second.m_closing)
     {
         close_primary(standing->second.m_revision, standing->second.m_orderly,
@@ -377,13 +373,18 @@
     }
 }
 
-void group_traffic::refuse_waiting(std::string_view why)
+std::vector<group_traffic::request_pointer> group_traffic::hand_over()
 {
-    for (auto const& [number, request] : std::exchange(m_waiting, {}))
+    std::vector<request_pointer> requests;
+    if (!m_home)
     {
-        m_queue.erase(number);
-        refuse(request, why);
+        for (auto const& [number, request] : std::exchange(m_waiting, {}))
+        {
+            m_queue.erase(number);
+            requests.push_back(request);
+        }
     }
+    return requests;
 }
 
 void group_traffic::set_timer()
--- a/packages/proxy/src/home_router.cpp
+++ b/packages/proxy/src/home_router.cpp
@@ -14,6 +14,9 @@
 /// How long a home that wasn't reached, or isn't one, is asked after others:
 /// about what a process needs to start, and the records to arrive.
 constexpr state::duration failed_pause{1000};
+/// Pause before the homes are asked again, when none of them ran a statement:
+/// they may just start, as this instance did.
+constexpr state::duration again_pause{40};
 /// How long a home that leaves is asked after others: its grace.
 constexpr state::duration leaving_pause{6000};
 
@@ -26,6 +29,11 @@
 {
 }
 
+home_router::~home_router()
+{
+    *m_alive = false;
+}
+
 void home_router::apply(fleet_view const& view)
 {
     std::erase_if(m_choices,
@@ -74,6 +82,12 @@
         choice == m_choices.end()
             ? nullptr
             : choice->second.choose(request->m_tried_homes, now);
+    auto const target = request->m_arrived + request->m_route->m_target_latency;
+    if (home == nullptr && now + again_pause < target)
+    {
+        place_later(request);
+        return;
+    }
     if (home == nullptr || now >= request->m_latest)
     {
         tell(request, {statement_error::busy, "no home in time"});
@@ -94,6 +108,21 @@
                  { ended(request, name, how, std::move(result)); });
 }
 
+void home_router::place_later(request_pointer const& request)
+{
+    auto const timer = std::make_shared<boost::asio::steady_timer>(m_context);
+    timer->expires_after(again_pause);
+    timer->async_wait(
+        [this, timer, request, alive = m_alive](boost::system::error_code)
+        {
+            if (*alive)
+            {
+                request->m_tried_homes.clear();
+                place(request);
+            }
+        });
+}
+
 std::shared_ptr<home_link>
 home_router::link_to(coordination::home_place const& home)
 {
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -88,6 +88,10 @@
     for (auto const& entry : m_groups)
     {
         entry.second->apply(*view);
+        for (auto const& request : entry.second->hand_over())
+        {
+            submit(request);
+        }
     }
     if (first)
     {
