forwarding: a transaction begun by a handed-over statement is found again

A statement that begins a transaction waits at a home; the homes change; it is handed over and begun elsewhere; the next statement of the transaction was run by the old home as if it had a connection of its own. Found by glog's stack at the signal (a trial, in the reading of a link) and reading. home_router_test plays it: it crashes before and passes now. With it, found by reading: fields that callers and members choose are bytes (a statement that is no UTF-8 text would have ended the link to the home); a link to an address that its home left is ended, so that nothing waits on it. tests: wait_for returns the state that it has seen, and forwarding_path_test waits until all six instances are registered: it was red once in the address build, as homes still changed between two looks.

--- a/packages/proxy/include/camphortide/proxy/home_link.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_link.hpp
@@ -38,6 +38,9 @@
     /// Ends a transaction at the home.
     void roll_back(std::uint64_t transaction);
 
+    /// Ends the link: what has no answer is lost.
+    void end();
+
     /// Finds out whether a silent home is there, and ends the link if not.
     void check(state::time_point now);
 
@@ -61,7 +64,6 @@
     void send(std::uint64_t number, outstanding const& what);
     void take(v1::Message const& message);
     void take_reply(v1::Reply const& reply);
-    void end();
 
     boost::asio::io_context& m_context;
     std::string m_address;
--- a/packages/proxy/src/forwarding_conversion.cpp
+++ b/packages/proxy/src/forwarding_conversion.cpp
@@ -106,7 +106,9 @@
     }
     for (auto const& [name, value] : request.m_values)
     {
-        (*to.mutable_values())[name] = value;
+        auto& each = *to.add_values();
+        each.set_name(name);
+        each.set_value(value);
     }
     fill(*request.m_route, *to.mutable_route());
     to.set_configuration(request.m_configuration->m_version);
@@ -143,7 +145,10 @@
         request->m_shape = coordination::prepared_shape{
             message.shape().writes(), message.shape().text()};
     }
-    request->m_values.insert(message.values().begin(), message.values().end());
+    for (auto const& each : message.values())
+    {
+        request->m_values[each.name()] = each.value();
+    }
     set_route(*request, std::move(*route), message.configuration());
     request->m_kind = *kind;
     request->m_begins = message.begins();
--- a/packages/proxy/src/home_link.cpp
+++ b/packages/proxy/src/home_link.cpp
@@ -193,7 +193,10 @@
     }
     auto const self = shared_from_this();
     m_opening_timer.cancel();
-    m_stream->close();
+    if (m_stream)
+    {
+        m_stream->close();
+    }
     auto const how = m_open ? forwarding_end::lost : forwarding_end::not_run;
     for (auto const& [number, what] : std::exchange(m_outstanding, {}))
     {
--- a/packages/proxy/src/home_router.cpp
+++ b/packages/proxy/src/home_router.cpp
@@ -126,10 +126,15 @@
 std::shared_ptr<home_link>
 home_router::link_to(coordination::home_place const& home)
 {
-    auto& link = m_links[home.m_name];
-    if (!link || !link->usable() || link->address() != home.m_address)
+    auto& place = m_links[home.m_name];
+    if (place && place->usable() && place->address() == home.m_address)
     {
-        link = std::make_shared<home_link>(m_context, home.m_address);
+        return place;
+    }
+    auto const link = std::make_shared<home_link>(m_context, home.m_address);
+    if (auto const old = std::exchange(place, link))
+    {
+        old->end(); // the name is at another address now
     }
     return link;
 }
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -116,10 +116,7 @@
 
 void traffic::submit(std::shared_ptr<statement_request> const& request)
 {
-    bool const elsewhere = request->m_bound
-                               ? request->m_bound->m_home != nullptr
-                               : m_router.forwards(request->m_route->m_group);
-    if (elsewhere)
+    if (!request->m_bound && m_router.forwards(request->m_route->m_group))
     {
         m_router.submit(request);
     }
@@ -146,6 +143,12 @@
 
 void traffic::run_here(std::shared_ptr<statement_request> const& request)
 {
+    // A transaction whose first statement was handed over is elsewhere.
+    if (request->m_bound && request->m_bound->m_home)
+    {
+        m_router.submit(request);
+        return;
+    }
     group(request->m_route->m_group).submit(request);
 }
 
--- a/packages/proxy/test/forwarding/forwarding_conversion_test.cpp
+++ b/packages/proxy/test/forwarding/forwarding_conversion_test.cpp
@@ -37,10 +37,11 @@
     request.m_configuration = configuration();
     request.m_route = &request.m_configuration->m_routes.at("loans");
     request.m_statement.m_id = "q1";
-    request.m_statement.m_text = "EXECUTE p 7 x";
+    request.m_statement.m_text = "EXECUTE p 7 \xc3x";
     request.m_statement.m_argument = "7 x";
     request.m_shape = coordination::prepared_shape{true, "shape"};
     request.m_values["lang"] = "pt";
+    request.m_values["bytes"] = "\xff\xfe no text";
     request.m_kind = coordination::sent_kind::single_write;
     request.m_session =
         coordination::session_position{3, {state::term(3), 1209}};
@@ -55,7 +56,9 @@
 TEST_CASE("a statement arrives with all that a member needs")
 {
     auto const sent = request_at(at(1000));
-    auto const message = proxy::encode_statement(sent, 5, 9, at(1000));
+    v1::Message message;
+    REQUIRE(message.ParseFromString(
+        proxy::encode_statement(sent, 5, 9, at(1000)).SerializeAsString()));
     CHECK(message.statement().number() == 5);
     CHECK(message.statement().transaction() == 9);
     // The other instance's clock has another zero.
@@ -125,7 +128,7 @@
 TEST_CASE("a result arrives as the member gave it")
 {
     proxy::statement_result sent;
-    sent.m_reply.m_rows = {"ROW a", "ROW b"};
+    sent.m_reply.m_rows = {"ROW a", "ROW \xff"};
     sent.m_reply.m_signature = "7.1f3";
     sent.m_reply.m_phase = state::session_phase::in_transaction;
     sent.m_reply.m_position = state::log_position{state::term(3), 1210};
@@ -136,7 +139,9 @@
         sent.m_reply.m_failure = state::statement_failure{
             state::statement_error::no_such_statement, "p1"};
     }
-    auto const message = proxy::encode_result(sent, 5, 9);
+    v1::Message message;
+    REQUIRE(message.ParseFromString(
+        proxy::encode_result(sent, 5, 9).SerializeAsString()));
     CHECK(message.reply().number() == 5);
     CHECK(message.reply().transaction() == 9);
     CHECK_FALSE(message.reply().not_run());
--- a/packages/proxy/test/forwarding/forwarding_path_test.cpp
+++ b/packages/proxy/test/forwarding/forwarding_path_test.cpp
@@ -1,5 +1,6 @@
 #include "../support/proxy_fixture.hpp"
 
+#include <algorithm>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -26,17 +27,26 @@
         m_ready = wait_for(
             [this]
             {
-                for (auto const& each : m_instances)
-                {
-                    if (!serves(*each))
-                    {
-                        return false;
-                    }
-                }
-                return true;
+                // While they register, the homes change.
+                return registered() &&
+                       std::ranges::all_of(m_instances, [](auto const& each)
+                                           { return serves(*each); });
             });
     }
 
+    bool registered() const
+    {
+        for (int number = 1; number <= 6; ++number)
+        {
+            auto const name = "instance.edge-" + std::to_string(number);
+            if (m_platform.get("camphortide", name).empty())
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
     static bool serves(running_instance& instance)
     {
         try
--- a/packages/proxy/test/forwarding/home_router_test.cpp
+++ b/packages/proxy/test/forwarding/home_router_test.cpp
@@ -3,6 +3,7 @@
 
 #include <camphortide/proxy/home_router.hpp>
 #include <camphortide/proxy/home_server.hpp>
+#include <camphortide/proxy/traffic.hpp>
 
 namespace coordination = camphortide::coordination;
 namespace proxy = camphortide::proxy;
@@ -293,3 +294,37 @@
     CHECK(world.arrives(world.m_second));
     CHECK(world.m_first.m_requests.size() == 1);
 }
+
+TEST_CASE("a transaction that was handed over with its home is found again")
+{
+    two_homes world;
+    REQUIRE(world.m_second.start());
+    // In the place of the first home: an instance that queues what it gets,
+    // for it knows no members, and is no home later.
+    proxy::traffic traffic(world.m_context, world.m_report);
+    REQUIRE(traffic.listen_forwarded(world.m_first.m_address));
+    auto const homes = [&](coordination::group_homes value)
+    {
+        auto view = std::make_shared<proxy::fleet_view>();
+        auto configuration = *world.m_configuration;
+        configuration.m_groups["group"].m_max_connections = 16;
+        view->m_configuration =
+            std::make_shared<state::configuration const>(configuration);
+        view->m_homes["group"] = std::move(value);
+        traffic.apply(view);
+    };
+    homes({});
+    world.submit(sent_kind::in_transaction);
+    auto const later = state::clock::now() + state::duration(100);
+    world.run_until([&] { return state::clock::now() > later; });
+    homes({1, false, {{"h2", world.m_second.m_address}}});
+    REQUIRE(world.arrives(world.m_second));
+    world.m_second.answer("ROW 1", true);
+    REQUIRE(world.ends());
+    REQUIRE(world.m_bound);
+    world.submit(sent_kind::in_transaction);
+    REQUIRE(world.arrives(world.m_second, 2));
+    world.m_second.answer("ROW 2");
+    REQUIRE(world.ends());
+    CHECK(world.m_result->m_reply.ok());
+}
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -24,11 +24,13 @@
 {
     auto const end =
         std::chrono::steady_clock::now() + std::chrono::seconds(40);
-    while (!condition() && std::chrono::steady_clock::now() < end)
+    bool met = condition();
+    while (!met && std::chrono::steady_clock::now() < end)
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        met = condition();
     }
-    return condition();
+    return met;
 }
 
 /// One running instance. Each has an address of its own on this machine.
