--- a/packages/coordination/test/homes/group_homes_test.cpp
+++ b/packages/coordination/test/homes/group_homes_test.cpp
@@ -1,4 +1,5 @@
-#include <map>
+#include "../support/registered_instances.hpp"
+
 #include <set>
 
 #include <doctest/doctest.h>
@@ -10,33 +11,16 @@
 using coordination::choose_homes;
 using coordination::home_choice;
 using coordination::home_place;
+using tests::register_instances;
 
 namespace
 {
 
-using instances = std::map<std::string, state::stored<state::instance_entry>>;
-
 state::time_point at(int ms)
 {
     return state::time_point(state::duration(ms));
 }
 
-/// Instances of three data centres by turns.
-instances fleet(int count)
-{
-    instances all;
-    for (int number = 0; number < count; ++number)
-    {
-        state::instance_entry entry;
-        entry.m_name = "i";
-        entry.m_name += std::to_string(number);
-        entry.m_forwarding_address = "10.0.0." + std::to_string(number) + ":2";
-        entry.m_data_centre = "dc" + std::to_string(number % 3);
-        all[entry.m_name] = {entry, 1};
-    }
-    return all;
-}
-
 std::set<std::string> names_of(coordination::group_homes const& homes)
 {
     std::set<std::string> names;
@@ -56,7 +40,8 @@
 {
     for (int const count : {1, 7, 14})
     {
-        auto const homes = choose_homes("i0", "g", 42, fleet(count));
+        auto const homes =
+            choose_homes("i0", "g", 42, register_instances(count));
         CHECK(homes.m_here);
         CHECK(homes.m_homes.empty());
         CHECK(homes.m_count == static_cast<std::size_t>(count));
@@ -72,7 +57,7 @@
 
 TEST_CASE("with fewer connections than instances all agree on few homes")
 {
-    auto const all = fleet(83);
+    auto const all = register_instances(83);
     auto const expected = names_of(choose_homes("i0", "g", 36, all));
     CHECK(expected.size() == 3);
     std::size_t here = 0;
@@ -94,13 +79,15 @@
 
 TEST_CASE("a group has three homes even where connections are scarce")
 {
-    CHECK(choose_homes("i0", "g", 14, fleet(7)).m_homes.size() == 3);
-    CHECK(choose_homes("i0", "g", 3, fleet(20)).m_homes.size() == 3);
+    CHECK(choose_homes("i0", "g", 14, register_instances(7)).m_homes.size() ==
+          3);
+    CHECK(choose_homes("i0", "g", 3, register_instances(20)).m_homes.size() ==
+          3);
 }
 
 TEST_CASE("an expelled home is replaced by one other instance")
 {
-    auto all = fleet(83);
+    auto all = register_instances(83);
     auto const before = names_of(choose_homes("i0", "g", 36, all));
     all.at(*before.begin()).m_record.m_expelled = true;
     auto const after = names_of(choose_homes("i0", "g", 36, all));
--- a/packages/coordination/test/news/news_source_test.cpp
+++ b/packages/coordination/test/news/news_source_test.cpp
@@ -1,3 +1,5 @@
+#include "../support/registered_instances.hpp"
+
 #include <doctest/doctest.h>
 
 #include <camphortide/coordination/fleet/news_source.hpp>
@@ -7,34 +9,17 @@
 using coordination::news_peer;
 using coordination::news_source;
 using coordination::order_news;
+using tests::register_instances;
 
 namespace
 {
 
-using instances = std::map<std::string, state::stored<state::instance_entry>>;
-
 state::time_point at(int ms)
 {
     return state::time_point(state::duration(ms));
 }
 
-/// Instances of three data centres by turns.
-instances fleet(int count)
-{
-    instances all;
-    for (int number = 0; number < count; ++number)
-    {
-        state::instance_entry entry;
-        entry.m_name = "i";
-        entry.m_name += std::to_string(number);
-        entry.m_address = "10.0.0." + std::to_string(number) + ":1";
-        entry.m_data_centre = "dc" + std::to_string(number % 3);
-        all[entry.m_name] = {entry, 1};
-    }
-    return all;
-}
-
-int store_first_count(instances const& all)
+int store_first_count(tests::registered const& all)
 {
     int count = 0;
     for (auto const& entry : all)
@@ -48,14 +33,14 @@
 
 TEST_CASE("a few instances of each data centre ask the store")
 {
-    CHECK(store_first_count(fleet(7)) == 3);
-    CHECK(store_first_count(fleet(83)) == 3);
-    CHECK(store_first_count(fleet(500)) == 15);
+    CHECK(store_first_count(register_instances(7)) == 3);
+    CHECK(store_first_count(register_instances(83)) == 3);
+    CHECK(store_first_count(register_instances(500)) == 15);
 }
 
 TEST_CASE("the others ask a watcher of their own data centre, then the store")
 {
-    auto const all = fleet(83);
+    auto const all = register_instances(83);
     for (auto const& [name, stored] : all)
     {
         auto const order = order_news(name, all, false);
@@ -75,7 +60,7 @@
 
 TEST_CASE("an instance that isn't registered, or needs it, asks the store")
 {
-    auto const all = fleet(83);
+    auto const all = register_instances(83);
     CHECK_FALSE(order_news("unknown", all, false)[0]);
     for (auto const& entry : all)
     {
@@ -85,7 +70,7 @@
 
 TEST_CASE("an expelled watcher is replaced by another one")
 {
-    auto all = fleet(83);
+    auto all = register_instances(83);
     std::string watcher;
     for (auto const& entry : all)
     {
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -82,7 +82,7 @@
     void take_members(object_watch::news const& news);
     void take_records(object_watch::news const& news);
     void follow_expelled();
-    void plan_sources();
+    void order_sources();
     bool must_say_closed(state::time_point now);
     bool registered() const;
     void register_if_due(state::time_point now);
--- a/packages/proxy/include/camphortide/proxy/message_stream.hpp
+++ b/packages/proxy/include/camphortide/proxy/message_stream.hpp
@@ -28,7 +28,31 @@
     /// @param ended called once, unless close() ended it
     void start(message_handler on_message, end_handler ended);
 
-    /// Connects, then begins to read.
+    /// Begins to read for an owner that may end before the connection.
+    /// @param take called with each message
+    /// @param ended called once, unless close() ended it
+    template <typename Owner>
+    void start(std::weak_ptr<Owner> const& owner,
+               void (Owner::*take)(v1::Message const&), void (Owner::*ended)())
+    {
+        start(
+            [owner, take](v1::Message const& message)
+            {
+                if (auto const self = owner.lock())
+                {
+                    (*self.*take)(message);
+                }
+            },
+            [owner, ended]
+            {
+                if (auto const self = owner.lock())
+                {
+                    (*self.*ended)();
+                }
+            });
+    }
+
+    /// Connects.
     /// @param connected called with false if it fails
     void connect(std::string const& address,
                  std::function<void(bool)> connected);
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -215,7 +215,7 @@
     }
     if (changed)
     {
-        plan_sources();
+        order_sources();
     }
     if (changed || news.m_proves)
     {
@@ -227,10 +227,10 @@
 void fleet_control::ask_store_directly(bool direct)
 {
     m_direct = direct;
-    plan_sources();
+    order_sources();
 }
 
-void fleet_control::plan_sources()
+void fleet_control::order_sources()
 {
     auto const order =
         coordination::order_news(m_own.m_name, m_records.m_instances, m_direct);
--- a/packages/proxy/src/home_link.cpp
+++ b/packages/proxy/src/home_link.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -58,21 +59,7 @@
 {
     m_open = true;
     m_opening_timer.cancel();
-    m_stream->start(
-        [weak = weak_from_this()](v1::Message const& message)
-        {
-            if (auto const self = weak.lock())
-            {
-                self->take(message);
-            }
-        },
-        [weak = weak_from_this()]
-        {
-            if (auto const self = weak.lock())
-            {
-                self->end();
-            }
-        });
+    m_stream->start(weak_from_this(), &home_link::take, &home_link::end);
     for (auto const& [number, what] : m_outstanding)
     {
         send(number, what);
--- a/packages/proxy/src/home_router.cpp
+++ b/packages/proxy/src/home_router.cpp
@@ -131,7 +131,7 @@
     {
         return place;
     }
-    auto const link = std::make_shared<home_link>(m_context, home.m_address);
+    auto link = std::make_shared<home_link>(m_context, home.m_address);
     if (auto const old = std::exchange(place, link))
     {
         old->end(); // the name is at another address now
--- a/packages/proxy/src/home_server.cpp
+++ b/packages/proxy/src/home_server.cpp
@@ -31,24 +31,7 @@
     {
     }
 
-    void start()
-    {
-        m_stream->start(
-            [weak = weak_from_this()](v1::Message const& message)
-            {
-                if (auto const self = weak.lock())
-                {
-                    self->take(message);
-                }
-            },
-            [weak = weak_from_this()]
-            {
-                if (auto const self = weak.lock())
-                {
-                    self->end();
-                }
-            });
-    }
+    void start() { m_stream->start(weak_from_this(), &link::take, &link::end); }
 
     void say_leaving()
     {
@@ -118,7 +101,7 @@
         ++m_running;
         request->m_done =
             [self = shared_from_this(), number, transaction,
-             group = request->m_route->m_group](statement_result result)
+             group = request->m_route->m_group](statement_result const& result)
         {
             --self->m_running;
             auto const left = self->settle(group, transaction, result.m_bound);
