fleet: one order by nearness for homes and watchers

From reading the change: choose_homes and order_news sorted instances by the same rank, own data centre first, then rendezvous. It is one function now, sort_nearest_first. Behaviour is the same: coordination.homes and coordination.news pass with their assertions as they were; formatter and linter are clean on the three sources.

--- a/packages/coordination/include/camphortide/coordination/fleet/live_instances.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/live_instances.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <camphortide/state/fleet_records.hpp>
@@ -16,4 +17,11 @@
 live_instances(std::map<std::string,
                         state::stored<state::instance_entry>> const& instances);
 
+/// Sorts instances as one of them prefers to ask them: those of its own data
+/// centre in front, then by rendezvous, so that the askers spread over them.
+/// @param self the name of the instance that asks
+/// @param here its data centre
+void sort_nearest_first(std::vector<state::instance_record>& instances,
+                        std::string_view self, std::string_view here);
+
 } // namespace camphortide::coordination
--- a/packages/coordination/src/fleet/group_homes.cpp
+++ b/packages/coordination/src/fleet/group_homes.cpp
@@ -3,7 +3,6 @@
 #include <camphortide/coordination/fleet/group_homes.hpp>
 #include <camphortide/coordination/fleet/home_table.hpp>
 #include <camphortide/coordination/fleet/live_instances.hpp>
-#include <camphortide/coordination/fleet/rendezvous.hpp>
 
 namespace camphortide::coordination
 {
@@ -28,13 +27,7 @@
     auto const here = own == instances.end()
                           ? std::string()
                           : own->second.m_record.m_data_centre;
-    auto const rank = [&](state::instance_record const& home)
-    {
-        return std::pair(
-            home.m_data_centre != here,
-            rendezvous_score(hash_name(self), hash_name(home.m_name)));
-    };
-    std::ranges::sort(homes, {}, rank);
+    sort_nearest_first(homes, self, here);
     result.m_count = homes.size();
     result.m_here = false;
     for (auto const& home : homes)
--- a/packages/coordination/src/fleet/live_instances.cpp
+++ b/packages/coordination/src/fleet/live_instances.cpp
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <utility>
+
 #include <camphortide/coordination/fleet/live_instances.hpp>
+#include <camphortide/coordination/fleet/rendezvous.hpp>
 
 namespace camphortide::coordination
 {
@@ -22,4 +26,16 @@
     return result;
 }
 
+void sort_nearest_first(std::vector<state::instance_record>& instances,
+                        std::string_view self, std::string_view here)
+{
+    auto const rank = [&](state::instance_record const& instance)
+    {
+        return std::pair(
+            instance.m_data_centre != here,
+            rendezvous_score(hash_name(self), hash_name(instance.m_name)));
+    };
+    std::ranges::sort(instances, {}, rank);
+}
+
 } // namespace camphortide::coordination
--- a/packages/coordination/src/fleet/news_source.cpp
+++ b/packages/coordination/src/fleet/news_source.cpp
@@ -3,7 +3,6 @@
 #include <camphortide/coordination/fleet/home_table.hpp>
 #include <camphortide/coordination/fleet/live_instances.hpp>
 #include <camphortide/coordination/fleet/news_source.hpp>
-#include <camphortide/coordination/fleet/rendezvous.hpp>
 
 namespace camphortide::coordination
 {
@@ -51,13 +50,7 @@
                              return each.m_name != self &&
                                     is_watcher(each.m_name);
                          });
-    auto const rank = [&](state::instance_record const& peer)
-    {
-        return std::pair(
-            peer.m_data_centre != here,
-            rendezvous_score(hash_name(self), hash_name(peer.m_name)));
-    };
-    std::ranges::sort(peers, {}, rank);
+    sort_nearest_first(peers, self, here);
     news_order order;
     for (auto const& peer : peers)
     {
