proxy: no statement waits for a home that is known to be silent

Cause: a home that failed was avoided for one second, and then the next statement was sent to it again and waited 400 ms for the link, or 650 ms for the answer to a ping. Change: a statement goes to a home that is connected and responds; links to the others are opened in the background, with a backoff from 0.5 to 4 s, and are used once the home has answered. A read is sent to another home 170 ms after its home fell silent; a write still waits for the link's end. Without a home that responds, a caller is refused after a quarter of its target latency, as another instance may serve it. Tests: home_selector_test, and home_router_test with a listener that nobody reads from.

--- a/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
@@ -8,7 +8,6 @@
 #include <string_view>
 #include <vector>
 
-#include <camphortide/coordination/fleet/cooldown_set.hpp>
 #include <camphortide/state/fleet_records.hpp>
 
 namespace camphortide::coordination
@@ -62,31 +61,4 @@
              std::map<std::string, state::stored<state::instance_entry>> const&
                  instances);
 
-/// Selects a home for each statement. Skips homes that recently stopped, are
-/// leaving or did not respond.
-class home_selector
-{
-public:
-    void set_homes(std::vector<home_address> homes)
-    {
-        m_homes = std::move(homes);
-    }
-
-    /// @param attempted homes that were attempted and did not run the statement
-    /// @return the home to use; null if none is left
-    home_address const* choose(std::vector<std::string> const& attempted,
-                               state::time_point now) const;
-
-    /// Records that a home did not run a statement or can't be reached.
-    /// @param home the name of the home
-    /// @param cooldown how long the other homes are preferred
-    /// @param now the current time
-    void failed(std::string const& home, state::duration cooldown,
-                state::time_point now);
-
-private:
-    std::vector<home_address> m_homes; ///< by preference
-    cooldown_set m_cooldown;
-};
-
 } // namespace camphortide::coordination
--- a/packages/coordination/src/fleet/group_homes.cpp
+++ b/packages/coordination/src/fleet/group_homes.cpp
@@ -38,30 +38,4 @@
     return result;
 }
 
-home_address const*
-home_selector::choose(std::vector<std::string> const& attempted,
-                      state::time_point now) const
-{
-    home_address const* fallback = nullptr;
-    for (auto const& home : m_homes)
-    {
-        if (std::ranges::find(attempted, home.m_name) != attempted.end())
-        {
-            continue;
-        }
-        if (!m_cooldown.contains(home.m_name, now))
-        {
-            return &home;
-        }
-        fallback = fallback == nullptr ? &home : fallback;
-    }
-    return fallback;
-}
-
-void home_selector::failed(std::string const& home, state::duration cooldown,
-                           state::time_point now)
-{
-    m_cooldown.add(home, now + cooldown);
-}
-
 } // namespace camphortide::coordination
--- a/packages/coordination/test/homes/group_homes_test.cpp
+++ b/packages/coordination/test/homes/group_homes_test.cpp
@@ -7,20 +7,12 @@
 #include <camphortide/coordination/fleet/group_homes.hpp>
 
 namespace coordination = camphortide::coordination;
-namespace state = camphortide::state;
 using coordination::choose_homes;
-using coordination::home_address;
-using coordination::home_selector;
 using tests::make_registered_instances;
 
 namespace
 {
 
-state::time_point at(int ms)
-{
-    return state::time_point(state::duration(ms));
-}
-
 std::set<std::string> names_of(coordination::group_homes const& homes)
 {
     std::set<std::string> names;
@@ -31,9 +23,6 @@
     return names;
 }
 
-home_address const first{"a", "10.0.0.1:2"};
-home_address const second{"b", "10.0.0.2:2"};
-
 } // namespace
 
 TEST_CASE("every instance is a home while each can have three connections")
@@ -100,24 +89,3 @@
     }
     CHECK(stayed == 2);
 }
-
-TEST_CASE("statements go to the first home, and after a failure to the next")
-{
-    home_selector selector;
-    selector.set_homes({first, second});
-    REQUIRE(selector.choose({}, at(0)) != nullptr);
-    CHECK(*selector.choose({}, at(0)) == first);
-    selector.failed("a", state::duration(1000), at(0));
-    CHECK(*selector.choose({}, at(999)) == second);
-    CHECK(*selector.choose({}, at(1000)) == first);
-}
-
-TEST_CASE("a statement is sent to each home once, including one that failed "
-          "recently")
-{
-    home_selector selector;
-    selector.set_homes({first, second});
-    selector.failed("b", state::duration(1000), at(0));
-    CHECK(*selector.choose({"a"}, at(1)) == second);
-    CHECK(selector.choose({"a", "b"}, at(1)) == nullptr);
-}
--- a/packages/proxy/include/camphortide/proxy/home_link.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_link.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <camphortide/coordination/fleet/home_reachability.hpp>
 #include <camphortide/proxy/message_stream.hpp>
 #include <camphortide/proxy/statement_request.hpp>
 
@@ -18,8 +19,9 @@
 enum class forwarding_result
 {
     answered,
-    not_run, ///< the instance isn't a home of the group, or wasn't reachable
-    lost     ///< the link ended before the answer: it may have run
+    not_home, ///< the instance isn't a home of the group and didn't run it
+    not_sent, ///< the link wasn't open in time
+    lost      ///< no answer, though it was sent: it may have run
 };
 
 /// This instance's connection to a home. It carries the statements of all
@@ -29,10 +31,17 @@
 public:
     using result_handler =
         std::function<void(forwarding_result, statement_result)>;
+    using end_handler = std::function<void(coordination::link_failure)>;
 
-    home_link(boost::asio::io_context& context, std::string address);
+    /// @param ended called when the link has failed, or could not be opened
+    home_link(boost::asio::io_context& context, std::string address,
+              end_handler ended);
 
-    /// Sends a statement, once the link is open.
+    /// Opens the link, unless it is opening or open.
+    void open();
+
+    /// Sends a statement. While the link is opening, the statement waits for a
+    /// short time.
     /// @param request the statement
     /// @param done called once with the result
     void submit(std::shared_ptr<statement_request> const& request,
@@ -42,16 +51,28 @@
     /// @param transaction its number at the home
     void roll_back(std::uint64_t transaction);
 
-    /// Closes the link. Statements without an answer are lost, or not run if
+    /// Closes the link. Statements without an answer are lost, or not sent if
     /// the link was never open.
-    void end();
+    /// @param failure the reason
+    void end(coordination::link_failure failure);
 
-    /// Pings a home that is slow to answer, and closes the link if it is
-    /// unresponsive.
+    /// Pings a home that is slow to answer. If it doesn't respond, its reads
+    /// are returned as lost, and finally the link is closed.
     void check_liveness(state::time_point now);
 
+    /// @return true if `check_liveness` must be called again soon
+    bool needs_check() const
+    {
+        return m_opening && !m_ended &&
+               (!m_outstanding.empty() || m_suspect || !m_responded);
+    }
+
     /// @return false once the link has failed or ended
     bool usable() const { return !m_ended; }
+    /// @return true if the home can be expected to answer
+    bool responsive() const { return m_responded && !m_ended && !m_suspect; }
+    /// @return true if the home didn't respond in the expected time
+    bool suspect() const { return m_suspect; }
     /// @return true if the home announced that it is about to stop
     bool leaving() const { return m_leaving; }
     std::string const& address() const { return m_address; }
@@ -65,21 +86,35 @@
         state::time_point m_submitted_at;
     };
 
-    void open();
     void handle_opened();
+    void handle_stream_ended();
+    void check_opening(state::time_point now);
+    void ping();
+    /// Hands statements back without an answer.
+    /// @param result what became of them
+    /// @param returned selects them
+    template <typename Predicate>
+    void return_outstanding(forwarding_result result,
+                            Predicate const& returned);
     void send(std::uint64_t number, outstanding const& pending);
     void handle_message(v1::Message const& message);
     void handle_reply(v1::Reply const& reply);
 
     boost::asio::io_context& m_context;
     std::string m_address;
+    end_handler m_on_ended;
     std::shared_ptr<message_stream> m_stream;
     boost::asio::steady_timer m_opening_timer;
     std::map<std::uint64_t, outstanding> m_outstanding; ///< by statement number
     std::uint64_t m_last_number = 0;
     state::time_point m_pinged;
+    state::time_point m_opening_since;
     bool m_opening = false;
     bool m_open = false;
+    /// The home has sent something: an accepted connection alone doesn't show
+    /// that its process runs.
+    bool m_responded = false;
+    bool m_suspect = false;
     bool m_leaving = false;
     bool m_ended = false;
 };
--- a/packages/proxy/include/camphortide/proxy/home_router.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_router.hpp
@@ -4,7 +4,8 @@
 #include <memory>
 #include <string>
 
-#include <camphortide/coordination/fleet/group_homes.hpp>
+#include <camphortide/coordination/fleet/home_reachability.hpp>
+#include <camphortide/coordination/fleet/home_selector.hpp>
 #include <camphortide/proxy/fleet_view.hpp>
 #include <camphortide/proxy/home_link.hpp>
 #include <camphortide/proxy/traffic_observer.hpp>
@@ -42,7 +43,14 @@
 
 private:
     void send_to_home(request_pointer const& request);
+    coordination::home_choice choose(statement_request const& request,
+                                     state::time_point now);
+    coordination::home_state state_of(coordination::home_address const& home,
+                                      state::time_point now);
+    coordination::home_state not_connected_state(std::string const& home,
+                                                 state::time_point now) const;
     void retry_later(request_pointer const& request);
+    void check_links();
     void handle_result(request_pointer const& request, std::string const& home,
                        forwarding_result outcome, statement_result result);
     void handle_lost(request_pointer const& request, std::string const& home);
@@ -53,6 +61,9 @@
     traffic_observer& m_observer;
     std::map<std::string, coordination::home_selector, std::less<>> m_selectors;
     std::map<std::string, std::shared_ptr<home_link>> m_links; ///< by home name
+    coordination::home_reachability m_reachability;
+    boost::asio::steady_timer m_check_timer;
+    bool m_checking = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/packages/proxy/src/home_link.cpp
+++ b/packages/proxy/src/home_link.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -9,30 +10,44 @@
 namespace camphortide::proxy
 {
 
+using coordination::link_failure;
+
 namespace
 {
 
 /// Timeout for a new connection: a few round trips and one lost packet.
 constexpr state::duration opening_timeout{400};
+/// How long statements wait for a link to open: a few round trips.
+constexpr state::duration opening_patience{80};
 /// A home with unanswered statements that has sent nothing for this long is
-/// pinged. Longer than most statements take.
-constexpr state::duration ping_delay{250};
-/// Timeout for the answer to a ping: allows for a lost packet and for a home
-/// that waits to be scheduled on its processor.
+/// pinged: about the duration of a statement, so that few pings are sent.
+constexpr state::duration ping_delay{50};
+/// A home that doesn't answer a ping for this long is suspect: a few round
+/// trips, and the time that a host without processor time left waits for more.
+constexpr state::duration suspect_timeout{120};
+/// Timeout for the answer to a ping, after which the link is closed and the
+/// outcome of its writes is in doubt: allows for a lost packet, too.
 constexpr state::duration ping_timeout{400};
 
 } // namespace
 
-home_link::home_link(boost::asio::io_context& context, std::string address)
+home_link::home_link(boost::asio::io_context& context, std::string address,
+                     end_handler ended)
     : m_context(context),
       m_address(std::move(address)),
+      m_on_ended(std::move(ended)),
       m_opening_timer(context)
 {
 }
 
 void home_link::open()
 {
+    if (m_opening || m_ended)
+    {
+        return;
+    }
     m_opening = true;
+    m_opening_since = state::clock::now();
     m_stream = std::make_shared<message_stream>(
         boost::asio::ip::tcp::socket(m_context));
     m_opening_timer.expires_after(opening_timeout);
@@ -41,7 +56,7 @@
         {
             if (!error && !self->m_open)
             {
-                self->end();
+                self->end(link_failure::silent);
             }
         });
     m_stream->connect(m_address,
@@ -51,16 +66,19 @@
                           {
                               return;
                           }
-                          ok ? self->handle_opened() : self->end();
+                          ok ? self->handle_opened()
+                             : self->end(link_failure::ended);
                       });
 }
 
 void home_link::handle_opened()
 {
     m_open = true;
+    m_suspect = false;
     m_opening_timer.cancel();
     m_stream->start(weak_from_this(), &home_link::handle_message,
-                    &home_link::end);
+                    &home_link::handle_stream_ended);
+    ping();
     for (auto const& [number, pending] : m_outstanding)
     {
         send(number, pending);
@@ -72,7 +90,7 @@
 {
     if (m_ended)
     {
-        done(forwarding_result::not_run, {});
+        done(forwarding_result::not_sent, {});
         return;
     }
     auto const number = ++m_last_number;
@@ -82,7 +100,7 @@
     {
         send(number, it.first->second);
     }
-    else if (!m_opening)
+    else
     {
         open();
     }
@@ -106,8 +124,15 @@
     }
 }
 
+void home_link::handle_stream_ended()
+{
+    end(link_failure::ended);
+}
+
 void home_link::handle_message(v1::Message const& message)
 {
+    m_responded = true;
+    m_suspect = false;
     if (message.has_reply())
     {
         handle_reply(message.reply());
@@ -129,7 +154,7 @@
     m_outstanding.erase(it);
     if (reply.not_run())
     {
-        pending.m_done(forwarding_result::not_run, {});
+        pending.m_done(forwarding_result::not_home, {});
         return;
     }
     auto result = decode_result(reply);
@@ -150,30 +175,87 @@
 
 void home_link::check_liveness(state::time_point now)
 {
-    if (!m_open || m_ended || m_outstanding.empty())
+    if (!needs_check())
+    {
+        return;
+    }
+    if (!m_open)
     {
+        check_opening(now);
         return;
     }
-    auto const since = std::max(m_stream->last_received(),
-                                m_outstanding.begin()->second.m_submitted_at);
+    auto const last_received = m_stream->last_received();
+    auto const since =
+        m_outstanding.empty()
+            ? last_received
+            : std::max(last_received,
+                       m_outstanding.begin()->second.m_submitted_at);
     if (m_pinged > since)
     {
         if (now - m_pinged >= ping_timeout)
         {
-            end();
+            end(link_failure::silent);
+        }
+        else if (now - m_pinged >= suspect_timeout)
+        {
+            m_suspect = true;
+            return_outstanding(forwarding_result::lost,
+                               [](outstanding const& pending) {
+                                   return pending.m_request->m_kind ==
+                                          coordination::sent_kind::single_read;
+                               });
         }
         return;
     }
     if (now - since >= ping_delay)
     {
-        m_pinged = now;
-        v1::Message message;
-        message.mutable_ping();
-        m_stream->send(message);
+        ping();
+    }
+}
+
+void home_link::ping()
+{
+    m_pinged = state::clock::now();
+    v1::Message message;
+    message.mutable_ping();
+    m_stream->send(message);
+}
+
+void home_link::check_opening(state::time_point now)
+{
+    if (now - m_opening_since >= opening_patience)
+    {
+        m_suspect = true;
+        return_outstanding(forwarding_result::not_sent,
+                           [](outstanding const&) { return true; });
+    }
+}
+
+template <typename Predicate>
+void home_link::return_outstanding(forwarding_result result,
+                                   Predicate const& returned)
+{
+    auto const self = shared_from_this();
+    std::vector<result_handler> handlers;
+    for (auto it = m_outstanding.begin(); it != m_outstanding.end();)
+    {
+        if (returned(it->second))
+        {
+            handlers.push_back(std::move(it->second.m_done));
+            it = m_outstanding.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    for (auto const& done : handlers)
+    {
+        done(result, {});
     }
 }
 
-void home_link::end()
+void home_link::end(link_failure failure)
 {
     if (std::exchange(m_ended, true))
     {
@@ -185,12 +267,10 @@
     {
         m_stream->close();
     }
-    auto const ended_as =
-        m_open ? forwarding_result::lost : forwarding_result::not_run;
-    for (auto const& [number, pending] : std::exchange(m_outstanding, {}))
-    {
-        pending.m_done(ended_as, {});
-    }
+    m_on_ended(failure);
+    return_outstanding(m_open ? forwarding_result::lost
+                              : forwarding_result::not_sent,
+                       [](outstanding const&) { return true; });
 }
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/home_router.cpp
+++ b/packages/proxy/src/home_router.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <camphortide/coordination/session/reply_decision.hpp>
@@ -11,22 +12,23 @@
 namespace
 {
 
-/// How long other homes are preferred to an instance that wasn't reachable or
-/// isn't a home: about the time that a process needs to start, and that the
-/// records need to arrive.
-constexpr state::duration failure_cooldown{1000};
-/// Delay before a statement that none of the homes ran is sent again: they may
-/// be starting, as this instance may have just done.
+/// Delay before a statement that no home could take is sent again: the homes
+/// may be starting, as this instance may have just done.
 constexpr state::duration retry_delay{40};
-/// How long other homes are preferred to one that is leaving: its grace period.
-constexpr state::duration leaving_cooldown{6000};
+/// A statement waits for a home for at most this part of its target latency.
+/// After that its caller does better to try another instance, whose links may
+/// work.
+constexpr int waiting_divisor = 4;
+/// Interval between the checks of links with unanswered statements.
+constexpr state::duration check_interval{20};
 
 } // namespace
 
 home_router::home_router(boost::asio::io_context& context,
                          traffic_observer& observer)
     : m_context(context),
-      m_observer(observer)
+      m_observer(observer),
+      m_check_timer(context)
 {
 }
 
@@ -70,46 +72,123 @@
         [this, request](forwarding_result outcome, statement_result result)
         {
             handle_result(request, {},
-                          outcome == forwarding_result::not_run
-                              ? forwarding_result::lost
-                              : outcome,
+                          outcome == forwarding_result::answered
+                              ? outcome
+                              : forwarding_result::lost,
                           std::move(result));
         });
 }
 
+coordination::home_state
+home_router::not_connected_state(std::string const& home,
+                                 state::time_point now) const
+{
+    using coordination::home_state;
+    if (m_reachability.avoids(home, now))
+    {
+        return home_state::avoided;
+    }
+    return m_reachability.has_failed(home) ? home_state::recovering
+                                           : home_state::available;
+}
+
+coordination::home_state
+home_router::state_of(coordination::home_address const& home,
+                      state::time_point now)
+{
+    using coordination::home_state;
+    auto const found = m_links.find(home.m_name);
+    if (found == m_links.end() || !found->second->usable() ||
+        found->second->address() != home.m_address)
+    {
+        return not_connected_state(home.m_name, now);
+    }
+    auto const& link = *found->second;
+    if (link.leaving() || link.suspect())
+    {
+        return home_state::avoided;
+    }
+    if (!link.responsive())
+    {
+        return m_reachability.has_failed(home.m_name) ? home_state::recovering
+                                                      : home_state::available;
+    }
+    m_reachability.responded(home.m_name);
+    return home_state::connected;
+}
+
+coordination::home_choice home_router::choose(statement_request const& request,
+                                              state::time_point now)
+{
+    auto const selector = m_selectors.find(request.m_route->m_group);
+    if (selector == m_selectors.end())
+    {
+        return {};
+    }
+    return selector->second.choose(
+        request.m_attempted_homes,
+        [&](auto const& home) { return state_of(home, now); }, now);
+}
+
 void home_router::send_to_home(request_pointer const& request)
 {
     auto const now = state::clock::now();
-    auto const selector = m_selectors.find(request->m_route->m_group);
-    auto const* const home =
-        selector == m_selectors.end()
-            ? nullptr
-            : selector->second.choose(request->m_attempted_homes, now);
-    auto const target = request->m_arrived + request->m_route->m_target_latency;
-    if (home == nullptr && now + retry_delay < target)
-    {
-        retry_later(request);
-        return;
-    }
-    if (home == nullptr || now >= request->m_deadline)
+    if (now >= request->m_deadline)
     {
         fail(request, {statement_error::busy, "no home in time"});
         return;
     }
-    auto const link = link_to(*home);
-    if (link->leaving())
+    auto const choice = choose(*request, now);
+    if (choice.m_connect != nullptr)
     {
-        selector->second.failed(home->m_name, leaving_cooldown, now);
-        request->m_attempted_homes.push_back(home->m_name);
-        send_to_home(request);
+        link_to(*choice.m_connect)->open();
+        check_links();
+    }
+    if (choice.m_home == nullptr)
+    {
+        auto const patience =
+            request->m_route->m_target_latency / waiting_divisor;
+        if (now + retry_delay < request->m_arrived + patience)
+        {
+            retry_later(request);
+            return;
+        }
+        fail(request, {statement_error::busy, "no home responds"});
         return;
     }
     ++request->m_send_count;
     request->m_sent_at = now;
-    link->submit(request,
-                 [this, request, name = home->m_name](forwarding_result outcome,
-                                                      statement_result result)
+    link_to(*choice.m_home)
+        ->submit(request,
+                 [this, request, name = choice.m_home->m_name](
+                     forwarding_result outcome, statement_result result)
                  { handle_result(request, name, outcome, std::move(result)); });
+    check_links();
+}
+
+void home_router::check_links()
+{
+    if (m_checking)
+    {
+        return;
+    }
+    m_checking = true;
+    m_check_timer.expires_after(check_interval);
+    m_check_timer.async_wait(
+        [this, alive = m_alive](boost::system::error_code)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            m_checking = false;
+            sweep(state::clock::now());
+            if (std::ranges::any_of(m_links, [](auto const& entry)
+                                    { return entry.second->needs_check(); }))
+            {
+                check_links();
+            }
+        });
 }
 
 void home_router::retry_later(request_pointer const& request)
@@ -135,10 +214,20 @@
     {
         return entry;
     }
-    auto link = std::make_shared<home_link>(m_context, home.m_address);
+    auto link = std::make_shared<home_link>(
+        m_context, home.m_address,
+        [this, name = home.m_name,
+         alive = m_alive](coordination::link_failure failure)
+        {
+            if (*alive)
+            {
+                m_reachability.failed(name, failure, state::clock::now());
+            }
+        });
     if (auto const old = std::exchange(entry, link))
     {
-        old->end(); // the instance has a new address, or the link failed
+        // The instance has a new address, or the link has failed.
+        old->end(coordination::link_failure::ended);
     }
     return link;
 }
@@ -155,9 +244,9 @@
         return;
     }
     if (auto const selector = m_selectors.find(request->m_route->m_group);
-        selector != m_selectors.end() && !home.empty())
+        selector != m_selectors.end() && outcome == forwarding_result::not_home)
     {
-        selector->second.failed(home, failure_cooldown, state::clock::now());
+        selector->second.refused(home, state::clock::now());
     }
     request->m_attempted_homes.push_back(home);
     if (outcome == forwarding_result::lost)
--- a/packages/proxy/test/forwarding/home_router_test.cpp
+++ b/packages/proxy/test/forwarding/home_router_test.cpp
@@ -16,6 +16,13 @@
 namespace
 {
 
+boost::asio::ip::tcp::endpoint parse_address(std::string const& address)
+{
+    auto const colon = address.find(':');
+    return {boost::asio::ip::make_address(address.substr(0, colon)),
+            static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+}
+
 /// A home whose statements are answered by calls of the test.
 class home final : public proxy::home_server_host
 {
@@ -242,6 +249,54 @@
     }
 }
 
+TEST_CASE("only the first statements wait for a silent home")
+{
+    // The connection is accepted by the operating system, and nobody reads.
+    two_homes fixture;
+    auto const endpoint = parse_address(fixture.m_first.m_address);
+    boost::asio::ip::tcp::acceptor const silent(fixture.m_context, endpoint);
+    REQUIRE(fixture.m_second.start());
+    SUBCASE("a read is sent to the next home")
+    {
+        fixture.submit(sent_kind::single_read);
+        REQUIRE(fixture.wait_for_statement(fixture.m_second));
+        fixture.m_second.answer("ROW 2");
+        REQUIRE(fixture.wait_for_result());
+        CHECK(fixture.m_result->m_reply.ok());
+    }
+    SUBCASE("a write is not sent again, and its outcome is in doubt")
+    {
+        fixture.submit(sent_kind::single_write);
+        REQUIRE(fixture.wait_for_result());
+        CHECK(fixture.m_result->m_reply.m_failure->m_error ==
+              statement_error::in_doubt);
+        CHECK(fixture.m_second.m_requests.empty());
+    }
+    // Later writes don't wait for the silent home, nor when it is tried again.
+    fixture.m_second.m_requests.clear();
+    for (std::size_t count = 1; count <= 3; ++count)
+    {
+        auto const resume_at = state::clock::now() + state::duration(700);
+        fixture.run_until([&] { return state::clock::now() > resume_at; });
+        fixture.submit(sent_kind::single_write);
+        REQUIRE(fixture.wait_for_statement(fixture.m_second, count));
+        fixture.m_second.answer("ROW 3");
+        REQUIRE(fixture.wait_for_result());
+        CHECK(fixture.m_result->m_reply.ok());
+    }
+}
+
+TEST_CASE("a statement is refused early if no home responds")
+{
+    two_homes fixture;
+    auto const request = fixture.submit(sent_kind::single_write);
+    request->m_arrived = state::clock::now() - fixture.m_target / 4;
+    REQUIRE(fixture.wait_for_result());
+    REQUIRE(fixture.m_result->m_reply.m_failure);
+    CHECK(fixture.m_result->m_reply.m_failure->m_error ==
+          statement_error::busy);
+}
+
 TEST_CASE("a transaction stays at its home")
 {
     two_homes fixture;
