primary: an overloaded holder of the duty no longer takes primaries for lost

Cause: when one primary was lost, the holder asked all 195 instances every 250 ms to stop using it, also the 68 that were cut off: some 1,000 requests a second from a host with 0.12 of a core. It then read the members' answers late and took four more primaries for silent within half a second, soon all twenty, and ended its lease: nothing was served from 8 s to 18 s. Beside that it copied all instance records for each group every 40 ms. Change: the interval between requests to one instance doubles up to 2 s; the response timeout grows with the delay of the holder's own ticks; a host with less than 0.2 of a core leaves a free duty to others for 300 ms; instance records are copied for closing groups only. Tests: primary_watch_test, duty_lease_test, each failing before. Ruled out: the compaction at 7 s and the watchers' relays, which failed for less than a second.

--- a/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
@@ -26,8 +26,15 @@
     state::duration m_max_read_gap{2500};
     /// Minimum interval between two write attempts.
     state::duration m_retry_interval{200};
+    /// How long this instance leaves a free duty to others.
+    state::duration m_hesitation{};
 };
 
+/// @param processor_share the processor share of this instance's host, in cores
+/// @return how long the instance leaves a free duty to others: the holder asks
+///     every instance when a primary is replaced, which takes a weak host long
+state::duration duty_hesitation(double processor_share);
+
 /// A conditional write of the duty record.
 struct duty_write
 {
--- a/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
@@ -25,6 +25,14 @@
     state::duration m_min_report_age{400};
     /// A longer gap between two ticks means that this process was suspended.
     state::duration m_max_tick_interval{400};
+    /// Usual interval between two ticks. A longer one means that this process
+    /// is short of processor time and reads answers late.
+    state::duration m_tick_interval{40};
+    /// The response timeout grows by this multiple of the recent delay of
+    /// ticks: a request and its answer each wait for several events.
+    int m_delay_factor = 6;
+    /// Upper bound of that growth.
+    state::duration m_max_delay_allowance{3000};
 };
 
 /// Why a primary is considered lost. The names are also the values in the log.
@@ -76,11 +84,14 @@
         state::time_point m_last_received;
     };
 
+    state::duration response_timeout() const;
     bool reported_by_others(std::size_t instances, state::time_point now) const;
 
     primary_watch_settings m_settings;
     state::time_point m_last_answer;
     state::time_point m_last_tick;
+    /// Recent delay of ticks; it falls by a tenth with each punctual tick.
+    state::duration m_delay{};
     std::optional<state::time_point> m_first_refusal;
     std::optional<state::time_point> m_last_refusal;
     std::map<std::string, report> m_reports;
--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -51,7 +51,8 @@
 struct replacement_facts
 {
     state::stored<state::term_record> m_record;
-    /// Every registered instance, as of the record's revision or later.
+    /// Every registered instance, as of the record's revision or later. This
+    /// and the following two are read only while the record is closing.
     std::map<std::string, state::stored<state::instance_entry>> m_instances;
     /// Answers by instance name.
     std::map<std::string, closing_answer> m_answers;
@@ -110,6 +111,10 @@
 {
     /// Minimum interval between two attempts of the same action.
     state::duration m_retry_interval{250};
+    /// Maximum interval between two requests to one instance to stop using the
+    /// primary. The interval doubles with each request: an instance that
+    /// doesn't answer is probably unreachable, and there may be many of them.
+    state::duration m_max_close_interval{2000};
     /// Maximum wait for the reports of further members.
     state::duration m_max_report_wait{250};
     /// Maximum wait of an orderly change for a replica with the whole log.
@@ -182,6 +187,7 @@
     bool permit_ended(replacement_facts const& facts,
                       state::instance_entry const& instance) const;
     bool is_due(std::string const& action, state::time_point now);
+    bool close_is_due(std::string const& instance, state::time_point now);
     void write_open(replacement_facts const& facts, state::term_record record,
                     actions& result);
     void write(replacement_facts const& facts, state::term_record record,
@@ -220,6 +226,15 @@
     std::map<std::string, state::time_point> m_cooldown_until;
     /// By action.
     std::map<std::string, state::time_point> m_last_attempts;
+
+    struct close_request
+    {
+        state::duration m_interval{};
+        state::time_point m_next;
+    };
+
+    /// Requests to stop using the primary, by instance.
+    std::map<std::string, close_request> m_close_requests;
 };
 
 } // namespace camphortide::coordination
--- a/packages/coordination/src/primary/duty_lease.cpp
+++ b/packages/coordination/src/primary/duty_lease.cpp
@@ -6,6 +6,22 @@
 namespace camphortide::coordination
 {
 
+namespace
+{
+
+/// Hosts with at least this share of a core take a free duty at once.
+constexpr double strong_processor_share = 0.2;
+/// How long others leave it to them: a listing of the store and a write.
+constexpr state::duration weak_hesitation{300};
+
+} // namespace
+
+state::duration duty_hesitation(double processor_share)
+{
+    return processor_share >= strong_processor_share ? state::duration(0)
+                                                     : weak_hesitation;
+}
+
 duty_lease::duty_lease(std::string name, std::int64_t start_time,
                        duty_lease_settings settings)
     : m_name(std::move(name)),
@@ -59,15 +75,16 @@
 
 bool duty_lease::can_take_over(state::time_point now) const
 {
-    if (!m_cached)
+    auto const unchanged_for = now - m_unchanged_since;
+    bool const is_free = !m_cached || m_cached->m_record.m_holder.empty();
+    if (is_free)
     {
-        return true;
+        return unchanged_for >= m_settings.m_hesitation;
     }
-    auto const& record = m_cached->m_record;
     // A record with this name but another start time belongs to an earlier
     // process of this instance, which has ended.
-    return record.m_holder.empty() || record.m_holder == m_name ||
-           m_holder_ended || now - m_unchanged_since >= m_settings.m_lease;
+    return m_cached->m_record.m_holder == m_name || m_holder_ended ||
+           unchanged_for >= m_settings.m_lease + m_settings.m_hesitation;
 }
 
 std::optional<duty_write> duty_lease::start_write(state::duty_record record,
--- a/packages/coordination/src/primary/primary_watch.cpp
+++ b/packages/coordination/src/primary/primary_watch.cpp
@@ -47,9 +47,19 @@
         // Answers that arrived during the pause haven't been read yet.
         begin(now);
     }
+    auto const delay = std::max(now - m_last_tick - m_settings.m_tick_interval,
+                                state::duration(0));
+    m_delay = std::max(delay, m_delay * 9 / 10);
     m_last_tick = now;
 }
 
+state::duration primary_watch::response_timeout() const
+{
+    return m_settings.m_response_timeout +
+           std::min(m_delay * m_settings.m_delay_factor,
+                    m_settings.m_max_delay_allowance);
+}
+
 bool primary_watch::reported_by_others(std::size_t instances,
                                        state::time_point now) const
 {
@@ -73,7 +83,7 @@
     {
         return primary_loss::refuses;
     }
-    if (now - m_last_answer >= m_settings.m_response_timeout)
+    if (now - m_last_answer >= response_timeout())
     {
         return primary_loss::silent;
     }
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -83,6 +83,7 @@
         m_closing_seen_at = facts.m_now;
         m_permits_ended_at.reset();
         m_last_attempts.clear();
+        m_close_requests.clear();
     }
 }
 
@@ -163,7 +164,7 @@
 {
     for (auto const& name : missing)
     {
-        if (is_due("close " + name, facts.m_now))
+        if (close_is_due(name, facts.m_now))
         {
             result.push_back(
                 {replacement_action::kind::request_close, name, {}});
@@ -412,6 +413,21 @@
     return true;
 }
 
+bool replacement::close_is_due(std::string const& instance,
+                               state::time_point now)
+{
+    auto& request = m_close_requests[instance];
+    if (now < request.m_next)
+    {
+        return false;
+    }
+    request.m_interval =
+        std::clamp(request.m_interval * 2, m_settings.m_retry_interval,
+                   m_settings.m_max_close_interval);
+    request.m_next = now + request.m_interval;
+    return true;
+}
+
 void replacement::write_open(replacement_facts const& facts,
                              state::term_record record, actions& result)
 {
--- a/packages/coordination/test/primary/duty_lease_test.cpp
+++ b/packages/coordination/test/primary/duty_lease_test.cpp
@@ -77,6 +77,34 @@
     CHECK(write->m_record.m_token == 5);
 }
 
+TEST_CASE("a weak host leaves a free duty to others for a moment")
+{
+    coordination::duty_lease_settings settings;
+    settings.m_hesitation = coordination::duty_hesitation(0.12);
+    CHECK(settings.m_hesitation > state::duration(0));
+    CHECK(coordination::duty_hesitation(0.25) == state::duration(0));
+    duty_lease lease("b", 8, settings);
+    auto const wait = static_cast<int>(settings.m_hesitation.count());
+    SUBCASE("there is no record")
+    {
+        lease.observe({}, false, at(1000));
+        CHECK_FALSE(lease.step(at(1000 + wait - 1)).has_value());
+        CHECK(lease.step(at(1000 + wait)).has_value());
+    }
+    SUBCASE("the duty is released")
+    {
+        lease.observe(held_by("", 4, 9, 5), false, at(1000));
+        CHECK_FALSE(lease.step(at(1000 + wait - 1)).has_value());
+        CHECK(lease.step(at(1000 + wait)).has_value());
+    }
+    SUBCASE("the record has not changed for the lease")
+    {
+        read(lease, held_by("a", 4, 9, 5), 1000, 5000);
+        CHECK_FALSE(lease.step(at(5000 + wait - 1)).has_value());
+        CHECK(lease.step(at(5000 + wait)).has_value());
+    }
+}
+
 TEST_CASE("an outage of the store doesn't end the holder's lease")
 {
     duty_lease lease("b", 8);
--- a/packages/coordination/test/primary/primary_watch_test.cpp
+++ b/packages/coordination/test/primary/primary_watch_test.cpp
@@ -69,6 +69,39 @@
     CHECK(watch.evaluate(fleet, at(4000)) == primary_loss::none);
 }
 
+TEST_CASE("a process that is short of processor time waits longer for answers")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    for (int time = 0; time <= 1200; time += 200)
+    {
+        watch.tick(at(time));
+        CHECK(watch.evaluate(fleet, at(time)) == primary_loss::none);
+    }
+    SUBCASE("an answer that was read late counts")
+    {
+        watch.note_answer(at(1300));
+        watch.tick(at(1300));
+        CHECK(watch.evaluate(fleet, at(2000)) == primary_loss::none);
+    }
+    SUBCASE("a lost primary is still noticed")
+    {
+        for (int time = 1400; time <= 3600; time += 200)
+        {
+            watch.tick(at(time));
+        }
+        CHECK(watch.evaluate(fleet, at(3700)) == primary_loss::silent);
+    }
+    SUBCASE("the usual timeout holds again once ticks are punctual")
+    {
+        tick(watch, 1240, 2800);
+        watch.note_answer(at(2800));
+        tick(watch, 2840, 3480);
+        CHECK(watch.evaluate(fleet, at(3480)) == primary_loss::none);
+        CHECK(watch.evaluate(fleet, at(3500)) == primary_loss::silent);
+    }
+}
+
 TEST_CASE("repeated reports of several instances indicate a loss")
 {
     primary_watch watch;
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -30,7 +30,8 @@
                                              std::function<void()> closed)>;
 
     replacement_control(boost::asio::io_context& context, store_client& store,
-                        fleet_control& fleet, std::string promotion_address,
+                        fleet_control& fleet,
+                        platform::process_settings const& settings,
                         close_handler close_primary);
     ~replacement_control();
 
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -147,7 +147,7 @@
       m_store(m_control, m_settings.m_store_address),
       m_fleet(m_control, m_store, m_settings, unix_milliseconds()),
       m_replacements(
-          m_control, m_store, m_fleet, m_settings.m_promotion_address,
+          m_control, m_store, m_fleet, m_settings,
           [this](close_request const& request, std::function<void()> closed)
           { close_primary(request, std::move(closed)); }),
       m_server(m_control),
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -39,6 +39,13 @@
 /// Minimum interval between two attempts to create a group's record.
 constexpr state::duration min_creation_interval{300};
 
+coordination::duty_lease_settings lease_settings_for(double processor_share)
+{
+    coordination::duty_lease_settings settings;
+    settings.m_hesitation = coordination::duty_hesitation(processor_share);
+    return settings;
+}
+
 std::string_view to_string(primary_loss loss)
 {
     switch (loss)
@@ -57,18 +64,17 @@
 
 } // namespace
 
-replacement_control::replacement_control(boost::asio::io_context& context,
-                                         store_client& store,
-                                         fleet_control& fleet,
-                                         std::string promotion_address,
-                                         close_handler close_primary)
+replacement_control::replacement_control(
+    boost::asio::io_context& context, store_client& store, fleet_control& fleet,
+    platform::process_settings const& settings, close_handler close_primary)
     : m_context(context),
       m_store(store),
       m_fleet(fleet),
       m_promotion_client(
-          std::make_shared<http_client>(context, std::move(promotion_address))),
+          std::make_shared<http_client>(context, settings.m_promotion_address)),
       m_close_primary(std::move(close_primary)),
-      m_lease(fleet.name(), fleet.start_time())
+      m_lease(fleet.name(), fleet.start_time(),
+              lease_settings_for(settings.m_processor_share))
 {
 }
 
@@ -193,7 +199,7 @@
                                        group_control& group,
                                        state::time_point now)
 {
-    auto const members = m_fleet.members();
+    auto const& members = m_fleet.members();
     std::erase_if(group.m_members,
                   [&](auto const& entry)
                   {
@@ -356,10 +362,7 @@
         }
     }
     group.m_watch.tick(now);
-    facts.m_instances = m_fleet.records().m_instances;
-    facts.m_answers = group.m_answers;
-    facts.m_expelled = m_fleet.expelled();
-    auto const members = m_fleet.members();
+    auto const& members = m_fleet.members();
     for (auto const& [id, member] : group.m_members)
     {
         auto const entry = members.find(id);
@@ -379,6 +382,12 @@
     {
         facts.m_reason = determine_reason(group, record, facts.m_members, now);
     }
+    if (record.m_phase == state::term_phase::closing)
+    {
+        facts.m_instances = m_fleet.records().m_instances;
+        facts.m_answers = group.m_answers;
+        facts.m_expelled = m_fleet.expelled();
+    }
     facts.m_avoid = group.m_avoid;
     facts.m_holds_duty = m_lease.holds(now);
     facts.m_token = m_lease.token();
