homes: statements stay in the caller's and the members' data centre

Cause: homes were spread over all data centres, and a home chose among members by time alone, so that most statements crossed data centres twice. Change: homes are placed where the group has members; a member elsewhere is used only if it answers in half the time. Homes are worked out only when instances, members' places or the configuration change. Tests: group_homes_test, member_choice_test. What is left are statements for a primary elsewhere and callers of data centres without a member.

--- a/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
+++ b/packages/coordination/include/camphortide/coordination/fleet/group_homes.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,11 +55,15 @@
 /// @param group the name of the group
 /// @param connections to each member, shared by the instances
 /// @param instances all registered instances
+/// @param member_data_centres where the group has members; homes are placed
+///     there if they can be in two of them, so that a statement crosses data
+///     centres once at most before it is at a member's
 /// @return the homes
 group_homes
 choose_homes(std::string_view self, std::string_view group,
              std::size_t connections,
              std::map<std::string, state::stored<state::instance_entry>> const&
-                 instances);
+                 instances,
+             std::set<std::string> const& member_data_centres = {});
 
 } // namespace camphortide::coordination
--- a/packages/coordination/include/camphortide/coordination/placing/member_choice.hpp
+++ b/packages/coordination/include/camphortide/coordination/placing/member_choice.hpp
@@ -18,6 +18,8 @@
     bool m_primary = false;
     /// In service and not failing.
     bool m_usable = true;
+    /// In another data centre than this instance.
+    bool m_remote = false;
     /// It can accept a statement now.
     bool m_free = true;
     std::uint32_t m_in_flight = 0;
@@ -63,8 +65,10 @@
 /// Chooses the member with the shortest expected response time among those that
 /// meet the requirements. Statements that replicas may execute go to the
 /// primary only where its weighted response time is shorter, or where no
-/// replica is likely to have applied enough. This balances load that is uneven
-/// among the members and avoids replicas that fall behind.
+/// replica is likely to have applied enough. A member in another data centre is
+/// chosen only where its response time is shorter by the same weight: traffic
+/// between data centres is dear. This balances load that is uneven among the
+/// members and avoids replicas that fall behind.
 placement choose_member(placement_requirements const& requirements,
                         std::span<member_condition const> members,
                         state::time_point now);
--- a/packages/coordination/src/fleet/group_homes.cpp
+++ b/packages/coordination/src/fleet/group_homes.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include <camphortide/coordination/fleet/group_homes.hpp>
 #include <camphortide/coordination/fleet/home_table.hpp>
@@ -7,11 +8,35 @@
 namespace camphortide::coordination
 {
 
+namespace
+{
+
+/// @return the instances that may become homes of a group
+std::vector<state::instance_record>
+candidates(std::vector<state::instance_record> const& live, std::size_t count,
+           std::set<std::string> const& member_data_centres)
+{
+    std::vector<state::instance_record> near;
+    std::ranges::copy_if(
+        live, std::back_inserter(near),
+        [&](auto const& instance)
+        { return member_data_centres.contains(instance.m_data_centre); });
+    std::set<std::string_view> places;
+    for (auto const& instance : near)
+    {
+        places.insert(instance.m_data_centre);
+    }
+    return places.size() >= 2 && near.size() >= count ? near : live;
+}
+
+} // namespace
+
 group_homes
 choose_homes(std::string_view self, std::string_view group,
              std::size_t connections,
              std::map<std::string, state::stored<state::instance_entry>> const&
-                 instances)
+                 instances,
+             std::set<std::string> const& member_data_centres)
 {
     auto const live = live_instances(instances);
     group_homes result;
@@ -21,7 +46,8 @@
         return result;
     }
     auto const count = std::max(min_homes, connections / connections_per_home);
-    auto homes = home_table(live, count).homes_of(group);
+    auto homes = home_table(candidates(live, count, member_data_centres), count)
+                     .homes_of(group);
     auto const own = instances.find(std::string(self));
     auto const own_data_centre = own == instances.end()
                                      ? std::string()
--- a/packages/coordination/src/placing/member_choice.cpp
+++ b/packages/coordination/src/placing/member_choice.cpp
@@ -12,6 +12,9 @@
 /// Factor on the expected response time of the primary, which keeps it free for
 /// the statements that only it can execute.
 constexpr double primary_cost_factor = 2.0;
+/// Factor on the expected response time of a member in another data centre: it
+/// is used once a statement is at the near one already.
+constexpr double remote_cost_factor = 2.0;
 /// Lower bound of the response times that are compared, in milliseconds. A
 /// member that hasn't answered yet counts with it and is therefore chosen soon.
 constexpr double min_response_ms = 1.0;
@@ -56,8 +59,10 @@
 double expected_ms(member_condition const& member)
 {
     double const response = std::max(member.m_response_ms, min_response_ms);
-    double const weight = member.m_primary ? primary_cost_factor : 1.0;
-    return response * (1.0 + member.m_in_flight) * weight;
+    double const primary_weight = member.m_primary ? primary_cost_factor : 1.0;
+    double const remote_weight = member.m_remote ? remote_cost_factor : 1.0;
+    return response * (1.0 + member.m_in_flight) * primary_weight *
+           remote_weight;
 }
 
 } // namespace
--- a/packages/coordination/test/homes/group_homes_test.cpp
+++ b/packages/coordination/test/homes/group_homes_test.cpp
@@ -8,6 +8,7 @@
 
 namespace coordination = camphortide::coordination;
 using coordination::choose_homes;
+using tests::instance_records;
 using tests::make_registered_instances;
 
 namespace
@@ -75,6 +76,35 @@
               .m_homes.size() == 3);
 }
 
+TEST_CASE("homes are placed in the data centres of the members")
+{
+    auto const all = make_registered_instances(83);
+    auto const data_centres = [&](coordination::group_homes const& homes)
+    {
+        std::set<std::string> result;
+        for (auto const& home : homes.m_homes)
+        {
+            result.insert(all.at(home.m_name).m_record.m_data_centre);
+        }
+        return result;
+    };
+    std::set<std::string> const members{"dc0", "dc2"};
+    auto const homes = choose_homes("i1", "g", 36, all, members);
+    CHECK(homes.m_homes.size() == 3);
+    CHECK(data_centres(homes) == members);
+    SUBCASE("all data centres are used if the members are in one only")
+    {
+        CHECK(data_centres(choose_homes("i1", "g", 36, all, {"dc0"})).size() ==
+              3);
+    }
+    SUBCASE("all data centres are used if the members' have too few instances")
+    {
+        instance_records few{*all.find("i0"), *all.find("i2"), *all.find("i1"),
+                             *all.find("i4"), *all.find("i7")};
+        CHECK(choose_homes("i1", "g", 14, few, members).m_homes.size() == 3);
+    }
+}
+
 TEST_CASE("an expelled home is replaced by one other instance")
 {
     auto all = make_registered_instances(83);
--- a/packages/coordination/test/placing/member_choice_test.cpp
+++ b/packages/coordination/test/placing/member_choice_test.cpp
@@ -55,6 +55,24 @@
     CHECK_FALSE(choose_member(requirements, members, at(0)).m_possible);
 }
 
+TEST_CASE("a read stays in the data centre unless another one answers sooner")
+{
+    placement_requirements requirements;
+    requirements.m_primary = false;
+    std::vector<member_condition> members{replica(9, 0), replica(9, 0)};
+    members[0].m_remote = true;
+    CHECK(choose_member(requirements, members, at(0)).m_member == 1);
+    members[1].m_response_ms = 19;
+    CHECK(choose_member(requirements, members, at(0)).m_member == 1);
+    members[1].m_response_ms = 21;
+    CHECK(choose_member(requirements, members, at(0)).m_member == 0);
+    members[1].m_response_ms = 10;
+    members[1].m_in_flight = 2;
+    CHECK(choose_member(requirements, members, at(0)).m_member == 0);
+    members[0].m_free = false;
+    CHECK(choose_member(requirements, members, at(0)).m_member == 1);
+}
+
 TEST_CASE("a read goes to a replica that has applied enough")
 {
     placement_requirements requirements;
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -60,7 +60,10 @@
         return m_configuration;
     }
     /// @return the current members, by id
-    std::map<std::string, state::member_entry> members() const;
+    std::map<std::string, state::member_entry> const& members() const
+    {
+        return m_member_entries;
+    }
 
     /// @return when this process first saw each expelled instance expelled
     std::map<std::string, state::time_point> const& expelled() const
@@ -92,6 +95,9 @@
     void write_own_record(std::uint64_t revision);
     void remove_missing_members(state::time_point now);
     void publish_view();
+    void update_homes();
+    void update_member_entries();
+    void update_member_data_centres();
     object_watch::status_handler status_logger(char const* what);
 
     store_client& m_store;
@@ -103,7 +109,23 @@
     std::shared_ptr<state::configuration const> m_configuration;
     /// By id.
     std::map<std::string, cached_member> m_members;
+    std::map<std::string, state::member_entry> m_member_entries; ///< by id
     state::fleet_records m_records;
+    /// By group; derived from the configuration and the registered instances.
+    std::map<std::string, coordination::group_homes> m_homes;
+    bool m_homes_outdated = true;
+
+    /// Where a group has members.
+    struct member_places
+    {
+        std::size_t m_members = 0;
+        std::set<std::string> m_data_centres;
+
+        friend auto operator<=>(member_places const&,
+                                member_places const&) = default;
+    };
+
+    std::map<std::string, member_places> m_member_places; ///< by group
     /// By name.
     std::map<std::string, state::time_point> m_expelled;
     /// The records are at least as new as this.
--- a/packages/proxy/include/camphortide/proxy/fleet_view.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_view.hpp
@@ -32,6 +32,7 @@
 struct fleet_view
 {
     std::shared_ptr<state::configuration const> m_configuration;
+    std::string m_data_centre; ///< of this instance
     /// Members by group.
     std::map<std::string, std::vector<state::member_entry>> m_members;
     /// Status of the primaries by group.
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -151,6 +151,7 @@
 
     boost::asio::io_context& m_context;
     std::string m_group;
+    std::string m_data_centre; ///< of this instance
     traffic_observer& m_observer;
     boost::asio::steady_timer m_timer;
     std::optional<state::time_point> m_timer_at;
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -118,6 +118,7 @@
              {"asked_ms_ago", state::clock::now() - update.m_requested_at}});
         m_configuration =
             std::make_shared<state::configuration const>(std::move(*value));
+        m_homes_outdated = true;
     }
     publish_view();
 }
@@ -174,10 +175,43 @@
     }
     if (changed)
     {
+        update_member_entries();
         publish_view();
     }
 }
 
+void fleet_control::update_member_entries()
+{
+    m_member_entries.clear();
+    for (auto const& [id, cached] : m_members)
+    {
+        m_member_entries.emplace(id, cached.m_entry);
+    }
+    update_member_data_centres();
+}
+
+void fleet_control::update_member_data_centres()
+{
+    std::map<std::string, member_places> places;
+    for (auto const& [id, entry] : m_member_entries)
+    {
+        auto& group = places[entry.m_group];
+        ++group.m_members;
+        group.m_data_centres.insert(entry.m_data_centre);
+    }
+    for (auto const& [group, earlier] : m_member_places)
+    {
+        // A group that has lost a member keeps its homes until it is complete
+        // again: the member usually returns.
+        if (places[group].m_members < earlier.m_members)
+        {
+            places[group] = earlier;
+        }
+    }
+    m_homes_outdated = m_homes_outdated || places != m_member_places;
+    m_member_places = std::move(places);
+}
+
 void fleet_control::remove_missing_members(state::time_point now)
 {
     auto const gone = std::erase_if(
@@ -195,6 +229,7 @@
         });
     if (gone > 0)
     {
+        update_member_entries();
         publish_view();
     }
 }
@@ -211,6 +246,8 @@
         }
     }
     bool const changed = records != m_records;
+    bool const instances_changed =
+        changed && records.m_instances != m_records.m_instances;
     m_records = std::move(records);
     update_expelled();
     m_records_known = m_records_known || update.m_snapshot;
@@ -219,8 +256,9 @@
         m_records_verified_at =
             std::max(m_records_verified_at, update.m_requested_at);
     }
-    if (changed)
+    if (instances_changed)
     {
+        m_homes_outdated = true;
         update_source_orders();
     }
     if (changed || update.m_verified)
@@ -399,16 +437,6 @@
            found->second.m_record.m_start_time > start_time;
 }
 
-std::map<std::string, state::member_entry> fleet_control::members() const
-{
-    std::map<std::string, state::member_entry> all;
-    for (auto const& [id, cached] : m_members)
-    {
-        all.emplace(id, cached.m_entry);
-    }
-    return all;
-}
-
 void fleet_control::tick(state::time_point now)
 {
     remove_missing_members(now);
@@ -429,6 +457,7 @@
     }
     auto view = std::make_shared<fleet_view>();
     view->m_configuration = m_configuration;
+    view->m_data_centre = m_own_record.m_data_centre;
     for (auto const& [id, cached] : m_members)
     {
         view->m_members[cached.m_entry.m_group].push_back(cached.m_entry);
@@ -447,15 +476,25 @@
         status.m_verified_at = m_records_verified_at;
         view->m_primaries.emplace(group, status);
     }
-    for (auto const& [group, limits] : m_configuration->m_groups)
+    if (std::exchange(m_homes_outdated, false))
     {
-        view->m_homes.emplace(group,
-                              coordination::choose_homes(
-                                  m_own_record.m_name, group,
-                                  shared_connections(limits.m_max_connections),
-                                  m_records.m_instances));
+        update_homes();
     }
+    view->m_homes = m_homes;
     m_on_view(std::move(view));
 }
 
+void fleet_control::update_homes()
+{
+    m_homes.clear();
+    for (auto const& [group, limits] : m_configuration->m_groups)
+    {
+        m_homes.emplace(group, coordination::choose_homes(
+                                   m_own_record.m_name, group,
+                                   shared_connections(limits.m_max_connections),
+                                   m_records.m_instances,
+                                   m_member_places[group].m_data_centres));
+    }
+}
+
 } // namespace camphortide::proxy
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -69,6 +69,7 @@
     {
         m_max_connections = limits->second.m_max_connections;
     }
+    m_data_centre = view.m_data_centre;
     auto const homes = view.m_homes.find(m_group);
     if (homes != view.m_homes.end())
     {
@@ -198,6 +199,7 @@
         bool const named = is_primary(pool->member().m_id);
         bool const allowed = named && m_permit.allows(now);
         auto condition = pool->condition(allowed, now);
+        condition.m_remote = pool->member().m_data_centre != m_data_centre;
         // A primary that is being replaced may have commits that will be rolled
         // back.
         condition.m_usable = condition.m_usable && (!named || allowed);
