--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -1,3 +1,5 @@
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -148,6 +150,52 @@
     CHECK(actions[0].m_name == "m3");
 }
 
+TEST_CASE("instances that don't answer are asked ever less often")
+{
+    // A third of the fleet is cut off. Each request costs the holder about
+    // 0.2 ms, and it may be a weak host.
+    for (std::size_t const fleet : {195, 500})
+    {
+        auto facts = facts_at(0);
+        facts.m_instances.clear();
+        std::set<std::string> silent;
+        for (std::size_t number = 0; number < fleet; ++number)
+        {
+            std::string name = "i";
+            name += std::to_string(number);
+            facts.m_instances[name] = {
+                {name, 7, name + ":1", "dc", false, {}, ""}, 2};
+            if (number % 3 == 0)
+            {
+                silent.insert(name);
+            }
+        }
+        auto value = after_own_closing_record(facts);
+        std::map<std::string, int> requests;
+        for (int time = 40; time < static_cast<int>(permit_lease.count());
+             time += 40)
+        {
+            facts.m_now = at(time);
+            for (auto const& action : value.step(facts))
+            {
+                if (action.m_kind == kind::request_close)
+                {
+                    ++requests[action.m_name];
+                    if (!silent.contains(action.m_name))
+                    {
+                        facts.m_answers[action.m_name] = {7, 11};
+                    }
+                }
+            }
+        }
+        CHECK(requests.size() == fleet);
+        for (auto const& [name, count] : requests)
+        {
+            CHECK(count <= (silent.contains(name) ? 8 : 1));
+        }
+    }
+}
+
 TEST_CASE("an answer about an earlier closing doesn't count")
 {
     auto facts = facts_at(0);
