primary: a primary whose entry has not been seen yet is not lost

Cause: a holder that had just started closed every group whose primary had no entry in the store. Change: a primary counts as unregistered if its entry was seen and is gone, or has been missing for 2.5 s of watching. Test: primary_watch_test, failing before.

--- a/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
@@ -18,6 +18,10 @@
     state::duration m_response_timeout{700};
     /// Refusals closer together than this count as one.
     state::duration m_min_refusal_interval{25};
+    /// How long a primary without an entry in the store is waited for if this
+    /// instance has never seen the entry. Entries that lapsed while the store
+    /// was unavailable are back within two seconds of its recovery.
+    state::duration m_registration_grace{2500};
     /// How long another instance's report counts; instances repeat it at least
     /// twice in this time.
     state::duration m_report_lifetime{1200};
@@ -43,6 +47,8 @@
     refuses,
     /// It is unresponsive.
     silent,
+    /// It has no entry in the store.
+    unregistered,
     /// Several instances can't reach it.
     lost_to_others
 };
@@ -61,6 +67,9 @@
     /// Starts watching a primary; earlier observations are discarded.
     void begin(state::time_point now);
 
+    /// Records whether the primary has an entry in the store.
+    void note_registration(bool registered, state::time_point now);
+
     /// Records an answer of the primary, of any kind.
     void note_answer(state::time_point now);
 
@@ -85,6 +94,7 @@
     };
 
     state::duration response_timeout() const;
+    bool unregistered(state::time_point now) const;
     bool reported_by_others(std::size_t instances, state::time_point now) const;
 
     primary_watch_settings m_settings;
@@ -92,6 +102,8 @@
     state::time_point m_last_tick;
     /// Recent delay of ticks; it falls by a tenth with each punctual tick.
     state::duration m_delay{};
+    bool m_was_registered = false;
+    std::optional<state::time_point> m_unregistered_since;
     std::optional<state::time_point> m_first_refusal;
     std::optional<state::time_point> m_last_refusal;
     std::map<std::string, report> m_reports;
--- a/packages/coordination/src/primary/primary_watch.cpp
+++ b/packages/coordination/src/primary/primary_watch.cpp
@@ -8,11 +8,26 @@
 void primary_watch::begin(state::time_point now)
 {
     m_last_answer = m_last_tick = now;
+    m_was_registered = false;
+    m_unregistered_since.reset();
     m_first_refusal.reset();
     m_last_refusal.reset();
     m_reports.clear();
 }
 
+void primary_watch::note_registration(bool registered, state::time_point now)
+{
+    m_was_registered = m_was_registered || registered;
+    if (registered)
+    {
+        m_unregistered_since.reset();
+    }
+    else if (!m_unregistered_since)
+    {
+        m_unregistered_since = now;
+    }
+}
+
 void primary_watch::note_answer(state::time_point now)
 {
     m_last_answer = now;
@@ -60,6 +75,13 @@
                     m_settings.m_max_delay_allowance);
 }
 
+bool primary_watch::unregistered(state::time_point now) const
+{
+    return m_unregistered_since &&
+           (m_was_registered ||
+            now - *m_unregistered_since >= m_settings.m_registration_grace);
+}
+
 bool primary_watch::reported_by_others(std::size_t instances,
                                        state::time_point now) const
 {
@@ -87,6 +109,10 @@
     {
         return primary_loss::silent;
     }
+    if (unregistered(now))
+    {
+        return primary_loss::unregistered;
+    }
     return reported_by_others(instances, now) ? primary_loss::lost_to_others
                                               : primary_loss::none;
 }
--- a/packages/coordination/test/primary/primary_watch_test.cpp
+++ b/packages/coordination/test/primary/primary_watch_test.cpp
@@ -102,6 +102,32 @@
     }
 }
 
+TEST_CASE("a primary whose entry has never been seen is waited for")
+{
+    // The holder has just started, and the entries lapsed while the store was
+    // unavailable.
+    primary_watch watch;
+    watch.begin(at(0));
+    for (int time = 0; time < 2500; time += 40)
+    {
+        watch.tick(at(time));
+        watch.note_answer(at(time));
+        watch.note_registration(false, at(time));
+        CHECK(watch.evaluate(fleet, at(time)) == primary_loss::none);
+    }
+    SUBCASE("the entry is back")
+    {
+        watch.note_registration(true, at(2499));
+        CHECK(watch.evaluate(fleet, at(2600)) == primary_loss::none);
+        watch.note_registration(false, at(2600));
+        CHECK(watch.evaluate(fleet, at(2600)) == primary_loss::unregistered);
+    }
+    SUBCASE("the member is gone")
+    {
+        CHECK(watch.evaluate(fleet, at(2500)) == primary_loss::unregistered);
+    }
+}
+
 TEST_CASE("repeated reports of several instances indicate a loss")
 {
     primary_watch watch;
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -54,6 +54,8 @@
         return "refuses";
     case primary_loss::silent:
         return "silent";
+    case primary_loss::unregistered:
+        return "unregistered";
     case primary_loss::lost_to_others:
         return "lost_to_others";
     case primary_loss::none:
@@ -311,7 +313,6 @@
     state::time_point now)
 {
     auto const& instances = m_fleet.records().m_instances;
-    auto const loss = group.m_watch.evaluate(instances.size(), now);
     bool present = false;
     bool leaving = false;
     bool other_leads = false;
@@ -326,7 +327,9 @@
                             member.m_report->m_primary &&
                             member.m_report->m_term > record.m_term);
     }
-    if (loss == primary_loss::none && present && !other_leads)
+    group.m_watch.note_registration(present, now);
+    auto const loss = group.m_watch.evaluate(instances.size(), now);
+    if (loss == primary_loss::none && !other_leads)
     {
         return leaving ? replacement_reason::leaving : replacement_reason::none;
     }
