--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -187,7 +187,8 @@
     bool permit_ended(replacement_facts const& facts,
                       state::instance_entry const& instance) const;
     bool is_due(std::string const& action, state::time_point now);
-    bool close_is_due(std::string const& instance, state::time_point now);
+    bool close_is_due(std::string const& instance,
+                      replacement_facts const& facts);
     void write_open(replacement_facts const& facts, state::term_record record,
                     actions& result);
     void write(replacement_facts const& facts, state::term_record record,
@@ -231,6 +232,8 @@
     {
         state::duration m_interval{};
         state::time_point m_next;
+        /// Of the instance's record.
+        std::uint64_t m_revision = 0;
     };
 
     /// Requests to stop using the primary, by instance.
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -164,7 +164,7 @@
 {
     for (auto const& name : missing)
     {
-        if (close_is_due(name, facts.m_now))
+        if (close_is_due(name, facts))
         {
             result.push_back(
                 {replacement_action::kind::request_close, name, {}});
@@ -414,17 +414,22 @@
 }
 
 bool replacement::close_is_due(std::string const& instance,
-                               state::time_point now)
+                               replacement_facts const& facts)
 {
     auto& request = m_close_requests[instance];
-    if (now < request.m_next)
+    auto const revision = facts.m_instances.at(instance).m_revision;
+    if (std::exchange(request.m_revision, revision) != revision)
+    {
+        request = {{}, {}, revision}; // it has just written to the store
+    }
+    if (facts.m_now < request.m_next)
     {
         return false;
     }
     request.m_interval =
         std::clamp(request.m_interval * 2, m_settings.m_retry_interval,
                    m_settings.m_max_close_interval);
-    request.m_next = now + request.m_interval;
+    request.m_next = facts.m_now + request.m_interval;
     return true;
 }
 
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -196,6 +196,22 @@
     }
 }
 
+TEST_CASE("an instance that registers again is asked at once")
+{
+    auto facts = facts_at(0);
+    auto value = after_own_closing_record(facts);
+    for (int time = 40; time <= 4000; time += 40)
+    {
+        facts.m_now = at(time);
+        value.step(facts);
+    }
+    CHECK(value.step(facts).empty());
+    facts.m_instances["b"].m_revision = 20;
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::request_close});
+    CHECK(actions[0].m_name == "b");
+}
+
 TEST_CASE("an answer about an earlier closing doesn't count")
 {
     auto facts = facts_at(0);
