--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -2,17 +2,12 @@
 #include <cmath>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
-#include <camphortide/platform/member_protocol.hpp>
 #include <camphortide/proxy/group_traffic.hpp>
 
 namespace camphortide::proxy
 {
 
 using coordination::sent_kind;
-using state::session_phase;
-using state::statement_reply;
 
 namespace
 {
@@ -32,16 +27,6 @@
 constexpr std::uint32_t statements_per_slot = 3;
 /// Response times vary: three of four are within this multiple of the mean.
 constexpr double service_time_margin = 1.3;
-/// How long an orderly change of primary waits for statements and transactions
-/// in progress.
-constexpr state::duration orderly_close_timeout{1500};
-/// A replica with at least this lag receives few reads, whose replies would
-/// show that it has caught up: its position is requested a few times a second
-/// instead.
-constexpr state::duration stale_replica_lag{150};
-constexpr state::duration stale_probe_interval{250};
-/// How long a member must fail before it is reported as unreachable.
-constexpr state::duration unreachable_delay{300};
 /// Margin added to the time that a position must cover: reading the clocks
 /// takes a fraction of a ms.
 constexpr state::duration position_margin{5};
@@ -450,166 +435,4 @@
         });
 }
 
-std::shared_ptr<member_pool>
-group_traffic::find_pool(std::string const& member) const
-{
-    auto const same = [&](auto const& pool)
-    {
-        return pool->member().m_id == member;
-    };
-    auto const it = std::find_if(m_pools.begin(), m_pools.end(), same);
-    return it == m_pools.end() ? nullptr : *it;
-}
-
-bool group_traffic::primary_in_use(std::uint64_t revision) const
-{
-    return !m_primary_uses.empty() && m_primary_uses.begin()->first <= revision;
-}
-
-void group_traffic::close_primary(std::uint64_t revision, bool orderly,
-                                  std::function<void()> closed)
-{
-    m_permit.stop(revision);
-    auto const now = state::clock::now();
-    auto const until = orderly ? now + orderly_close_timeout : now;
-    m_pending_closes.push_back(
-        {revision, m_permit.status().m_primary, until, std::move(closed)});
-    finish_pending_closes();
-}
-
-void group_traffic::finish_pending_closes()
-{
-    auto const now = state::clock::now();
-    std::vector<pending_close> finished;
-    for (auto it = m_pending_closes.begin(); it != m_pending_closes.end();)
-    {
-        bool const over =
-            now >= it->m_deadline || !primary_in_use(it->m_revision);
-        if (over)
-        {
-            finished.push_back(std::move(*it));
-            it = m_pending_closes.erase(it);
-        }
-        else
-        {
-            ++it;
-        }
-    }
-    for (auto const& each : finished)
-    {
-        m_permit.close(each.m_revision);
-        auto const pool = find_pool(each.m_primary);
-        if (pool && primary_in_use(each.m_revision))
-        {
-            pool->close_all();
-        }
-        m_primary_uses.erase(m_primary_uses.begin(),
-                             m_primary_uses.upper_bound(each.m_revision));
-        m_observer.primary_closed(m_group, each.m_revision);
-        if (each.m_on_closed)
-        {
-            each.m_on_closed();
-        }
-    }
-}
-
-void group_traffic::probe_if_stale(member_pool& pool, state::time_point now)
-{
-    bool const stale = pool.lag() >= stale_replica_lag &&
-                       now - pool.last_lag_update() >= stale_probe_interval;
-    auto const connection =
-        stale && !is_primary(pool.member().m_id) ? pool.acquire({}) : nullptr;
-    if (!connection)
-    {
-        return;
-    }
-    auto const self = pool.shared_from_this();
-    self->statement_started();
-    connection->send(platform::member_report_request(),
-                     [this, self, connection,
-                      alive = m_alive](std::optional<statement_reply> reply)
-                     {
-                         self->statement_finished(std::nullopt);
-                         self->release(connection,
-                                       reply && reply->m_phase ==
-                                                    session_phase::idle);
-                         if (*alive && reply && reply->m_position)
-                         {
-                             record_replica_position(*self, *reply->m_position);
-                             dispatch();
-                         }
-                     });
-}
-
-void group_traffic::record_replica_position(member_pool& pool,
-                                            state::log_position position)
-{
-    auto const next =
-        state::log_position{position.m_term, position.m_index + 1};
-    auto const passed = m_positions.reached_at(next);
-    auto const now = state::clock::now();
-    pool.record_applied(position,
-                        passed ? std::max(now - *passed, state::duration(0))
-                               : state::duration(0));
-}
-
-void group_traffic::report_reachability(member_pool const& pool,
-                                        state::time_point now)
-{
-    auto const& id = pool.member().m_id;
-    bool const lost = pool.failing_since() &&
-                      now - *pool.failing_since() >= unreachable_delay;
-    if (lost && m_unreachable.insert(id).second)
-    {
-        m_observer.member_reached(m_group, id, false);
-    }
-    else if (!pool.failing_since() && m_unreachable.erase(id) != 0)
-    {
-        m_observer.member_reached(m_group, id, true);
-    }
-}
-
-void group_traffic::sweep()
-{
-    auto const now = state::clock::now();
-    finish_pending_closes();
-    for (auto const& pool : m_pools)
-    {
-        pool->close_surplus(now);
-        report_reachability(*pool, now);
-        probe_if_stale(*pool, now);
-        bool const unreachable =
-            is_primary(pool->member().m_id) && pool->failing_since() &&
-            now - *pool->failing_since() >= unreachable_delay;
-        if (unreachable)
-        {
-            m_observer.primary_unreachable(m_group, pool->member().m_id);
-        }
-    }
-    std::erase_if(m_removed_pools,
-                  [](auto const& pool) {
-                      return pool->connections() == 0 && pool->in_flight() == 0;
-                  });
-    for (auto const& pool : m_removed_pools)
-    {
-        if (pool->in_flight() == 0)
-        {
-            pool->close_all();
-        }
-    }
-    dispatch();
-}
-
-std::vector<member_gauge> group_traffic::gauges() const
-{
-    std::vector<member_gauge> result;
-    for (auto const& pool : m_pools)
-    {
-        result.push_back({m_group, pool->member().m_id,
-                          is_primary(pool->member().m_id), pool->connections(),
-                          pool->in_flight(), pool->lag(), m_queue.size()});
-    }
-    return result;
-}
-
 } // namespace camphortide::proxy
