--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -154,7 +154,7 @@
 {
     // A third of the fleet is cut off. Each request costs the holder about
     // 0.2 ms, and it may be a weak host.
-    for (std::size_t const fleet : {195, 500})
+    for (auto const fleet : {std::size_t{195}, std::size_t{500}})
     {
         auto facts = facts_at(0);
         facts.m_instances.clear();
