state, platform, proxy: customers are told apart by their callers' keys

A configuration may name customers with keys.

The configuration now has a directory of customers with the digests of their keys. A session looks its key up when it opens and before each transaction or single statement; an unknown key is refused at once. A transaction whose key is withdrawn may go on for 2 s and is then rolled back. The customer goes with a forwarded statement, and a connection to a member carries statements of one customer only: at the limit the idle connection that was used least recently is closed for another customer. A configuration without customers behaves as before. One with invalid customers is refused as a whole, with the problem in the log.

--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -72,9 +72,9 @@
     void end_transaction();
 
     /// Rolls back the open transaction if the caller has sent nothing for
-    /// longer than the limit.
+    /// longer than the limit, or if its key was withdrawn a while ago.
     /// @param limit zero: no limit
-    void end_idle_transaction(state::duration limit, state::time_point now);
+    void end_overdue_transaction(state::duration limit, state::time_point now);
 
     bool in_transaction() const { return m_state.in_transaction(); }
     bool busy() const { return m_busy; }
@@ -89,7 +89,10 @@
     void handle(platform::malformed_message const& message);
     void open();
     void refuse_and_close(state::statement_failure const& failure);
-    bool find_route();
+    /// Looks up the route and the customer in the configuration in force.
+    /// @return why the caller can't be served; nothing if it can
+    std::optional<state::statement_failure> find_route();
+    bool key_withdrawn(state::time_point now);
     void submit(state::statement const& statement);
     std::shared_ptr<statement_request>
     build_request(state::statement const& statement);
@@ -118,6 +121,8 @@
     bool m_processing = false; ///< process_lines() is on the call stack
     bool m_close_when_written = false;
     std::string m_database;
+    state::key_digest m_key;
+    std::string m_customer; ///< name; empty: the route needs none
     coordination::session_state m_state;
     std::shared_ptr<state::configuration const> m_configuration;
     state::route const* m_route = nullptr;
@@ -126,6 +131,8 @@
     std::optional<coordination::session_position> m_last_commit;
     state::time_point m_started; ///< start of the transaction or statement
     state::time_point m_last_received; ///< when the caller last sent data
+    /// When the session noticed that its open transaction's key is withdrawn.
+    std::optional<state::time_point> m_withdrawn_at;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -81,7 +81,7 @@
     coordination::placement_requirements
     requirements_for(statement_request const& request) const;
     std::vector<coordination::member_condition>
-    conditions(state::time_point now) const;
+    conditions(std::string const& customer, state::time_point now) const;
     bool admit(statement_request const& request);
     /// @return the expected time that the primary, or a replica, takes to
     ///     answer, with a margin
@@ -90,14 +90,14 @@
                        state::time_point now) const;
     void dispatch();
     /// Sends the waiting statements that a member can accept now.
-    /// @return for each pool, the number of statements that wait for one of its
+    /// @return for each pool, the statements that wait for one of its
     ///     connections
-    std::vector<std::size_t> send_waiting(state::time_point now);
+    std::vector<member_pool::demand> send_waiting(state::time_point now);
     /// @return index of the member that would be chosen if all had free
     ///     connections; nothing if none can run the statement
     std::optional<std::size_t> best_member(statement_request const& request,
                                            state::time_point now) const;
-    void open_connections(std::vector<std::size_t> const& demand);
+    void open_connections(std::vector<member_pool::demand> const& demand);
     void refuse_expired(state::time_point now);
     void set_timer();
     void send_to(request_pointer const& request, std::size_t index);
--- a/packages/proxy/include/camphortide/proxy/member_connection.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_connection.hpp
@@ -49,8 +49,10 @@
     /// Connects, and names the group and the member that are expected at the
     /// address.
     /// @param member to connect to
+    /// @param customer that the connection serves; empty: none
     /// @param done called once with the result
-    void open(state::member_entry const& member, open_handler done);
+    void open(state::member_entry const& member, std::string const& customer,
+              open_handler done);
 
     /// Sends one statement or setup command.
     /// @param bytes the encoded text
@@ -63,6 +65,9 @@
     void close();
 
     bool alive() const { return m_open; }
+    /// @return the customer whose statements the connection carries; empty:
+    ///     none
+    std::string const& customer() const { return m_customer; }
     std::size_t outstanding() const { return m_handlers.size(); }
 
     /// Sets the handler that is called once when the connection ends.
@@ -91,6 +96,7 @@
     platform::line_splitter m_lines;
     platform::member_reply_parser m_parser;
     coordination::connection_setup m_setup;
+    std::string m_customer;
     std::string m_greeting;
     std::array<char, 8192> m_read_buffer;
     std::deque<reply_handler> m_handlers;
--- a/packages/proxy/include/camphortide/proxy/member_pool.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -40,17 +41,26 @@
     void update(state::member_entry member) { m_member = std::move(member); }
     void set_limits(member_pool_limits limits) { m_limits = limits; }
 
+    /// Number of statements that wait for a connection, by customer.
+    using demand = std::map<std::string, std::size_t>;
+
     /// Opens a connection if one is needed, within the limits and unless an
-    /// earlier failure requires a pause.
-    /// @param waiting number of statements that wait for a connection
+    /// earlier failure requires a pause. At the limit an idle connection of
+    /// another customer is closed first.
+    /// @param waiting statements that wait for a connection
     /// @param changed called when the connection is open or has failed
-    void open_if_needed(std::size_t waiting, changed_handler const& changed);
+    void open_if_needed(demand const& waiting, changed_handler const& changed);
 
-    /// Removes from the idle connections the one that requires the fewest setup
-    /// commands for a session's values.
+    /// Removes from a customer's idle connections the one that requires the
+    /// fewest setup commands for a session's values.
     /// @return null if none is idle
     std::shared_ptr<member_connection>
-    acquire(coordination::session_values const& values);
+    acquire(std::string const& customer,
+            coordination::session_values const& values);
+
+    /// Removes any idle connection, for a statement of the system itself.
+    /// @return null if none is idle
+    std::shared_ptr<member_connection> acquire_any();
 
     /// Returns a connection to the pool. It is closed if it can't be reused.
     /// @param connection an acquired one
@@ -82,9 +92,11 @@
     ///     hasn't
     void record_applied(state::log_position position, state::duration behind);
 
+    /// @param customer whose statement is to be placed
     /// @param primary the member may be used as the primary now
     /// @param now the current time
-    coordination::member_condition condition(bool primary,
+    coordination::member_condition condition(std::string const& customer,
+                                             bool primary,
                                              state::time_point now) const;
 
     state::member_entry const& member() const { return m_member; }
@@ -110,6 +122,11 @@
                 opening_result result);
     void remove(std::shared_ptr<member_connection> const& connection);
     std::size_t max_connections() const;
+    std::size_t idle_connections(std::string const& customer) const;
+    /// Closes the idle connection that was used least recently, of a customer
+    /// without waiting statements.
+    /// @return false if there is none
+    bool close_least_recent(demand const& waiting);
 
     boost::asio::io_context& m_context;
     state::member_entry m_member;
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -49,6 +49,7 @@
 
     std::uint64_t m_number = 0;
     state::statement m_statement;
+    std::string m_customer; ///< name; empty: the caller needs none
     std::optional<coordination::prepared_shape> m_shape; ///< for EXECUTE
     coordination::session_values
         m_values; ///< of the session, required to run it
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -20,6 +20,8 @@
 /// The connection fails if the caller's host acknowledges nothing for this
 /// long.
 constexpr state::duration caller_ack_timeout{10000};
+/// How long a transaction may go on after its caller's key has been withdrawn.
+constexpr state::duration withdrawal_grace{2000};
 /// Low bits of a statement's number; the high bits are the session's number, so
 /// that numbers are unique across sessions.
 constexpr unsigned statement_bits = 24;
@@ -111,6 +113,7 @@
         return;
     }
     m_database = message.m_database;
+    m_key = state::key_digest(message.m_key);
     m_awaiting_configuration = m_host.configuration() == nullptr;
     if (!m_awaiting_configuration)
     {
@@ -131,22 +134,62 @@
 
 void caller_session::open()
 {
-    if (!find_route())
+    if (auto const failure = find_route())
     {
-        refuse_and_close(
-            {statement_error::no_such_database, "no such database"});
+        refuse_and_close(*failure);
         return;
     }
     m_open = true;
     write(platform::session_opened());
 }
 
-bool caller_session::find_route()
+std::optional<state::statement_failure> caller_session::find_route()
 {
     m_configuration = m_host.configuration();
+    m_withdrawn_at.reset();
     auto const it = m_configuration->m_routes.find(m_database);
     m_route = it == m_configuration->m_routes.end() ? nullptr : &it->second;
-    return m_route != nullptr;
+    if (m_route == nullptr)
+    {
+        return state::statement_failure{statement_error::no_such_database,
+                                        "no such database"};
+    }
+    m_customer.clear();
+    auto const& customers = m_configuration->m_customers;
+    if (!customers || m_route->m_anonymous)
+    {
+        return std::nullopt;
+    }
+    auto const* const customer = customers->find_by_key(m_key);
+    if (customer == nullptr)
+    {
+        return state::statement_failure{statement_error::unauthorized,
+                                        "unknown key"};
+    }
+    m_customer = customer->m_name;
+    return std::nullopt;
+}
+
+bool caller_session::key_withdrawn(state::time_point now)
+{
+    if (m_customer.empty())
+    {
+        return false;
+    }
+    auto const current = m_host.configuration();
+    auto const* const holder = current->m_customers
+                                   ? current->m_customers->find_by_key(m_key)
+                                   : nullptr;
+    if (holder != nullptr && holder->m_name == m_customer)
+    {
+        m_withdrawn_at.reset();
+        return false;
+    }
+    if (!m_withdrawn_at)
+    {
+        m_withdrawn_at = now;
+    }
+    return now - *m_withdrawn_at >= withdrawal_grace;
 }
 
 void caller_session::refuse_and_close(state::statement_failure const& failure)
@@ -178,12 +221,11 @@
     {
         // A changed route applies from the next transaction on.
         m_started = m_last_received;
-        if (!find_route())
+        if (auto const failure = find_route())
         {
             state::statement_reply reply;
-            reply.m_failure = state::statement_failure{
-                statement_error::no_such_database, "no such database"};
-            m_host.refused_locally(message.m_id, m_database, *reply.m_failure);
+            reply.m_failure = failure;
+            m_host.refused_locally(message.m_id, m_database, *failure);
             reply_to_caller(reply);
             return;
         }
@@ -227,6 +269,7 @@
     auto request = std::make_shared<statement_request>();
     request->m_number = (m_number << statement_bits) + ++m_statement_count;
     request->m_statement = statement;
+    request->m_customer = m_customer;
     request->m_shape = m_state.shape_of(statement);
     request->m_values = m_state.values();
     request->m_configuration = m_configuration;
@@ -300,10 +343,11 @@
     release_transaction();
 }
 
-void caller_session::end_idle_transaction(state::duration limit,
-                                          state::time_point now)
+void caller_session::end_overdue_transaction(state::duration limit,
+                                             state::time_point now)
 {
-    if (limit.count() > 0 && now - m_last_received > limit)
+    bool const idle = limit.count() > 0 && now - m_last_received > limit;
+    if (m_state.in_transaction() && (key_withdrawn(now) || idle))
     {
         end_transaction();
     }
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -102,11 +102,12 @@
             continue;
         }
         auto value = platform::parse_configuration(object);
-        if (!value)
+        if (!value.ok())
         {
-            transport::log_error(log_part::catalogue,
-                                 "invalid configuration ignored",
-                                 {{"revision", object.m_revision}});
+            transport::log_error(
+                log_part::catalogue, "invalid configuration ignored",
+                {{"revision", object.m_revision},
+                 {"cause", std::string(value.status().message())}});
             continue;
         }
         if (m_configuration && value->m_version <= m_configuration->m_version)
@@ -119,7 +120,7 @@
              {"routes", value->m_routes.size()},
              {"asked_ms_ago", state::clock::now() - update.m_requested_at}});
         m_configuration =
-            std::make_shared<state::configuration const>(std::move(*value));
+            std::make_shared<state::configuration const>(*std::move(value));
         m_homes_outdated = true;
     }
     publish_view();
--- a/packages/proxy/src/forwarding_conversion.cpp
+++ b/packages/proxy/src/forwarding_conversion.cpp
@@ -125,6 +125,7 @@
     to.set_read_from_age_ms((now - request.m_started).count());
     to.set_arrived_age_ms((now - request.m_arrived).count());
     to.set_time_left_ms((request.m_deadline - now).count());
+    to.set_customer(request.m_customer);
     return message;
 }
 
@@ -163,6 +164,7 @@
     request->m_started = now - duration(message.read_from_age_ms());
     request->m_arrived = now - duration(message.arrived_age_ms());
     request->m_deadline = now + duration(message.time_left_ms());
+    request->m_customer = message.customer();
     return request;
 }
 
@@ -207,7 +209,7 @@
     auto const phase =
         decode_enum(message.phase(), state::session_phase::failed_transaction);
     auto const error = decode_enum(message.failure().error(),
-                                   state::statement_error::no_such_statement);
+                                   state::statement_error::unauthorized);
     if (!phase || !error)
     {
         return std::nullopt;
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -176,14 +176,15 @@
 }
 
 std::vector<coordination::member_condition>
-group_traffic::conditions(state::time_point now) const
+group_traffic::conditions(std::string const& customer,
+                          state::time_point now) const
 {
     std::vector<coordination::member_condition> result;
     for (auto const& pool : m_pools)
     {
         bool const named = is_primary(pool->member().m_id);
         bool const allowed = named && m_permit.allows(now);
-        auto condition = pool->condition(allowed, now);
+        auto condition = pool->condition(customer, allowed, now);
         condition.m_remote = pool->member().m_data_centre != m_data_centre;
         // A primary that is being replaced may have commits that will be rolled
         // back.
@@ -247,7 +248,7 @@
                                             state::time_point now) const
 {
     double longest = 0;
-    for (auto const& each : conditions(now))
+    for (auto const& each : conditions({}, now))
     {
         if (each.m_usable && each.m_primary == primary)
         {
@@ -283,9 +284,10 @@
     set_timer();
 }
 
-std::vector<std::size_t> group_traffic::send_waiting(state::time_point now)
+std::vector<member_pool::demand>
+group_traffic::send_waiting(state::time_point now)
 {
-    std::vector<std::size_t> demand(m_pools.size(), 0);
+    std::vector<member_pool::demand> demand(m_pools.size());
     for (auto const& item : m_queue.in_order(now))
     {
         auto const it = m_waiting.find(item.m_number);
@@ -295,7 +297,7 @@
         }
         auto const request = it->second;
         auto const requirements = requirements_for(*request);
-        auto const members = conditions(now);
+        auto const members = conditions(request->m_customer, now);
         auto const choice =
             coordination::choose_member(requirements, members, now);
         if (choice.m_member)
@@ -311,7 +313,7 @@
         }
         else if (auto const best = best_member(*request, now))
         {
-            ++demand[*best];
+            ++demand[*best][request->m_customer];
         }
     }
     return demand;
@@ -321,7 +323,7 @@
 group_traffic::best_member(statement_request const& request,
                            state::time_point now) const
 {
-    auto members = conditions(now);
+    auto members = conditions(request.m_customer, now);
     for (auto& member : members)
     {
         member.m_free = true;
@@ -330,7 +332,8 @@
         .m_member;
 }
 
-void group_traffic::open_connections(std::vector<std::size_t> const& demand)
+void group_traffic::open_connections(
+    std::vector<member_pool::demand> const& demand)
 {
     for (std::size_t i = 0; i < m_pools.size(); ++i)
     {
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -38,7 +38,7 @@
     m_waiting.erase(request->m_number);
     bound_connection bound;
     bound.m_pool = pool;
-    bound.m_connection = pool->acquire(request->m_values);
+    bound.m_connection = pool->acquire(request->m_customer, request->m_values);
     bool const primary = is_primary(pool->member().m_id);
     m_dispatch_rates[primary ? 1 : 0].note_dispatch(m_waiting.size(),
                                                     state::clock::now());
--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -94,7 +94,7 @@
     bool const stale = pool.lag() >= stale_replica_lag &&
                        now - pool.last_lag_update() >= stale_probe_interval;
     auto const connection =
-        stale && !is_primary(pool.member().m_id) ? pool.acquire({}) : nullptr;
+        stale && !is_primary(pool.member().m_id) ? pool.acquire_any() : nullptr;
     if (!connection)
     {
         return;
--- a/packages/proxy/src/member_connection.cpp
+++ b/packages/proxy/src/member_connection.cpp
@@ -42,10 +42,12 @@
 member_connection::~member_connection() = default;
 
 void member_connection::open(state::member_entry const& member,
-                             open_handler done)
+                             std::string const& customer, open_handler done)
 {
+    m_customer = customer;
     m_opening = std::move(done);
-    m_greeting = platform::member_connect(member.m_group, member.m_id);
+    m_greeting =
+        platform::member_connect(member.m_group, member.m_id, m_customer);
     m_opening_timer.expires_after(opening_timeout);
     m_opening_timer.async_wait(
         [self = shared_from_this()](error_code error)
--- a/packages/proxy/src/member_monitor.cpp
+++ b/packages/proxy/src/member_monitor.cpp
@@ -65,7 +65,7 @@
     m_opening = true;
     m_pending_since.reset();
     m_connection = std::make_shared<member_connection>(m_context);
-    m_connection->open(m_member,
+    m_connection->open(m_member, {},
                        [this, alive = m_alive](opening_result result)
                        {
                            if (!*alive)
--- a/packages/proxy/src/member_pool.cpp
+++ b/packages/proxy/src/member_pool.cpp
@@ -45,15 +45,56 @@
     return m_limits.m_connections + m_limits.m_extra_connections;
 }
 
-void member_pool::open_if_needed(std::size_t waiting,
+std::size_t member_pool::idle_connections(std::string const& customer) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_idle, [&](auto const& connection)
+                              { return connection->customer() == customer; }));
+}
+
+bool member_pool::close_least_recent(demand const& waiting)
+{
+    std::shared_ptr<member_connection> oldest;
+    for (auto const& connection : m_idle)
+    {
+        bool const older =
+            !oldest || connection->last_used() < oldest->last_used();
+        if (older && !waiting.contains(connection->customer()))
+        {
+            oldest = connection;
+        }
+    }
+    if (oldest)
+    {
+        oldest->close();
+        remove(oldest);
+    }
+    return oldest != nullptr;
+}
+
+void member_pool::open_if_needed(demand const& waiting,
                                  changed_handler const& changed)
 {
     auto const now = state::clock::now();
-    bool const none_open = m_all.empty();
-    bool const needed = none_open || (waiting > m_idle.size() + m_opening);
+    std::optional<std::string> customer;
+    for (auto const& [each, count] : waiting)
+    {
+        if (!customer && count > idle_connections(each))
+        {
+            customer = each;
+        }
+    }
+    if (m_all.empty() && !customer)
+    {
+        customer.emplace();
+    }
     // One at a time: opening a connection occupies a part of a member's slot.
-    if (!needed || m_opening > 0 || m_all.size() >= max_connections() ||
-        now < m_next_opening)
+    if (!customer || m_opening > 0 || now < m_next_opening)
+    {
+        return;
+    }
+    if (m_all.size() >= max_connections() &&
+        (m_limits.m_connections == 0 || !close_least_recent(waiting)))
     {
         return;
     }
@@ -61,7 +102,7 @@
     m_all.insert(connection);
     ++m_opening;
     connection->open(
-        m_member,
+        m_member, *customer,
         [self = shared_from_this(), connection, changed](opening_result result)
         {
             self->opened(connection, result);
@@ -119,21 +160,31 @@
 }
 
 std::shared_ptr<member_connection>
-member_pool::acquire(coordination::session_values const& values)
+member_pool::acquire(std::string const& customer,
+                     coordination::session_values const& values)
+{
+    std::shared_ptr<member_connection> nearest;
+    for (auto const& connection : m_idle)
+    {
+        if (connection->customer() == customer &&
+            (!nearest || connection->setup().distance_to(values) <
+                             nearest->setup().distance_to(values)))
+        {
+            nearest = connection;
+        }
+    }
+    std::erase(m_idle, nearest);
+    return nearest;
+}
+
+std::shared_ptr<member_connection> member_pool::acquire_any()
 {
     if (m_idle.empty())
     {
         return nullptr;
     }
-    auto const nearest =
-        std::min_element(m_idle.begin(), m_idle.end(),
-                         [&](auto const& left, auto const& right)
-                         {
-                             return left->setup().distance_to(values) <
-                                    right->setup().distance_to(values);
-                         });
-    auto connection = *nearest;
-    m_idle.erase(nearest);
+    auto connection = m_idle.back();
+    m_idle.pop_back();
     return connection;
 }
 
@@ -219,13 +270,14 @@
 }
 
 coordination::member_condition
-member_pool::condition(bool primary, state::time_point now) const
+member_pool::condition(std::string const& customer, bool primary,
+                       state::time_point now) const
 {
     coordination::member_condition value;
     value.m_primary = primary;
     value.m_usable = !m_member.m_leaving || primary;
-    value.m_free = !m_idle.empty() && m_in_flight < m_limits.m_statements &&
-                   now >= m_busy_until;
+    value.m_free = idle_connections(customer) > 0 &&
+                   m_in_flight < m_limits.m_statements && now >= m_busy_until;
     value.m_in_flight = m_in_flight;
     // A past response time predicts the next one less and less as time passes.
     auto const idle = static_cast<double>((now - m_last_finished).count()) /
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -169,7 +169,7 @@
         auto const limit = m_view->m_configuration->m_transaction_idle_timeout;
         for (auto const& entry : m_sessions)
         {
-            entry.second->end_idle_transaction(limit, now);
+            entry.second->end_overdue_transaction(limit, now);
         }
     }
     for (auto const& entry : m_groups)
--- a/packages/proxy/test/forwarding/forwarding_conversion_test.cpp
+++ b/packages/proxy/test/forwarding/forwarding_conversion_test.cpp
@@ -37,6 +37,7 @@
     request.m_configuration = configuration();
     request.m_route = &request.m_configuration->m_routes.at("loans");
     request.m_statement.m_id = "q1";
+    request.m_customer = "north";
     request.m_statement.m_text = "EXECUTE p 7 \xc3x";
     request.m_statement.m_argument = "7 x";
     request.m_shape = coordination::prepared_shape{true, "shape"};
@@ -67,6 +68,7 @@
     CHECK(decoded->m_statement.m_id == sent.m_statement.m_id);
     CHECK(decoded->m_statement.m_text == sent.m_statement.m_text);
     CHECK(decoded->m_statement.m_argument == sent.m_statement.m_argument);
+    CHECK(decoded->m_customer == sent.m_customer);
     CHECK(decoded->m_shape == sent.m_shape);
     CHECK(decoded->m_values == sent.m_values);
     CHECK(decoded->m_kind == sent.m_kind);
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -64,9 +64,10 @@
         m_thread.join();
     }
 
-    text_client connect(std::string const& database = "loans")
+    text_client connect(std::string const& database = "loans",
+                        std::string const& key = "test")
     {
-        return {m_host, 7001, database};
+        return {m_host, 7001, database, key};
     }
 
     /// Opens a session that can be stored in a container.
@@ -132,8 +133,21 @@
         configure(version, "read_your_writes", "loans", connections);
     }
 
+    /// Names the customers.
+    /// @param version of the configuration
+    /// @param customers JSON objects, separated by commas
+    /// @param anonymous callers need no key
+    void configure_customers(int version, std::string const& customers,
+                             bool anonymous = false)
+    {
+        configure(version, "read_your_writes", "loans", 16,
+                  R"(,"tenants":[)" + customers + ']', anonymous);
+    }
+
+    /// @param more further fields of the configuration, after a comma
     void configure(int version, std::string const& consistency,
-                   std::string const& database, int connections)
+                   std::string const& database, int connections,
+                   std::string const& more = {}, bool anonymous = false)
     {
         m_platform.put(
             "config", "main",
@@ -141,11 +155,14 @@
                 R"(,"routes":[{"name":"r1","host":")" + database +
                 R"(","routeType":")" + consistency +
                 R"(","timeoutMs":800,"targetLatencyMs":400,"priority":1,)"
-                R"("service":"g","maxStalenessMs":2500}],)"
+                R"("service":"g","maxStalenessMs":2500,"anonymous":)" +
+                (anonymous ? "true" : "false") +
+                R"(}],)"
                 R"("services":[{"name":"g","maxConnections":)" +
                 std::to_string(connections) +
                 R"(,)"
-                R"("syncReplicas":0}],"limits":{"txIdleMs":3000}})");
+                R"("syncReplicas":0}],"limits":{"txIdleMs":3000})" +
+                more + '}');
     }
 
     standin::text_platform m_platform;
--- a/packages/proxy/test/support/text_client.hpp
+++ b/packages/proxy/test/support/text_client.hpp
@@ -20,12 +20,13 @@
 {
 public:
     /// Connects and opens a session.
+    /// @param key the caller's key
     text_client(std::string const& host, unsigned short port,
-                std::string const& database)
+                std::string const& database, std::string const& key = "test")
         : m_socket(m_context)
     {
         m_socket.connect({boost::asio::ip::make_address(host), port});
-        send("CONNECT " + database + " test");
+        send("CONNECT " + database + ' ' + key);
         m_greeting = line();
     }
 
--- a/packages/state/include/camphortide/state/route.hpp
+++ b/packages/state/include/camphortide/state/route.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <camphortide/state/clock.hpp>
+#include <camphortide/state/customer_directory.hpp>
 
 namespace camphortide::state
 {
@@ -30,6 +31,7 @@
     duration m_statement_timeout{};
     duration m_target_latency{};
     std::uint32_t m_priority = 0; ///< 0 is the highest
+    bool m_anonymous = false;     ///< callers need no key
 
     friend auto operator<=>(route const&, route const&) = default;
 };
@@ -50,9 +52,11 @@
     std::map<std::string, route, std::less<>> m_routes; ///< by database
     std::map<std::string, group_limits, std::less<>> m_groups;
     duration m_transaction_idle_timeout{};
+    /// Nothing: callers are not told apart, and need no key.
+    std::optional<customer_directory> m_customers;
 
-    friend auto operator<=>(configuration const&,
-                            configuration const&) = default;
+    friend bool operator==(configuration const&,
+                           configuration const&) = default;
 };
 
 } // namespace camphortide::state
--- a/packages/state/include/camphortide/state/statement_reply.hpp
+++ b/packages/state/include/camphortide/state/statement_reply.hpp
@@ -26,6 +26,7 @@
     malformed,         ///< not run: could not be parsed
     no_such_database,  ///< not run
     no_such_statement, ///< not run: no such prepared statement
+    unauthorized,      ///< not run: no customer holds the caller's key
 };
 
 /// @return the error's name as it is printed in logs and metrics
