proxy: operations of limited customers take tokens from their keepers

Links between instances carry requests for tokens, their answers and the announcements of new keepers. A session asks for a token before the first statement of an operation reaches a member; without one the operation is refused as not run, with when to retry. Settings give the figures of the rule and whether keys count without proof that the configuration is up to date.

--- a/packages/coordination/include/camphortide/coordination/limits/allowance.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/allowance.hpp
@@ -10,18 +10,6 @@
 namespace camphortide::coordination
 {
 
-/// The rule that limits a customer's operations: in any window, all instances
-/// together run at most (rate x window + burst) x (1 + overshoot) + slack.
-struct allowance_settings
-{
-    state::duration m_window{5000};
-    double m_overshoot = 0.1;
-    double m_slack = 20; ///< operations
-
-    friend auto operator<=>(allowance_settings const&,
-                            allowance_settings const&) = default;
-};
-
 /// How long granted tokens are valid, from when they were requested.
 inline constexpr state::duration allowance_lease{500};
 
@@ -66,9 +54,9 @@
 /// @param limit of the customer
 /// @return the most tokens that a keeper may accumulate, so that the rule holds
 ///     together with tokens that were granted before a window and used in it,
-///     and with half of the rate for one second admitted by instances that the
-///     keeper doesn't hear
+///     and with what instances that the keeper doesn't hear admit before it
+///     reserves for them
 double allowance_capacity(state::operation_limit const& limit,
-                          allowance_settings const& settings);
+                          state::allowance_rule const& settings);
 
 } // namespace camphortide::coordination
--- a/packages/coordination/include/camphortide/coordination/limits/allowance_keeper.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/allowance_keeper.hpp
@@ -29,7 +29,7 @@
 public:
     /// @param settings the rule
     /// @param started when this process started
-    allowance_keeper(allowance_settings settings, state::time_point started);
+    allowance_keeper(state::allowance_rule settings, state::time_point started);
 
     /// Records that the registered instances changed.
     /// @param lost an instance left or was replaced
@@ -98,7 +98,7 @@
     double max_unaccounted_rate() const;
     double first_tokens(double capacity) const;
 
-    allowance_settings m_settings;
+    state::allowance_rule m_settings;
     /// What was granted before by others no longer counts from then on.
     state::time_point m_settled_at;
     double m_young_share = 0;
--- a/packages/coordination/src/limits/allowance.cpp
+++ b/packages/coordination/src/limits/allowance.cpp
@@ -10,7 +10,7 @@
 
 /// Seconds of a customer's rate that instances may admit on their own before
 /// their keeper reserves for them.
-constexpr double unheard_seconds = 0.5;
+constexpr double unheard_seconds = 1.0;
 
 double seconds(state::duration value)
 {
@@ -20,7 +20,7 @@
 } // namespace
 
 double allowance_capacity(state::operation_limit const& limit,
-                          allowance_settings const& settings)
+                          state::allowance_rule const& settings)
 {
     double const rate = limit.m_rate_per_second;
     double const regular = rate * seconds(settings.m_window) + limit.m_burst;
--- a/packages/coordination/src/limits/allowance_keeper.cpp
+++ b/packages/coordination/src/limits/allowance_keeper.cpp
@@ -14,9 +14,9 @@
 /// hear admit little on their own, and what its predecessor granted has left
 /// the window.
 constexpr state::duration restricted_time{6000};
-/// A requester is silent after this time. Instances near a limit report twice
-/// as often.
-constexpr state::duration silence{1000};
+/// A requester is silent after this time: instances near a limit report each
+/// 500 ms.
+constexpr state::duration silence{800};
 /// Customers and requesters are forgotten after this time; of their rates less
 /// than a tenth is left then.
 constexpr state::duration retention{12000};
@@ -56,7 +56,7 @@
 
 } // namespace
 
-allowance_keeper::allowance_keeper(allowance_settings settings,
+allowance_keeper::allowance_keeper(state::allowance_rule settings,
                                    state::time_point started)
     : m_settings(settings),
       m_settled_at(started + restricted_time)
--- a/packages/coordination/test/allowance/allowance_fleet_test.cpp
+++ b/packages/coordination/test/allowance/allowance_fleet_test.cpp
@@ -19,7 +19,7 @@
 /// @return the most operations that the rule allows in a window
 std::size_t bound(state::operation_limit const& limit)
 {
-    coordination::allowance_settings const rule;
+    state::allowance_rule const rule;
     double const regular = limit.m_rate_per_second * 5.0 + limit.m_burst;
     return static_cast<std::size_t>(regular * (1 + rule.m_overshoot) +
                                     rule.m_slack);
--- a/packages/coordination/test/allowance/allowance_simulation.hpp
+++ b/packages/coordination/test/allowance/allowance_simulation.hpp
@@ -113,7 +113,7 @@
 
     allowance_scenario m_scenario;
     state::operation_limit m_limit;
-    coordination::allowance_settings m_settings;
+    state::allowance_rule m_settings;
     coordination::seeded_sequence m_random;
     state::duration m_now{100000};
     state::duration m_origin{100000};
--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <camphortide/coordination/limits/allowance_account.hpp>
 #include <camphortide/coordination/session/session_state.hpp>
 #include <camphortide/platform/caller_protocol.hpp>
 #include <camphortide/platform/line_splitter.hpp>
@@ -34,6 +35,18 @@
     /// the request's handler.
     virtual void submit(std::shared_ptr<statement_request> const& request) = 0;
 
+    /// @return true if operations of the customer are limited
+    virtual bool limits_operations(std::string const& customer) const = 0;
+
+    /// Asks whether an operation of a limited customer may begin.
+    /// @param done called once, possibly before this returns
+    virtual void acquire_allowance(
+        std::string const& customer,
+        std::function<void(coordination::allowance_decision)> done) = 0;
+
+    /// @return false if the configuration may be too old to serve keys
+    virtual bool keys_up_to_date() const = 0;
+
     /// Rolls back a transaction that its caller abandoned.
     virtual void roll_back(std::string const& group,
                            bound_connection const& bound) = 0;
@@ -94,6 +107,9 @@
     std::optional<state::statement_failure> find_route();
     bool key_withdrawn(state::time_point now);
     void submit(state::statement const& statement);
+    void submit_if_allowed(state::statement const& statement);
+    void refuse_operation(state::statement const& statement,
+                          coordination::allowance_decision const& decision);
     std::shared_ptr<statement_request>
     build_request(state::statement const& statement);
     coordination::sent_kind kind_of(state::statement const& statement) const;
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -64,6 +64,12 @@
     /// @return the state of the updates, by kind of objects
     std::vector<update_status> update_statuses(state::time_point now) const;
 
+    /// @return when the configuration was last known to be up to date
+    state::time_point configuration_verified_at() const
+    {
+        return m_configuration_watch.last_response();
+    }
+
     /// Removes this instance from the store.
     /// @param done called when the removal has succeeded or failed
     void deregister(std::function<void()> done);
@@ -110,6 +116,8 @@
     void remove_missing_members(state::time_point now);
     void publish_view();
     void update_homes();
+    void update_keeper_candidates();
+    double young_share() const;
     void update_member_entries();
     void update_member_data_centres();
     object_watch::status_handler status_logger(char const* what);
@@ -129,6 +137,9 @@
     /// By group; derived from the configuration and the registered instances.
     std::map<std::string, coordination::group_homes> m_homes;
     bool m_homes_outdated = true;
+    std::shared_ptr<std::vector<coordination::keeper_candidate> const>
+        m_keeper_candidates;
+    state::allowance_rule m_allowance;
 
     /// Where a group has members.
     struct member_places
--- a/packages/proxy/include/camphortide/proxy/fleet_view.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_view.hpp
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include <camphortide/coordination/fleet/group_homes.hpp>
+#include <camphortide/coordination/limits/allowance.hpp>
+#include <camphortide/coordination/limits/keeper_order.hpp>
 #include <camphortide/coordination/primary/primary_permit.hpp>
 #include <camphortide/state/member_entry.hpp>
 #include <camphortide/state/route.hpp>
@@ -32,6 +34,7 @@
 struct fleet_view
 {
     std::shared_ptr<state::configuration const> m_configuration;
+    std::string m_instance;    ///< name of this instance
     std::string m_data_centre; ///< of this instance
     /// Members by group.
     std::map<std::string, std::vector<state::member_entry>> m_members;
@@ -39,6 +42,14 @@
     std::map<std::string, coordination::primary_status> m_primaries;
     /// Instances that have connections to the members, by group.
     std::map<std::string, coordination::group_homes> m_homes;
+    /// The registered instances, by name.
+    std::shared_ptr<std::vector<coordination::keeper_candidate> const>
+        m_instances;
+    /// Part of them whose process has just started.
+    double m_young_share = 0;
+    /// The records of the instances are at least as new as this.
+    state::time_point m_records_verified_at;
+    state::allowance_rule m_allowance;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/home_link.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_link.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -31,6 +32,8 @@
 public:
     using result_handler =
         std::function<void(forwarding_result, statement_result)>;
+    /// Receives null if the link ended without an answer.
+    using allowance_handler = std::function<void(v1::AllowanceReply const*)>;
     using end_handler = std::function<void(coordination::link_failure)>;
 
     /// @param ended called when the link has failed, or could not be opened
@@ -51,6 +54,14 @@
     /// @param transaction its number at the home
     void roll_back(std::uint64_t transaction);
 
+    /// Sends a message that has no answer. It waits while the link is opening.
+    void send_message(v1::Message message);
+
+    /// Sends a request for tokens.
+    /// @param message the request; gets its number here
+    /// @param done called once with the answer
+    void request_allowance(v1::Message message, allowance_handler done);
+
     /// Closes the link. Statements without an answer are lost, or not sent if
     /// the link was never open.
     /// @param failure the reason
@@ -107,6 +118,8 @@
     boost::asio::steady_timer m_opening_timer;
     std::map<std::uint64_t, outstanding> m_outstanding; ///< by statement number
     std::uint64_t m_last_number = 0;
+    std::map<std::uint64_t, allowance_handler> m_allowance_requests;
+    std::vector<v1::Message> m_unsent; ///< until the link is open
     state::time_point m_pinged;
     state::time_point m_opening_since;
     bool m_opening = false;
--- a/packages/proxy/include/camphortide/proxy/home_router.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_router.hpp
@@ -38,6 +38,12 @@
     /// Rolls back a transaction that its caller abandoned.
     static void roll_back(bound_connection const& bound);
 
+    /// @return the link for a message that isn't a statement; null if the
+    ///     instance isn't expected to respond
+    std::shared_ptr<home_link>
+    link_for_messages(coordination::home_address const& instance,
+                      state::time_point now);
+
     /// Periodic maintenance: checks the links and removes those that ended.
     void sweep(state::time_point now);
 
--- a/packages/proxy/include/camphortide/proxy/home_server.hpp
+++ b/packages/proxy/include/camphortide/proxy/home_server.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <camphortide/proxy/statement_request.hpp>
+#include <camphortide/proxy/v1/forwarding.pb.h>
 
 namespace camphortide::proxy
 {
@@ -30,6 +31,14 @@
     virtual void
     run_locally(std::shared_ptr<statement_request> const& request) = 0;
 
+    /// Answers another instance's request for tokens of a customer.
+    virtual v1::Message
+    answer_allowance(v1::AllowanceRequest const& message) = 0;
+
+    /// Processes another instance's announcement that it is a keeper.
+    virtual void
+    note_allowance_keeper(v1::AllowanceAnnouncement const& message) = 0;
+
     /// Rolls back a transaction of another instance.
     virtual void roll_back(std::string const& group,
                            bound_connection const& bound) = 0;
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -61,6 +61,7 @@
                        std::function<void()> closed);
     void apply_view(std::shared_ptr<fleet_view const> view);
     void tick();
+    void limit_keys();
     void wait_for_signal();
     void reload();
     void reload_if_changed(state::time_point now);
--- a/packages/proxy/include/camphortide/proxy/traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <camphortide/proxy/allowance_service.hpp>
 #include <camphortide/proxy/caller_session.hpp>
 #include <camphortide/proxy/fleet_view.hpp>
 #include <camphortide/proxy/group_traffic.hpp>
@@ -78,6 +79,25 @@
     void submit(std::shared_ptr<statement_request> const& request) override;
     void roll_back(std::string const& group,
                    bound_connection const& bound) override;
+    bool limits_operations(std::string const& customer) const override;
+    void acquire_allowance(
+        std::string const& customer,
+        std::function<void(coordination::allowance_decision)> done) override;
+    bool keys_up_to_date() const override;
+
+    /// Sets from when on operations that need a key are refused.
+    /// @param time no limit if it is never reached
+    void set_keys_valid_until(state::time_point time)
+    {
+        m_keys_valid_until = time;
+    }
+
+    /// @return the operations of limited customers
+    std::vector<allowance_counts> allowances() const
+    {
+        return m_allowances.counts();
+    }
+
     void refused_locally(std::string const& id, std::string const& database,
                          state::statement_failure const& failure) override;
 
@@ -85,6 +105,9 @@
     bool is_home(std::string const& group) const override;
     void
     run_locally(std::shared_ptr<statement_request> const& request) override;
+    v1::Message answer_allowance(v1::AllowanceRequest const& message) override;
+    void
+    note_allowance_keeper(v1::AllowanceAnnouncement const& message) override;
     void accept();
     void sweep();
     void continue_stop(state::time_point now);
@@ -99,6 +122,8 @@
     std::unordered_map<caller_session*, std::shared_ptr<caller_session>>
         m_sessions;
     home_router m_router;
+    allowance_service m_allowances;
+    state::time_point m_keys_valid_until = state::time_point::max();
     home_server m_home_server;
     std::uint64_t m_last_session = 0;
     stop_times m_stop;
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <camphortide/coordination/limits/retry_hint.hpp>
 #include <camphortide/proxy/caller_session.hpp>
 
 namespace camphortide::proxy
@@ -166,6 +167,11 @@
         return state::statement_failure{statement_error::unauthorized,
                                         "unknown key"};
     }
+    if (!m_host.keys_up_to_date())
+    {
+        return state::statement_failure{statement_error::busy,
+                                        "configuration too old"};
+    }
     m_customer = customer->m_name;
     return std::nullopt;
 }
@@ -245,7 +251,44 @@
         reply_to_caller(*step.m_answer);
         return;
     }
-    submit(message);
+    submit_if_allowed(message);
+}
+
+void caller_session::submit_if_allowed(statement const& statement)
+{
+    // Later statements of a transaction belong to the same operation.
+    if (m_bound || !m_host.limits_operations(m_customer))
+    {
+        submit(statement);
+        return;
+    }
+    m_host.acquire_allowance(
+        m_customer,
+        [self = shared_from_this(),
+         statement](coordination::allowance_decision const& decision)
+        {
+            bool const granted =
+                decision.m_result == coordination::allowance_result::granted;
+            granted && !self->m_ended
+                ? self->submit(statement)
+                : self->refuse_operation(statement, decision);
+        });
+}
+
+void caller_session::refuse_operation(
+    statement const& statement,
+    coordination::allowance_decision const& decision)
+{
+    statement_result result;
+    auto const wait = coordination::retry_hint(
+        coordination::work(decision.m_retry_after.count()),
+        (m_number << statement_bits) + ++m_statement_count);
+    result.m_reply.m_failure = state::statement_failure{
+        statement_error::busy, "allowance used up, retry after " +
+                                   std::to_string(wait.count()) + " ms"};
+    m_host.refused_locally(statement.m_id, m_database,
+                           *result.m_reply.m_failure);
+    handle_result(statement, std::move(result));
 }
 
 sent_kind caller_session::kind_of(statement const& statement) const
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <camphortide/proxy/fleet_control.hpp>
@@ -33,6 +34,10 @@
 /// confirmed in the store, because the holder may be unable to reach this
 /// instance.
 constexpr state::duration confirmation_delay{300};
+/// A process that started this recently has admitted no operations that other
+/// instances must allow for. Start times are compared with this host's time of
+/// day, which differs by little as a rule.
+constexpr state::duration young_time{6000};
 /// Minimum interval between two attempts to write the own record.
 constexpr state::duration min_write_interval{300};
 
@@ -54,6 +59,7 @@
                      verification_interval,
                      static_cast<std::uint64_t>(start_time), m_budget)
 {
+    m_allowance = settings.m_allowance;
     m_own_record.m_name = settings.m_name;
     m_own_record.m_start_time = start_time;
     m_own_record.m_address = settings.m_listen_peers;
@@ -386,11 +392,55 @@
     if (std::exchange(m_homes_outdated, false))
     {
         update_homes();
+        update_keeper_candidates();
     }
     view->m_homes = m_homes;
+    view->m_instance = m_own_record.m_name;
+    view->m_instances = m_keeper_candidates;
+    view->m_young_share = young_share();
+    view->m_records_verified_at = m_records_verified_at;
+    view->m_allowance = m_allowance;
     m_on_view(std::move(view));
 }
 
+void fleet_control::update_keeper_candidates()
+{
+    // Without customers nobody asks for them.
+    if (!m_configuration->m_customers)
+    {
+        m_keeper_candidates.reset();
+        return;
+    }
+    std::vector<coordination::keeper_candidate> candidates;
+    for (auto const& [name, stored] : m_records.m_instances)
+    {
+        if (!stored.m_record.m_expelled)
+        {
+            candidates.push_back({{name, stored.m_record.m_forwarding_address},
+                                  stored.m_record.m_start_time});
+        }
+    }
+    m_keeper_candidates =
+        std::make_shared<std::vector<coordination::keeper_candidate> const>(
+            std::move(candidates));
+}
+
+double fleet_control::young_share() const
+{
+    if (!m_keeper_candidates || m_keeper_candidates->empty())
+    {
+        return 0;
+    }
+    auto const now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+    auto const young = std::ranges::count_if(
+        *m_keeper_candidates, [now](auto const& each)
+        { return now - each.m_start_time < young_time.count(); });
+    return static_cast<double>(young) /
+           static_cast<double>(m_keeper_candidates->size());
+}
+
 void fleet_control::update_homes()
 {
     m_homes.clear();
--- a/packages/proxy/src/home_link.cpp
+++ b/packages/proxy/src/home_link.cpp
@@ -83,6 +83,38 @@
     {
         send(number, pending);
     }
+    for (auto const& message : std::exchange(m_unsent, {}))
+    {
+        m_stream->send(message);
+    }
+}
+
+void home_link::send_message(v1::Message message)
+{
+    if (m_ended)
+    {
+        return;
+    }
+    if (m_open)
+    {
+        m_stream->send(message);
+        return;
+    }
+    m_unsent.push_back(std::move(message));
+    open();
+}
+
+void home_link::request_allowance(v1::Message message, allowance_handler done)
+{
+    if (m_ended)
+    {
+        done(nullptr);
+        return;
+    }
+    auto const number = ++m_last_number;
+    message.mutable_allowance_request()->set_number(number);
+    m_allowance_requests.emplace(number, std::move(done));
+    send_message(std::move(message));
 }
 
 void home_link::submit(std::shared_ptr<statement_request> const& request,
@@ -141,6 +173,14 @@
     {
         m_leaving = true;
     }
+    else if (message.has_allowance_reply())
+    {
+        auto const& reply = message.allowance_reply();
+        if (auto const entry = m_allowance_requests.extract(reply.number()))
+        {
+            entry.mapped()(&reply);
+        }
+    }
 }
 
 void home_link::handle_reply(v1::Reply const& reply)
@@ -268,6 +308,10 @@
         m_stream->close();
     }
     m_on_ended(failure);
+    for (auto const& entry : std::exchange(m_allowance_requests, {}))
+    {
+        entry.second(nullptr);
+    }
     return_outstanding(m_open ? forwarding_result::lost
                               : forwarding_result::not_sent,
                        [](outstanding const&) { return true; });
--- a/packages/proxy/src/home_router.cpp
+++ b/packages/proxy/src/home_router.cpp
@@ -296,6 +296,22 @@
     bound.m_home->roll_back(bound.m_transaction);
 }
 
+std::shared_ptr<home_link>
+home_router::link_for_messages(coordination::home_address const& instance,
+                               state::time_point now)
+{
+    using coordination::home_state;
+    auto const state = state_of(instance, now);
+    if (state == home_state::avoided)
+    {
+        return nullptr;
+    }
+    auto link = link_to(instance);
+    link->open();
+    check_links();
+    return state == home_state::recovering ? nullptr : link;
+}
+
 void home_router::sweep(state::time_point now)
 {
     auto const links = m_links;
--- a/packages/proxy/src/home_server.cpp
+++ b/packages/proxy/src/home_server.cpp
@@ -74,6 +74,16 @@
             answer.mutable_ping()->set_answer(true);
             m_stream->send(answer);
         }
+        else if (message.has_allowance_request())
+        {
+            m_stream->send(
+                m_owner.m_host.answer_allowance(message.allowance_request()));
+        }
+        else if (message.has_allowance_announcement())
+        {
+            m_owner.m_host.note_allowance_keeper(
+                message.allowance_announcement());
+        }
     }
 
     void handle_statement(v1::Statement const& message)
--- a/packages/proxy/src/instance_gauges.cpp
+++ b/packages/proxy/src/instance_gauges.cpp
@@ -39,6 +39,21 @@
     add("primary_replicas_full", counts.m_replicas_full);
 }
 
+void add_allowance(gauges& result, allowance_counts const& counts)
+{
+    auto const customer =
+        counts.m_customer.empty() ? "others" : counts.m_customer;
+    auto const add = [&](char const* outcome, std::uint64_t count)
+    {
+        result.push_back({"allowance_operations",
+                          "operations of limited customers",
+                          {{"customer", customer}, {"outcome", outcome}},
+                          static_cast<double>(count)});
+    };
+    add("granted", counts.m_granted);
+    add("refused", counts.m_refused);
+}
+
 } // namespace
 
 std::vector<transport::gauge_sample> traffic_gauges(traffic const& source)
@@ -60,6 +75,10 @@
     {
         add_reads(all, group, counts);
     }
+    for (auto const& counts : source.allowances())
+    {
+        add_allowance(all, counts);
+    }
     return all;
 }
 
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -284,6 +284,7 @@
     auto const now = state::clock::now();
     m_fleet.tick(now);
     m_replacements.tick(now);
+    limit_keys();
     reload_if_changed(now);
     m_tick.expires_after(tick_interval);
     m_tick.async_wait(
@@ -296,6 +297,18 @@
         });
 }
 
+void proxy_instance::limit_keys()
+{
+    if (!m_settings.m_revocation_fails_closed)
+    {
+        return;
+    }
+    asio::post(m_traffic_context,
+               [this, until = m_fleet.configuration_verified_at() +
+                              m_settings.m_revocation_bound]
+               { m_traffic.set_keys_valid_until(until); });
+}
+
 void proxy_instance::wait_for_signal()
 {
     m_signals.async_wait(
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -24,6 +24,7 @@
       m_observer(observer),
       m_sweep_timer(context),
       m_router(context, observer),
+      m_allowances(context, m_router),
       m_home_server(context, *this)
 {
     sweep();
@@ -82,6 +83,7 @@
     bool const first = m_view == nullptr;
     m_view = view;
     m_router.apply(*view);
+    m_allowances.apply(*view);
     for (auto const& entry : view->m_configuration->m_groups)
     {
         group(entry.first);
@@ -137,6 +139,33 @@
     group(name).roll_back(bound);
 }
 
+bool traffic::limits_operations(std::string const& customer) const
+{
+    return m_allowances.limits(customer);
+}
+
+void traffic::acquire_allowance(
+    std::string const& customer,
+    std::function<void(coordination::allowance_decision)> done)
+{
+    m_allowances.acquire(customer, std::move(done));
+}
+
+bool traffic::keys_up_to_date() const
+{
+    return state::clock::now() < m_keys_valid_until;
+}
+
+v1::Message traffic::answer_allowance(v1::AllowanceRequest const& message)
+{
+    return m_allowances.answer(message);
+}
+
+void traffic::note_allowance_keeper(v1::AllowanceAnnouncement const& message)
+{
+    m_allowances.note_announcement(message);
+}
+
 bool traffic::is_home(std::string const& name) const
 {
     return m_view && !m_router.forwards(name);
@@ -177,6 +206,7 @@
         entry.second->sweep();
     }
     m_router.sweep(now);
+    m_allowances.sweep(now);
     if (m_on_stopped)
     {
         continue_stop(now);
--- a/packages/state/include/camphortide/state/customer.hpp
+++ b/packages/state/include/camphortide/state/customer.hpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <camphortide/state/clock.hpp>
+
 namespace camphortide::state
 {
 
@@ -18,6 +20,18 @@
                             operation_limit const&) = default;
 };
 
+/// The rule that limits a customer's operations: in any window, all instances
+/// together run at most (rate x window + burst) x (1 + overshoot) + slack.
+struct allowance_rule
+{
+    duration m_window{5000};
+    double m_overshoot = 0.1;
+    double m_slack = 20; ///< operations
+
+    friend auto operator<=>(allowance_rule const&,
+                            allowance_rule const&) = default;
+};
+
 /// A customer, as the configuration names it.
 struct customer
 {
