coordination: tests: records in the allowance simulation never go back

An instance could learn of a restart before the death that preceded it and keep the wrong view for good, which no store allows.

--- a/packages/coordination/test/allowance/allowance_fleet_test.cpp
+++ b/packages/coordination/test/allowance/allowance_fleet_test.cpp
@@ -39,8 +39,14 @@
     scenario.m_omitted = omitted;
     allowance_simulation fleet(scenario);
     auto const n = scenario.m_instances;
-    fleet.run_until(duration(2000 + random.below(4000)));
     auto const cut = random.below(2) == 0 ? n / 3 : n / 2;
+    if (random.below(2) == 0)
+    {
+        // All callers are at the instances that will be cut off.
+        fleet.set_demand(0, cut, scenario.m_demand);
+        fleet.set_demand(cut, n, 0);
+    }
+    fleet.run_until(duration(2000 + random.below(4000)));
     auto const fault = random.below(4);
     CAPTURE(fault);
     CAPTURE(n);
@@ -64,7 +70,8 @@
             fleet.kill(i);
         }
     }
-    fleet.set_demand(0, n / 2, 300 + static_cast<double>(random.below(300)));
+    fleet.set_demand(0, cut, 300 + static_cast<double>(random.below(300)));
+    fleet.set_demand(cut, n, 300 + static_cast<double>(random.below(300)));
     fleet.run_until(duration(10000 + random.below(3000)));
     fleet.divide([](std::size_t) { return 0; });
     fleet.run_until(duration(16000));
--- a/packages/coordination/test/allowance/allowance_simulation.cpp
+++ b/packages/coordination/test/allowance/allowance_simulation.cpp
@@ -42,6 +42,7 @@
     for (std::size_t i = 0; i < m_instances.size(); ++i)
     {
         m_instances[i].m_view.assign(m_instances.size(), true);
+        m_instances[i].m_change_seen.assign(m_instances.size(), 0);
         start(i);
         // All processes have run for a while.
         m_instances[i].m_keeper =
@@ -101,18 +102,31 @@
 
 void allowance_simulation::spread_view(std::size_t changed, bool running)
 {
+    auto const number = ++m_last_change;
     for (std::size_t i = 0; i < m_instances.size(); ++i)
     {
-        later(duration(m_random.below(max_view_delay_ms)),
-              [this, i, changed, running]
-              {
-                  m_instances[i].m_view[changed] = running;
-                  if (m_scenario.m_omitted != omitted_guard::restriction)
-                  {
-                      m_instances[i].m_keeper->instances_changed(!running, 0,
-                                                                 now());
-                  }
-              });
+        auto const learn = [this, i, changed, running, number]
+        {
+            auto& each = m_instances[i];
+            if (each.m_change_seen[changed] > number)
+            {
+                return; // records never go back
+            }
+            each.m_change_seen[changed] = number;
+            each.m_view[changed] = running;
+            if (m_scenario.m_omitted != omitted_guard::restriction)
+            {
+                each.m_keeper->instances_changed(!running, 0, now());
+            }
+        };
+        if (i == changed)
+        {
+            learn();
+        }
+        else
+        {
+            later(duration(m_random.below(max_view_delay_ms)), learn);
+        }
     }
 }
 
--- a/packages/coordination/test/allowance/allowance_simulation.hpp
+++ b/packages/coordination/test/allowance/allowance_simulation.hpp
@@ -87,6 +87,8 @@
         std::size_t m_waiting = 0;
         /// Running instances by its records.
         std::vector<bool> m_view;
+        /// Number of the change that its records show, by instance.
+        std::vector<std::uint64_t> m_change_seen;
     };
 
     state::time_point now() const { return state::time_point(m_now); }
@@ -126,6 +128,7 @@
     std::multimap<state::duration, std::function<void()>> m_events;
     std::vector<state::duration> m_admitted;
     std::size_t m_messages = 0;
+    std::uint64_t m_last_change = 0;
 };
 
 } // namespace tests
