--- a/apps/camphortide/src/status_text.cpp
+++ b/apps/camphortide/src/status_text.cpp
@@ -214,18 +214,18 @@
 
 std::string metrics_text(admin::v1::MetricsReply const& metrics)
 {
-    text_table table(
-        {"owner", "class", "requests", "p50", "p99", "queue p99", "age p99"});
+    text_table table({"customer", "class", "requests", "p50", "p99",
+                      "queue p99", "age p99"});
     std::string counters;
     for (auto const& each : metrics.classes())
     {
-        table.add({each.owner(), each.traffic_class(),
+        table.add({each.customer(), each.traffic_class(),
                    std::to_string(each.latency().count()),
                    quantile(each.latency(), 0.5),
                    quantile(each.latency(), 0.99),
                    quantile(each.queue_wait(), 0.99),
                    quantile(each.answer_age(), 0.99)});
-        counters += each.owner() + "/" + each.traffic_class() +
+        counters += each.customer() + "/" + each.traffic_class() +
                     "\n  outcomes:" + counters_text(each.outcomes()) +
                     "\n  routing:" + counters_text(each.routing()) +
                     "\n  limits:" + counters_text(each.limits()) + '\n';
--- a/apps/camphortide/src/status_text.hpp
+++ b/apps/camphortide/src/status_text.hpp
@@ -10,7 +10,8 @@
 /// @return a status as human-readable tables
 std::string status_text(admin::v1::StatusReply const& status);
 
-/// @return the histograms and counters of each owner and class, human-readable
+/// @return the histograms and counters of each customer and class,
+/// human-readable
 std::string metrics_text(admin::v1::MetricsReply const& metrics);
 
 } // namespace camphortide::command_line
--- a/apps/camphortide/test/catalogue/catalogue_test.cpp
+++ b/apps/camphortide/test/catalogue/catalogue_test.cpp
@@ -18,7 +18,7 @@
         {"name": "a", "address": "127.0.0.1:1", "data_centre": "x"},
         {"name": "b", "address": "127.0.0.1:2", "data_centre": "x"},
         {"name": "c", "address": "127.0.0.1:3", "data_centre": "x"}]}],
-    "entries": [{"name": "e", "owner": "o", "class": "c", "group": "g",
+    "entries": [{"name": "e", "customer": "o", "class": "c", "group": "g",
       "credential_hash": ")" +
            hash + R"(", "limits": {"rate": )" + std::to_string(rate) + "}}" +
            more + "]}";
@@ -26,7 +26,7 @@
 
 std::string other_entry()
 {
-    return R"(, {"name": "f", "owner": "o", "class": "d", "group": "g",
+    return R"(, {"name": "f", "customer": "o", "class": "d", "group": "g",
       "credential_hash": ")" +
            hash + R"("})";
 }
--- a/apps/camphortide/test/status/status_test.cpp
+++ b/apps/camphortide/test/status/status_test.cpp
@@ -56,7 +56,7 @@
     {
         reply->set_text("# the page\n");
         auto& each = *reply->add_classes();
-        each.set_owner("desks");
+        each.set_customer("desks");
         each.set_traffic_class("checkouts");
         each.mutable_latency()->add_bounds(1);
         each.mutable_latency()->add_bounds(5);
--- a/benchmarks/fleet_control/simulated_fleet.cpp
+++ b/benchmarks/fleet_control/simulated_fleet.cpp
@@ -61,7 +61,7 @@
     state::entry_limits limits;
     limits.m_rate = rate;
     return state::catalogue_entry_builder(group_text + "." + class_text)
-        .owner("owner-of-" + group_text)
+        .customer("customer-" + group_text)
         .class_name(class_text)
         .group(group_text)
         .credential_hash(std::string(64, 'a'))
--- a/benchmarks/metrics_record.cpp
+++ b/benchmarks/metrics_record.cpp
@@ -49,7 +49,7 @@
         running.emplace_back(
             [&registry]
             {
-                auto& metrics = registry.find_or_create("owner", "class");
+                auto& metrics = registry.find_or_create("customer", "class");
                 for (int j = 0; j < records_per_thread; ++j)
                 {
                     metrics.record(sample(j));
@@ -78,7 +78,8 @@
             {
                 for (int j = 0; j < records_per_thread; ++j)
                 {
-                    registry.find_or_create("owner", "class").record(sample(j));
+                    registry.find_or_create("customer", "class")
+                        .record(sample(j));
                 }
             });
     }
@@ -106,7 +107,7 @@
     for (int j = 0; j < records_per_thread; ++j)
     {
         auto const& name = names[static_cast<std::size_t>(j % class_count)];
-        registry.find_or_create("owner", name).record(sample(j));
+        registry.find_or_create("customer", name).record(sample(j));
     }
     std::printf("look-up and record, %d classes: %.0f ns\n", class_count,
                 nanoseconds_since(start) / records_per_thread);
--- a/benchmarks/observation_cost.cpp
+++ b/benchmarks/observation_cost.cpp
@@ -42,7 +42,7 @@
     result.m_data_centres = {"one"};
     result.m_latency_between = std::chrono::microseconds(0);
     result.m_instances = {{"entry-1", "one"}};
-    result.m_owners = {{"desks", "secret"}};
+    result.m_customers = {{"desks", "secret"}};
     for (std::size_t i = 0; i < count; ++i)
     {
         transport::deployment_group group;
@@ -52,7 +52,7 @@
         result.m_groups.push_back(group);
         transport::deployment_entry entry;
         entry.m_name = "checkouts-" + std::to_string(i);
-        entry.m_owner = "desks";
+        entry.m_customer = "desks";
         entry.m_class_name = "checkouts";
         entry.m_groups = {group.m_name};
         entry.m_limits.m_rate = 100000;
--- a/benchmarks/overload/deployment.hpp
+++ b/benchmarks/overload/deployment.hpp
@@ -7,7 +7,7 @@
 struct traffic_class
 {
     std::string m_name;
-    std::string m_owner;
+    std::string m_customer;
     double m_service_ms = 0;    ///< mean of an exponential distribution
     double m_work_fraction = 0; ///< share of the total work
     double m_deadline_ms = 0;
--- a/benchmarks/overload/overload.cpp
+++ b/benchmarks/overload/overload.cpp
@@ -277,7 +277,7 @@
     for (std::size_t i = 0; i < entries; ++i)
     {
         target.m_classes.push_back({"class" + std::to_string(i),
-                                    "owner" + std::to_string(i / 4), 10, 0,
+                                    "customer" + std::to_string(i / 4), 10, 0,
                                     500});
     }
     admission_scheduler tested(target);
--- a/benchmarks/overload/scheduler.cpp
+++ b/benchmarks/overload/scheduler.cpp
@@ -70,8 +70,8 @@
     for (auto const& each : target.m_classes)
     {
         coordination::entry_limits limits;
-        limits.m_name = each.m_owner + "/" + each.m_name;
-        limits.m_owner = each.m_owner;
+        limits.m_name = each.m_customer + "/" + each.m_name;
+        limits.m_customer = each.m_customer;
         limits.m_class = each.m_name;
         limits.m_queue_time = state::duration(
             static_cast<state::duration::rep>(each.m_deadline_ms));
--- a/packages/coordination/include/camphortide/coordination/limits/admission.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/admission.hpp
@@ -20,10 +20,10 @@
 {
 
 /// Admission control of one home of a group: decides which requests get a slot,
-/// are queued or are refused. Slots are shared fairly among owners, then among
-/// the entries of each owner. A request is refused at once if the work queued
-/// ahead of it is expected to make it miss its deadline. A slot is never left
-/// free while a request is eligible for it. Not thread-safe. submit(),
+/// are queued or are refused. Slots are shared fairly among customers, then
+/// among the entries of each customer. A request is refused at once if the work
+/// queued ahead of it is expected to make it miss its deadline. A slot is never
+/// left free while a request is eligible for it. Not thread-safe. submit(),
 /// finished() and cancel() take time logarithmic in the numbers of entries and
 /// of queued requests.
 class admission
--- a/packages/coordination/include/camphortide/coordination/limits/entry_limits.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/entry_limits.hpp
@@ -10,11 +10,12 @@
 namespace camphortide::coordination
 {
 
-/// The limits that a catalogue entry sets for one class of its owner's traffic.
+/// The limits that a catalogue entry sets for one class of its customer's
+/// traffic.
 struct entry_limits
 {
     std::string m_name;
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class;
     std::optional<double> m_rate; ///< requests per second; nothing: no limit
     std::optional<std::uint32_t> m_concurrency; ///< nothing: no limit
@@ -24,7 +25,7 @@
     state::duration m_deadline{2000};
     /// Higher first; used by priority_rule::strict only.
     std::uint32_t m_priority = 0;
-    std::uint32_t m_weight = 1; ///< relative to the owner's other entries
+    std::uint32_t m_weight = 1; ///< relative to the customer's other entries
     double m_retry_share = 0.1; ///< retries allowed per first attempt
 
     friend auto operator<=>(entry_limits const&, entry_limits const&) = default;
--- a/packages/coordination/include/camphortide/coordination/limits/fair_schedule.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/fair_schedule.hpp
@@ -12,30 +12,30 @@
 namespace camphortide::coordination
 {
 
-/// Selects the flow to serve next: the highest priority first, then the owner
-/// and the owner's flow with the lowest start tag. All owners have equal
-/// weights. An owner or flow that used less than its share keeps a bounded
-/// credit: its start tag may lag behind the virtual time by that much, so that
-/// its bursts are served before those that used more. Each call takes time
-/// logarithmic in the number of flows.
+/// Selects the flow to serve next: the highest priority first, then the
+/// customer and the customer's flow with the lowest start tag. All customers
+/// have equal weights. A customer or flow that used less than its share keeps a
+/// bounded credit: its start tag may lag behind the virtual time by that much,
+/// so that its bursts are served before those that used more. Each call takes
+/// time logarithmic in the number of flows.
 /// @see P. Goyal, H. Vin and H. Cheng, "Start-time Fair Queueing", 1996, for
-///     the tags; applied here among owners and again among the flows of one
-///     owner
+///     the tags; applied here among customers and again among the flows of one
+///     customer
 class fair_schedule
 {
 public:
     using flow_id = std::uint32_t;
 
-    /// @param max_credit the maximum work by which an owner or a flow may catch
-    ///     up
+    /// @param max_credit the maximum work by which a customer or a flow may
+    ///     catch up
     explicit fair_schedule(double max_credit = 0) : m_max_credit(max_credit) {}
 
     /// Adds a flow, or changes an inactive one.
     /// @param id should be small: flows are stored in a vector indexed by id
-    /// @param owner the flows of one owner divide the owner's share
-    /// @param weight at least 1; relative to the owner's other flows
-    void set_flow(flow_id id, std::string const& owner, std::uint32_t priority,
-                  std::uint32_t weight);
+    /// @param customer the flows of one customer divide the customer's share
+    /// @param weight at least 1; relative to the customer's other flows
+    void set_flow(flow_id id, std::string const& customer,
+                  std::uint32_t priority, std::uint32_t weight);
 
     /// Marks a flow as having requests to serve.
     void activate(flow_id id);
@@ -58,18 +58,18 @@
     double share(flow_id id) const;
 
 private:
-    using owner_id = std::uint32_t;
+    using customer_id = std::uint32_t;
 
     struct flow
     {
-        owner_id m_owner = 0;
+        customer_id m_customer = 0;
         std::uint32_t m_priority = 0;
         double m_weight = 1;
         double m_start = 0;
         bool m_active = false;
     };
 
-    struct owner_queue
+    struct customer_queue
     {
         double m_start = 0;
         double m_virtual_time = 0;
@@ -80,15 +80,15 @@
     struct priority_level
     {
         double m_virtual_time = 0;
-        std::set<std::pair<double, owner_id>> m_active;
-        std::map<owner_id, owner_queue> m_owners;
+        std::set<std::pair<double, customer_id>> m_active;
+        std::map<customer_id, customer_queue> m_customers;
     };
 
-    owner_id owner_id_for(std::string const& owner);
+    customer_id customer_id_for(std::string const& customer);
 
     double m_max_credit;
     std::vector<flow> m_flows;
-    std::map<std::string, owner_id, std::less<>> m_owners;
+    std::map<std::string, customer_id, std::less<>> m_customers;
     std::map<std::uint32_t, priority_level, std::greater<>> m_levels;
 };
 
--- a/packages/coordination/include/camphortide/coordination/limits/slot_queue.hpp
+++ b/packages/coordination/include/camphortide/coordination/limits/slot_queue.hpp
@@ -35,7 +35,7 @@
 
     /// Adds or changes a flow.
     /// @see fair_schedule::set_flow
-    void set_flow(flow_id flow, std::string const& owner,
+    void set_flow(flow_id flow, std::string const& customer,
                   std::uint32_t priority, std::uint32_t weight);
 
     /// Changes the number of slots; running requests keep theirs.
--- a/packages/coordination/include/camphortide/coordination/request/key_registry.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/key_registry.hpp
@@ -10,9 +10,9 @@
 namespace camphortide::coordination
 {
 
-/// Combines an owner and a request key into the key that members store.
+/// Combines a customer and a request key into the key that members store.
 /// @return a string that is unique to the pair; empty if the key is empty
-std::string scoped_key(std::string_view owner, std::string_view key);
+std::string scoped_key(std::string_view customer, std::string_view key);
 
 /// Remembers with which statement each key was used, to detect a caller that
 /// uses a key for two different statements. The registry is bounded and local
--- a/packages/coordination/include/camphortide/coordination/request/keyed_request.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/keyed_request.hpp
@@ -71,14 +71,14 @@
     };
 
     /// Creates a write or commit that has not been sent.
-    /// @param key the key scoped by its owner; empty if the outcome cannot be
-    ///     queried
+    /// @param key the key scoped by its customer; empty if the outcome cannot
+    ///     be queried
     /// @param end when the caller stops waiting
     static keyed_request write(std::string key, deadline end);
 
     /// Creates a query for the outcome of a key that any instance may have
     /// sent.
-    /// @param key the key scoped by its owner
+    /// @param key the key scoped by its customer
     /// @param end when the caller stops waiting
     static keyed_request outcome_query(std::string key, deadline end);
 
--- a/packages/coordination/include/camphortide/coordination/request/transaction.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/transaction.hpp
@@ -65,7 +65,7 @@
     };
 
     /// Creates a transaction whose BEGIN is handed to a connection.
-    /// @param key the key of the commit, scoped by its owner; empty if the
+    /// @param key the key of the commit, scoped by its customer; empty if the
     ///     outcome cannot be queried
     /// @param term the term that BEGIN carries
     /// @param end the deadline of the whole transaction
--- a/packages/coordination/include/camphortide/coordination/request/write_tracker.hpp
+++ b/packages/coordination/include/camphortide/coordination/request/write_tracker.hpp
@@ -37,7 +37,7 @@
 
     /// Adds an outcome query; RESOLVE has to be sent for it.
     /// @param request an identifier that is not in use
-    /// @param key the key scoped by its owner
+    /// @param key the key scoped by its customer
     /// @param end when the caller stops waiting
     void add_outcome_query(std::uint64_t request, std::string key,
                            deadline end);
--- a/packages/coordination/src/limits/admission.cpp
+++ b/packages/coordination/src/limits/admission.cpp
@@ -186,7 +186,7 @@
         m_rule == priority_rule::strict ? limits.m_priority : 0;
     for (auto& queue : m_queues)
     {
-        queue.set_flow(flow, limits.m_owner, priority, limits.m_weight);
+        queue.set_flow(flow, limits.m_customer, priority, limits.m_weight);
     }
     return changed;
 }
--- a/packages/coordination/src/limits/slot_queue.cpp
+++ b/packages/coordination/src/limits/slot_queue.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void slot_queue::set_flow(flow_id flow, std::string const& owner,
+void slot_queue::set_flow(flow_id flow, std::string const& customer,
                           std::uint32_t priority, std::uint32_t weight)
 {
     if (flow >= m_flows.size())
@@ -29,7 +29,7 @@
     m_queued_work[priority] += updated.m_queue.total();
     updated.m_priority = priority;
     m_schedule.deactivate(flow);
-    m_schedule.set_flow(flow, owner, priority, weight);
+    m_schedule.set_flow(flow, customer, priority, weight);
     update_schedule(flow);
 }
 
--- a/packages/coordination/src/request/key_registry.cpp
+++ b/packages/coordination/src/request/key_registry.cpp
@@ -3,15 +3,15 @@
 namespace camphortide::coordination
 {
 
-std::string scoped_key(std::string_view owner, std::string_view key)
+std::string scoped_key(std::string_view customer, std::string_view key)
 {
     if (key.empty())
     {
         return {};
     }
-    auto result = std::to_string(owner.size());
+    auto result = std::to_string(customer.size());
     result += ':';
-    result += owner;
+    result += customer;
     result += key;
     return result;
 }
--- a/packages/coordination/test/admission/admission_test.cpp
+++ b/packages/coordination/test/admission/admission_test.cpp
@@ -25,11 +25,11 @@
     return state::time_point(state::duration(ms));
 }
 
-entry_limits entry(std::string const& name, std::string const& owner)
+entry_limits entry(std::string const& name, std::string const& customer)
 {
     entry_limits limits;
     limits.m_name = name;
-    limits.m_owner = owner;
+    limits.m_customer = customer;
     limits.m_class = name;
     limits.m_queue_time = state::duration(100000);
     limits.m_deadline = state::duration(100000);
@@ -177,7 +177,7 @@
     CHECK(changes.m_admitted == std::vector<std::uint64_t>{3});
 }
 
-TEST_CASE("owners share slots evenly, entries of an owner by weight")
+TEST_CASE("customers share slots evenly, entries of a customer by weight")
 {
     auto heavy = entry("heavy", "one");
     heavy.m_weight = 3;
--- a/packages/coordination/test/at_most_once/write_tracker_test.cpp
+++ b/packages/coordination/test/at_most_once/write_tracker_test.cpp
@@ -108,7 +108,7 @@
     CHECK(tracker.size() == 0);
 }
 
-TEST_CASE("scoped keys of different owners never collide")
+TEST_CASE("scoped keys of different customers never collide")
 {
     CHECK(scoped_key("a", "bc") != scoped_key("ab", "c"));
     CHECK(scoped_key("1", "1:x") != scoped_key("11", ":x"));
--- a/packages/coordination/test/catalogue/sample_catalogue.hpp
+++ b/packages/coordination/test/catalogue/sample_catalogue.hpp
@@ -25,7 +25,7 @@
     camphortide::state::entry_limits limits;
     limits.m_rate = rate;
     return camphortide::state::catalogue_entry_builder(name)
-        .owner("dealers")
+        .customer("dealers")
         .class_name("listing")
         .group(group)
         .credential_hash(std::string(64, 'a'))
--- a/packages/load/include/camphortide/load/checker/group_log.hpp
+++ b/packages/load/include/camphortide/load/checker/group_log.hpp
@@ -42,7 +42,7 @@
     std::string const& group() const { return m_group; }
     std::vector<standin::record> const& records() const { return m_records; }
 
-    /// @param key the key as it is logged, "OWNER/KEY"
+    /// @param key the key as it is logged, "CUSTOMER/KEY"
     /// @return the indices of the records that have this key
     std::vector<std::uint64_t> const&
     records_with_key(std::string const& key) const;
--- a/packages/load/include/camphortide/load/history/request_record.hpp
+++ b/packages/load/include/camphortide/load/history/request_record.hpp
@@ -23,7 +23,7 @@
 {
     std::uint64_t m_number = 0; ///< unique in a run
     std::string m_traffic;
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class_name;
     std::string m_entry; ///< name in the catalogue
     std::string m_group;
--- a/packages/load/include/camphortide/load/report/run_report.hpp
+++ b/packages/load/include/camphortide/load/report/run_report.hpp
@@ -14,8 +14,8 @@
     std::string m_command; ///< command line that repeats the run
 };
 
-/// @return a report in plain text: tables by owner and class, gaps, and every
-/// violation with its attempts
+/// @return a report in plain text: tables by customer and class, gaps, and
+/// every violation with its attempts
 std::string to_text(report_title const& title, run_result const& result);
 
 /// @return the summary and the violations as a JSON object
--- a/packages/load/include/camphortide/load/report/run_summary.hpp
+++ b/packages/load/include/camphortide/load/report/run_summary.hpp
@@ -26,10 +26,10 @@
     friend auto operator<=>(quantiles const&, quantiles const&) = default;
 };
 
-/// Counts and times of one owner's traffic class.
+/// Counts and times of one customer's traffic class.
 struct class_summary
 {
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class_name;
     std::uint64_t m_requests = 0;
     std::uint64_t m_executed = 0;
@@ -60,7 +60,7 @@
 /// All counts and times of a run.
 struct run_summary
 {
-    std::vector<class_summary> m_classes; ///< by owner and class
+    std::vector<class_summary> m_classes; ///< by customer and class
     class_summary m_all;                  ///< all classes together
     /// Attempts that were not executed or of unknown outcome, by reason, except
     /// those that their callers rolled back.
--- a/packages/load/src/checker/write_checks.cpp
+++ b/packages/load/src/checker/write_checks.cpp
@@ -253,7 +253,8 @@
 
 std::string logged_key(request_record const& attempt)
 {
-    return coordination::scoped_key(attempt.m_request.m_owner, attempt.m_key);
+    return coordination::scoped_key(attempt.m_request.m_customer,
+                                    attempt.m_key);
 }
 
 void check_writes(run_observations const& observed,
--- a/packages/load/src/demo/memory_sample.cpp
+++ b/packages/load/src/demo/memory_sample.cpp
@@ -33,7 +33,7 @@
 {
     auto const& request = value.m_request;
     return sizeof(value) + bytes_of(request.m_traffic) +
-           bytes_of(request.m_owner) + bytes_of(request.m_class_name) +
+           bytes_of(request.m_customer) + bytes_of(request.m_class_name) +
            bytes_of(request.m_entry) + bytes_of(request.m_group) +
            bytes_of(request.m_session) + bytes_of(request.m_statements) +
            bytes_of(value.m_key) + bytes_of(value.m_result) +
--- a/packages/load/src/driver/load_driver.cpp
+++ b/packages/load/src/driver/load_driver.cpp
@@ -28,7 +28,7 @@
     {
     case reason::unknown_entry:
     case reason::bad_credential:
-    case reason::wrong_owner:
+    case reason::wrong_customer:
     case reason::bad_token:
     case reason::bad_request:
     case reason::statement_failed:
@@ -65,9 +65,9 @@
       m_source(value, m_options.m_seed, m_options.m_run),
       m_random(m_options.m_seed)
 {
-    for (auto const& owner : value.m_owners)
+    for (auto const& customer : value.m_customers)
     {
-        m_credentials[owner.m_name] = owner.m_credential;
+        m_credentials[customer.m_name] = customer.m_credential;
     }
     if (auto key = protocol::from_hexadecimal(m_options.m_token_key);
         key && !key->empty())
@@ -337,7 +337,7 @@
     }
     session.m_instance = found->m_instance;
     return {found->m_address,
-            m_credentials[session.m_active->m_request.m_owner],
+            m_credentials[session.m_active->m_request.m_customer],
             session.m_token};
 }
 
--- a/packages/load/src/driver/request_source.cpp
+++ b/packages/load/src/driver/request_source.cpp
@@ -75,9 +75,9 @@
     planned_request result;
     result.m_number = ++m_count;
     result.m_traffic = traffic.m_name;
-    result.m_owner = from.m_entry.m_owner;
+    result.m_customer = from.m_entry.m_customer;
     result.m_class_name = from.m_entry.m_class_name;
-    result.m_session = result.m_owner + '-' +
+    result.m_session = result.m_customer + '-' +
                        std::to_string(from.m_random() % traffic.m_sessions);
     result.m_kind = traffic.m_kind;
     result.m_idempotent = traffic.m_idempotent;
--- a/packages/load/src/report/report_html.cpp
+++ b/packages/load/src/report/report_html.cpp
@@ -82,7 +82,7 @@
     for (auto const& one : summary.m_classes)
     {
         out << "<text x=\"0\" y=\"" << top + row_height * 0.7
-            << "\" font-size=\"12\">" << escaped(one.m_owner) << '/'
+            << "\" font-size=\"12\">" << escaped(one.m_customer) << '/'
             << escaped(one.m_class_name) << "</text>\n";
         for (auto const& [value, colour] :
              {std::pair{one.m_latency.m_p99, "#9bd"},
--- a/packages/load/src/report/report_json.cpp
+++ b/packages/load/src/report/report_json.cpp
@@ -120,7 +120,7 @@
     value["classes"] = json::array();
     for (auto const& one : result.m_summary.m_classes)
     {
-        json item{{"owner", one.m_owner}, {"class", one.m_class_name}};
+        json item{{"customer", one.m_customer}, {"class", one.m_class_name}};
         add_counts(item, one);
         value["classes"].push_back(std::move(item));
     }
--- a/packages/load/src/report/report_text.cpp
+++ b/packages/load/src/report/report_text.cpp
@@ -49,7 +49,7 @@
         "requests", "executed", "not ex.", "unknown",  "rolled b.",
         "repeats",  "p50 ms",   "p99 ms",  "p99.9 ms", "replica",
         "allowed",  "age p50",  "age p99"};
-    out << std::left << std::setw(name_width) << "owner/class" << std::right;
+    out << std::left << std::setw(name_width) << "customer/class" << std::right;
     for (auto const* const heading : headings)
     {
         out << std::setw(width) << heading;
@@ -57,7 +57,7 @@
     out << '\n' << std::fixed << std::setprecision(1);
     for (auto const& one : summary.m_classes)
     {
-        append_class(out, one.m_owner + '/' + one.m_class_name, one);
+        append_class(out, one.m_customer + '/' + one.m_class_name, one);
     }
     append_class(out, "all", summary.m_all);
 }
--- a/packages/load/src/report/run_summary.cpp
+++ b/packages/load/src/report/run_summary.cpp
@@ -18,7 +18,7 @@
     return static_cast<double>(value.count()) / us_per_ms;
 }
 
-/// Samples of one owner's traffic class.
+/// Samples of one customer's traffic class.
 struct samples
 {
     class_summary m_summary;
@@ -200,8 +200,8 @@
         {
             continue;
         }
-        auto& one = classes[{request.m_owner, request.m_class_name}];
-        one.m_summary.m_owner = request.m_owner;
+        auto& one = classes[{request.m_customer, request.m_class_name}];
+        one.m_summary.m_customer = request.m_customer;
         one.m_summary.m_class_name = request.m_class_name;
         add(attempt, one);
         add(attempt, all);
--- a/packages/load/test/checker/checker_test.cpp
+++ b/packages/load/test/checker/checker_test.cpp
@@ -34,7 +34,7 @@
 {
     load::request_record result;
     result.m_request.m_number = number;
-    result.m_request.m_owner = "desks";
+    result.m_request.m_customer = "desks";
     result.m_request.m_session = "desks-1";
     result.m_request.m_group = "loans";
     result.m_request.m_kind = transport::traffic_kind::write;
--- a/packages/load/test/checker/transaction_check_test.cpp
+++ b/packages/load/test/checker/transaction_check_test.cpp
@@ -33,7 +33,7 @@
 {
     load::request_record result;
     result.m_request.m_number = number;
-    result.m_request.m_owner = "dealers";
+    result.m_request.m_customer = "dealers";
     result.m_request.m_session = "dealers-" + std::to_string(number);
     result.m_request.m_group = "members";
     result.m_key = "k" + std::to_string(number);
--- a/packages/load/test/report/run_summary_test.cpp
+++ b/packages/load/test/report/run_summary_test.cpp
@@ -16,7 +16,7 @@
 load::request_record write_by(std::string const& member, milliseconds answered)
 {
     load::request_record result;
-    result.m_request.m_owner = "desks";
+    result.m_request.m_customer = "desks";
     result.m_request.m_class_name = "checkouts";
     result.m_request.m_group = "loans";
     result.m_request.m_kind = transport::traffic_kind::write;
@@ -51,7 +51,7 @@
     CHECK(summary.m_unrecovered_losses == 1);
 }
 
-TEST_CASE("latency is measured from the intended time, by owner and class")
+TEST_CASE("latency is measured from the intended time, by customer and class")
 {
     load::run_observations observed;
     for (int count = 1; count <= 100; ++count)
--- a/packages/protocol/src/catalogue_conversion.cpp
+++ b/packages/protocol/src/catalogue_conversion.cpp
@@ -73,7 +73,7 @@
 {
     catalogue::v1::Entry message;
     message.set_name(value.m_name);
-    message.set_owner(value.m_owner);
+    message.set_customer(value.m_customer);
     message.set_class_name(value.m_class_name);
     message.set_group(value.m_group);
     message.set_credential_hash(
@@ -87,7 +87,7 @@
 {
     state::catalogue_entry value;
     value.m_name = message.name();
-    value.m_owner = message.owner();
+    value.m_customer = message.customer();
     value.m_class_name = message.class_name();
     value.m_group = message.group();
     value.m_credential_hash = to_hexadecimal(message.credential_hash());
--- a/packages/protocol/test/fleet/fleet_conversion_test.cpp
+++ b/packages/protocol/test/fleet/fleet_conversion_test.cpp
@@ -19,7 +19,7 @@
 {
     state::catalogue_entry value;
     value.m_name = "loans.desk";
-    value.m_owner = "caxias";
+    value.m_customer = "caxias";
     value.m_class_name = "desk";
     value.m_group = "loans";
     value.m_credential_hash = std::string(62, 'a') + "0f";
@@ -68,6 +68,23 @@
           "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+// Guards against a changed field number: stored catalogues of earlier versions
+// name the customer, then called owner, in field 2.
+TEST_CASE("a stored chunk of an earlier version gives the entry's customer")
+{
+    protocol::protobuf_catalogue_codec const codec;
+    auto expected = entry();
+    expected.m_customer = "dealers";
+    std::string const field = "\x12\x07"
+                              "dealers";
+    auto const bytes = codec.encode({{expected}, {}});
+    CHECK(bytes.find(field) != std::string::npos);
+    auto const decoded = codec.decode(bytes);
+    REQUIRE(decoded.has_value());
+    REQUIRE(decoded->m_entries.size() == 1);
+    CHECK(decoded->m_entries[0].m_customer == "dealers");
+}
+
 TEST_CASE("the head's object is unchanged after encoding and decoding")
 {
     auto const value = parts();
--- a/packages/standin/include/camphortide/standin/deployment/small_deployment_builder.hpp
+++ b/packages/standin/include/camphortide/standin/deployment/small_deployment_builder.hpp
@@ -12,9 +12,9 @@
 
 /// Builds a deployment for tests and benchmarks. Its only latency is that of
 /// the replication. It has one group "loans" with the members a, b and c, each
-/// in its own data centre, and one entry "checkouts" of the owner "desks" with
-/// the credential "secret". The owner "parents" with the credential "other" has
-/// no entry.
+/// in its own data centre, and one entry "checkouts" of the customer "desks"
+/// with the credential "secret". The customer "parents" with the credential
+/// "other" has no entry.
 class small_deployment_builder
 {
 public:
--- a/packages/standin/src/deployment/small_deployment_builder.cpp
+++ b/packages/standin/src/deployment/small_deployment_builder.cpp
@@ -10,7 +10,7 @@
 
 constexpr char const* group_name = "loans";
 constexpr char const* entry_name = "checkouts";
-constexpr char const* owner_name = "desks";
+constexpr char const* customer_name = "desks";
 constexpr std::chrono::microseconds no_delay{0};
 
 } // namespace
@@ -66,10 +66,10 @@
             {"entry-" + std::to_string(i + 1), result.m_data_centres[at]});
     }
     result.m_groups = {make_group()};
-    result.m_owners = {{owner_name, "secret"}, {"parents", "other"}};
+    result.m_customers = {{customer_name, "secret"}, {"parents", "other"}};
     transport::deployment_entry entry;
     entry.m_name = entry_name;
-    entry.m_owner = owner_name;
+    entry.m_customer = customer_name;
     entry.m_class_name = entry_name;
     entry.m_groups = {group_name};
     entry.m_limits = m_limits;
--- a/packages/state/include/camphortide/state/catalogue_difference.hpp
+++ b/packages/state/include/camphortide/state/catalogue_difference.hpp
@@ -15,7 +15,7 @@
 enum class catalogue_field
 {
     existence, ///< the record exists on one side only
-    owner,
+    customer,
     class_name,
     group,
     credential_hash,
--- a/packages/state/include/camphortide/state/catalogue_entry.hpp
+++ b/packages/state/include/camphortide/state/catalogue_entry.hpp
@@ -19,11 +19,11 @@
     friend auto operator<=>(change_stamp const&, change_stamp const&) = default;
 };
 
-/// One entry of the catalogue: a traffic class of an owner, for one group.
+/// One entry of the catalogue: a traffic class of a customer, for one group.
 struct catalogue_entry
 {
     std::string m_name;
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class_name;
     std::string m_group;
     std::string m_credential_hash; ///< SHA-256 of the secret, 64 hex digits
--- a/packages/state/include/camphortide/state/catalogue_entry_builder.hpp
+++ b/packages/state/include/camphortide/state/catalogue_entry_builder.hpp
@@ -14,16 +14,16 @@
     /// @param name the entry's name
     explicit catalogue_entry_builder(std::string name);
 
-    /// @param value the owner's name
+    /// @param value the customer's name
     /// @return this builder
-    catalogue_entry_builder& owner(std::string value);
+    catalogue_entry_builder& customer(std::string value);
     /// @param value the traffic class
     /// @return this builder
     catalogue_entry_builder& class_name(std::string value);
     /// @param value the database group's name
     /// @return this builder
     catalogue_entry_builder& group(std::string value);
-    /// @param value SHA-256 of the owner's secret, 64 lower-case hex digits
+    /// @param value SHA-256 of the customer's secret, 64 lower-case hex digits
     /// @return this builder
     catalogue_entry_builder& credential_hash(std::string value);
     /// @param value the limits
--- a/packages/state/include/camphortide/state/catalogue_problem.hpp
+++ b/packages/state/include/camphortide/state/catalogue_problem.hpp
@@ -17,7 +17,7 @@
     duplicate_group,
     duplicate_member,
     unknown_group,
-    missing_owner,
+    missing_customer,
     missing_class,
     bad_credential_hash,
     zero_rate,
--- a/packages/state/include/camphortide/state/outcome.hpp
+++ b/packages/state/include/camphortide/state/outcome.hpp
@@ -31,7 +31,7 @@
     statement_failed = 12,
     unknown_entry = 13,
     bad_credential = 14,
-    wrong_owner = 15,
+    wrong_customer = 15,
     bad_token = 16,
     bad_request = 17,
     draining = 18,
--- a/packages/state/src/catalogue_difference.cpp
+++ b/packages/state/src/catalogue_difference.cpp
@@ -51,7 +51,7 @@
 std::string_view to_string(catalogue_field value)
 {
     static constexpr std::array<std::string_view, 19> names{"existence",
-                                                            "owner",
+                                                            "customer",
                                                             "class",
                                                             "group",
                                                             "credential_hash",
@@ -82,7 +82,7 @@
                              : std::vector{existence};
     }
     field_comparison result;
-    result.compare(owner, left->m_owner, right->m_owner)
+    result.compare(customer, left->m_customer, right->m_customer)
         .compare(class_name, left->m_class_name, right->m_class_name)
         .compare(group, left->m_group, right->m_group)
         .compare(credential_hash, left->m_credential_hash,
--- a/packages/state/src/catalogue_entry_builder.cpp
+++ b/packages/state/src/catalogue_entry_builder.cpp
@@ -10,9 +10,9 @@
     m_entry.m_name = std::move(name);
 }
 
-catalogue_entry_builder& catalogue_entry_builder::owner(std::string value)
+catalogue_entry_builder& catalogue_entry_builder::customer(std::string value)
 {
-    m_entry.m_owner = std::move(value);
+    m_entry.m_customer = std::move(value);
     return *this;
 }
 
--- a/packages/state/src/catalogue_problem.cpp
+++ b/packages/state/src/catalogue_problem.cpp
@@ -16,7 +16,7 @@
         "duplicate_group",
         "duplicate_member",
         "unknown_group",
-        "missing_owner",
+        "missing_customer",
         "missing_class",
         "bad_credential_hash",
         "zero_rate",
--- a/packages/state/src/catalogue_validation.cpp
+++ b/packages/state/src/catalogue_validation.cpp
@@ -39,10 +39,10 @@
 }
 
 constexpr std::array entry_rules{
-    entry_rule{problem_kind::missing_owner,
+    entry_rule{problem_kind::missing_customer,
                [](catalogue_entry const& entry)
                {
-                   return entry.m_owner.empty();
+                   return entry.m_customer.empty();
                }},
     entry_rule{problem_kind::missing_class,
                [](catalogue_entry const& entry)
--- a/packages/state/src/outcome.cpp
+++ b/packages/state/src/outcome.cpp
@@ -49,8 +49,8 @@
         return "unknown_entry";
     case reason::bad_credential:
         return "bad_credential";
-    case reason::wrong_owner:
-        return "wrong_owner";
+    case reason::wrong_customer:
+        return "wrong_customer";
     case reason::bad_token:
         return "bad_token";
     case reason::bad_request:
--- a/packages/state/test/catalogue/catalogue_test.cpp
+++ b/packages/state/test/catalogue/catalogue_test.cpp
@@ -35,7 +35,7 @@
     state::entry_limits limits;
     limits.m_connections = 4;
     return state::catalogue_entry_builder("loans.desk")
-        .owner("caxias")
+        .customer("caxias")
         .class_name("desk")
         .group("loans")
         .credential_hash(std::string(64, 'a'))
@@ -91,10 +91,10 @@
          {
              e.m_group = "other";
          }},
-        {problem_kind::missing_owner,
+        {problem_kind::missing_customer,
          [](entry& e)
          {
-             e.m_owner.clear();
+             e.m_customer.clear();
          }},
         {problem_kind::missing_class,
          [](entry& e)
--- a/packages/transport/include/camphortide/transport/access/authenticator.hpp
+++ b/packages/transport/include/camphortide/transport/access/authenticator.hpp
@@ -17,7 +17,7 @@
     std::variant<state::catalogue_entry const*, state::reason>;
 
 /// Hashes a credential in the form that the catalogue stores.
-/// @param secret the owner's secret
+/// @param secret the customer's secret
 /// @return its SHA-256, 64 hex digits
 std::string credential_hash(std::string_view secret);
 
@@ -25,9 +25,9 @@
 /// @param context its metadata holds "authorization: Bearer SECRET"
 /// @param entries the catalogue in force; outlives the result
 /// @param entry the entry's name
-/// @return the entry; bad_credential if the secret belongs to no owner,
-///     unknown_entry if the entry does not exist, wrong_owner if it belongs to
-///     another owner
+/// @return the entry; bad_credential if the secret belongs to no customer,
+///     unknown_entry if the entry does not exist, wrong_customer if it belongs
+///     to another customer
 authentication authenticate(grpc::CallbackServerContext const& context,
                             state::catalogue const& entries,
                             std::string_view entry);
--- a/packages/transport/include/camphortide/transport/access/served_catalogue.hpp
+++ b/packages/transport/include/camphortide/transport/access/served_catalogue.hpp
@@ -26,7 +26,7 @@
     }
 
     /// @param entry an element of entries()->entries()
-    /// @return the metrics of its owner's class; valid for the registry's
+    /// @return the metrics of its customer's class; valid for the registry's
     ///     lifetime
     class_metrics& metrics_of(state::catalogue_entry const& entry) const;
 
--- a/packages/transport/include/camphortide/transport/gateway/group_request.hpp
+++ b/packages/transport/include/camphortide/transport/gateway/group_request.hpp
@@ -33,7 +33,7 @@
     std::string m_entry;
     std::string m_group;
     std::string m_statement;
-    std::string m_key; ///< scoped by its owner; unique in the group
+    std::string m_key; ///< scoped by its customer; unique in the group
     bool m_idempotent = false;
     state::time_point m_deadline;
     std::optional<state::duration> m_max_age;
--- a/packages/transport/include/camphortide/transport/metrics/class_metrics.hpp
+++ b/packages/transport/include/camphortide/transport/metrics/class_metrics.hpp
@@ -11,7 +11,7 @@
 namespace camphortide::transport
 {
 
-/// The metrics of one traffic class of an owner. Thread-safe. Each thread
+/// The metrics of one traffic class of a customer. Thread-safe. Each thread
 /// writes to its own shard as long as there are at most shard_count threads;
 /// beyond that, threads share shards.
 class class_metrics
@@ -19,9 +19,9 @@
 public:
     static constexpr std::size_t shard_count = 8;
 
-    /// @param owner the owner's name
+    /// @param customer the customer's name
     /// @param name the class's name
-    class_metrics(std::string owner, std::string name);
+    class_metrics(std::string customer, std::string name);
     ~class_metrics();
     class_metrics(class_metrics const&) = delete;
     class_metrics& operator=(class_metrics const&) = delete;
@@ -37,7 +37,7 @@
 
     shard& own_shard();
 
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class;
     std::array<std::atomic<shard*>, shard_count> m_shards{};
 };
--- a/packages/transport/include/camphortide/transport/metrics/metrics_snapshot.hpp
+++ b/packages/transport/include/camphortide/transport/metrics/metrics_snapshot.hpp
@@ -26,10 +26,10 @@
 /// The number of requests by route.
 using route_counts = std::array<std::uint64_t, request_route_count>;
 
-/// The metrics of one owner's class at one point in time.
+/// The metrics of one customer's class at one point in time.
 struct class_snapshot
 {
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class;
     histogram_snapshot m_latency;
     histogram_snapshot m_queue_wait;
@@ -50,7 +50,7 @@
                             class_snapshot const&) = default;
 };
 
-/// The metrics of all owners and classes, sorted by both names.
+/// The metrics of all customers and classes, sorted by both names.
 using metrics_snapshot = std::vector<class_snapshot>;
 
 } // namespace camphortide::transport
--- a/packages/transport/include/camphortide/transport/metrics/metrics_text.hpp
+++ b/packages/transport/include/camphortide/transport/metrics/metrics_text.hpp
@@ -32,7 +32,7 @@
 
 /// Formats metrics in the Prometheus text exposition format. Times are in
 /// seconds, as is the convention of Prometheus.
-/// @param classes the metrics by owner and class
+/// @param classes the metrics by customer and class
 /// @param gauges additional gauges
 /// @return the page
 std::string metrics_text(metrics_snapshot const& classes,
--- a/packages/transport/include/camphortide/transport/metrics/request_sample.hpp
+++ b/packages/transport/include/camphortide/transport/metrics/request_sample.hpp
@@ -27,7 +27,7 @@
 /// A duration in milliseconds with fractions.
 using sample_time = std::chrono::duration<double, std::milli>;
 
-/// The measurements of one request for the metrics of its owner and class.
+/// The measurements of one request for the metrics of its customer and class.
 struct request_sample
 {
     state::outcome m_outcome = state::outcome::executed;
--- a/packages/transport/include/camphortide/transport/settings/deployment.hpp
+++ b/packages/transport/include/camphortide/transport/settings/deployment.hpp
@@ -49,21 +49,21 @@
                             deployment_group const&) = default;
 };
 
-/// An owner of catalogue entries.
-struct deployment_owner
+/// A customer, to whom catalogue entries belong.
+struct deployment_customer
 {
     std::string m_name;
     std::string m_credential; ///< plain text; for demonstrations only
 
-    friend auto operator<=>(deployment_owner const&,
-                            deployment_owner const&) = default;
+    friend auto operator<=>(deployment_customer const&,
+                            deployment_customer const&) = default;
 };
 
 /// A traffic class. It becomes one catalogue entry per group.
 struct deployment_entry
 {
     std::string m_name;
-    std::string m_owner;
+    std::string m_customer;
     std::string m_class_name;
     std::vector<std::string> m_groups;
     state::entry_limits m_limits;
@@ -111,7 +111,7 @@
     std::optional<std::uint32_t> m_homes_per_group = 2; ///< nullopt: all
     std::vector<deployment_instance> m_instances;
     std::vector<deployment_group> m_groups;
-    std::vector<deployment_owner> m_owners;
+    std::vector<deployment_customer> m_customers;
     std::vector<deployment_entry> m_entries;
     std::vector<deployment_traffic> m_traffic;
 
--- a/packages/transport/src/access/authenticator.cpp
+++ b/packages/transport/src/access/authenticator.cpp
@@ -71,7 +71,7 @@
         return state::reason::bad_credential;
     }
     return found == nullptr ? state::reason::unknown_entry
-                            : state::reason::wrong_owner;
+                            : state::reason::wrong_customer;
 }
 
 } // namespace camphortide::transport
--- a/packages/transport/src/access/request_check.cpp
+++ b/packages/transport/src/access/request_check.cpp
@@ -139,7 +139,7 @@
             result.m_caller_key = new_key();
         }
         target.m_key =
-            coordination::scoped_key(entry.m_owner, result.m_caller_key);
+            coordination::scoped_key(entry.m_customer, result.m_caller_key);
     }
     return result;
 }
--- a/packages/transport/src/access/served_catalogue.cpp
+++ b/packages/transport/src/access/served_catalogue.cpp
@@ -14,7 +14,7 @@
     for (auto const& entry : m_entries->entries())
     {
         m_metrics.push_back(
-            &metrics.find_or_create(entry.m_owner, entry.m_class_name));
+            &metrics.find_or_create(entry.m_customer, entry.m_class_name));
     }
 }
 
--- a/packages/transport/src/admin/admin_service.cpp
+++ b/packages/transport/src/admin/admin_service.cpp
@@ -40,7 +40,7 @@
 
 void fill(admin::v1::ClassMetrics& message, class_snapshot const& value)
 {
-    message.set_owner(value.m_owner);
+    message.set_customer(value.m_customer);
     message.set_traffic_class(value.m_class);
     fill(*message.mutable_latency(), value.m_latency);
     fill(*message.mutable_queue_wait(), value.m_queue_wait);
--- a/packages/transport/src/grpc_failure.cpp
+++ b/packages/transport/src/grpc_failure.cpp
@@ -35,7 +35,7 @@
         return grpc::StatusCode::NOT_FOUND;
     case reason::bad_credential:
         return grpc::StatusCode::UNAUTHENTICATED;
-    case reason::wrong_owner:
+    case reason::wrong_customer:
         return grpc::StatusCode::PERMISSION_DENIED;
     case reason::key_conflict:
         return grpc::StatusCode::ALREADY_EXISTS;
--- a/packages/transport/src/instance/limit_conversion.cpp
+++ b/packages/transport/src/instance/limit_conversion.cpp
@@ -19,7 +19,7 @@
     auto const home_count = static_cast<std::uint32_t>(homes);
     coordination::entry_limits result;
     result.m_name = entry.m_name;
-    result.m_owner = entry.m_owner;
+    result.m_customer = entry.m_customer;
     result.m_class = entry.m_class_name;
     result.m_rate = static_cast<double>(limits.m_rate) / home_count;
     result.m_concurrency =
--- a/packages/transport/src/metrics/class_metrics.cpp
+++ b/packages/transport/src/metrics/class_metrics.cpp
@@ -58,8 +58,8 @@
     route_counts m_routes{};
 };
 
-class_metrics::class_metrics(std::string owner, std::string name)
-    : m_owner(std::move(owner)),
+class_metrics::class_metrics(std::string customer, std::string name)
+    : m_customer(std::move(customer)),
       m_class(std::move(name))
 {
 }
@@ -94,7 +94,7 @@
 class_snapshot class_metrics::snapshot() const
 {
     class_snapshot sum;
-    sum.m_owner = m_owner;
+    sum.m_customer = m_customer;
     sum.m_class = m_class;
     for (auto const& each : m_shards)
     {
--- a/packages/transport/src/metrics/metrics_text.cpp
+++ b/packages/transport/src/metrics/metrics_text.cpp
@@ -32,7 +32,7 @@
 ClientMetric labelled(class_snapshot const& from)
 {
     ClientMetric metric;
-    metric.label = {{"owner", from.m_owner}, {"class", from.m_class}};
+    metric.label = {{"customer", from.m_customer}, {"class", from.m_class}};
     return metric;
 }
 
--- a/packages/transport/src/settings/catalogue_schema.cpp
+++ b/packages/transport/src/settings/catalogue_schema.cpp
@@ -49,13 +49,15 @@
     using entry = state::catalogue_entry;
     schema<entry> table;
     table.required("name", &entry::m_name, name_kind(), "Name of the entry.")
-        .required("owner", &entry::m_owner, name_kind(), "Owner of the entry.")
+        .required("customer", &entry::m_customer, name_kind(),
+                  "Customer of the entry.")
+        .renamed("owner", "customer")
         .required("class", &entry::m_class_name, name_kind(), "Traffic class.")
         .required("group", &entry::m_group, name_kind(),
                   "Database group of its statements.")
         .required("credential_hash", &entry::m_credential_hash,
                   hexadecimal_kind(hash_bytes),
-                  "SHA-256 of the owner's secret.")
+                  "SHA-256 of the customer's secret.")
         .optional("limits", &entry::m_limits, limits_schema().kind(),
                   "Limits of its requests.");
     return table;
--- a/packages/transport/src/settings/deployment_file.cpp
+++ b/packages/transport/src/settings/deployment_file.cpp
@@ -21,13 +21,14 @@
     return it == addresses.end() ? std::string() : it->m_address;
 }
 
-std::string hash_of(deployment const& value, std::string const& owner)
+std::string hash_of(deployment const& value, std::string const& customer)
 {
-    auto const it = std::find_if(value.m_owners.begin(), value.m_owners.end(),
-                                 [&owner](deployment_owner const& each)
-                                 { return each.m_name == owner; });
-    return it == value.m_owners.end() ? std::string()
-                                      : credential_hash(it->m_credential);
+    auto const it =
+        std::find_if(value.m_customers.begin(), value.m_customers.end(),
+                     [&customer](deployment_customer const& each)
+                     { return each.m_name == customer; });
+    return it == value.m_customers.end() ? std::string()
+                                         : credential_hash(it->m_credential);
 }
 
 state::group_description
@@ -93,10 +94,10 @@
         for (auto const& group : entry.m_groups)
         {
             entries.push_back({catalogue_entry_name(entry, group),
-                               entry.m_owner,
+                               entry.m_customer,
                                entry.m_class_name,
                                group,
-                               hash_of(value, entry.m_owner),
+                               hash_of(value, entry.m_customer),
                                entry.m_limits,
                                {}});
         }
--- a/packages/transport/src/settings/deployment_schema.cpp
+++ b/packages/transport/src/settings/deployment_schema.cpp
@@ -62,9 +62,9 @@
     return table;
 }
 
-schema<deployment_owner> make_owner_schema()
+schema<deployment_customer> make_customer_schema()
 {
-    using record = deployment_owner;
+    using record = deployment_customer;
     schema<record> table;
     table.required("name", &record::m_name, name_kind(), "Name.")
         .required("credential", &record::m_credential, text_kind(),
@@ -77,7 +77,9 @@
     using record = deployment_entry;
     schema<record> table;
     table.required("name", &record::m_name, name_kind(), "Name.")
-        .required("owner", &record::m_owner, name_kind(), "An owner's name.")
+        .required("customer", &record::m_customer, name_kind(),
+                  "A customer's name.")
+        .renamed("owner", "customer")
         .required("class", &record::m_class_name, name_kind(), "Traffic class.")
         .required("groups", &record::m_groups,
                   list_kind(name_kind(), {1, max_list_size}),
@@ -135,9 +137,10 @@
         .required("groups", &record::m_groups,
                   list_kind(make_group_schema().kind(), {1, max_list_size}),
                   "Database groups.")
-        .required("owners", &record::m_owners,
-                  list_kind(make_owner_schema().kind(), {1, max_list_size}),
-                  "Owners.")
+        .required("customers", &record::m_customers,
+                  list_kind(make_customer_schema().kind(), {1, max_list_size}),
+                  "Customers.")
+        .renamed("owners", "customers")
         .required("entries", &record::m_entries,
                   list_kind(make_entry_schema().kind(), {1, max_list_size}),
                   "Traffic classes.")
@@ -200,14 +203,14 @@
     }
 }
 
-void check_entries(deployment const& value, name_set const& owners,
+void check_entries(deployment const& value, name_set const& customers,
                    name_set const& groups, error_reporter const& reporter)
 {
     for (std::size_t i = 0; i < value.m_entries.size(); ++i)
     {
         auto const& entry = value.m_entries[i];
-        check_reference(owners, entry.m_owner, "an owner",
-                        reporter.at(i).at("owner"));
+        check_reference(customers, entry.m_customer, "a customer",
+                        reporter.at(i).at("customer"));
         for (std::size_t j = 0; j < entry.m_groups.size(); ++j)
         {
             check_reference(groups, entry.m_groups[j], "a group",
@@ -257,9 +260,10 @@
     }
     auto const groups = collect_names(value.m_groups, reporter.at("groups"));
     check_groups(value, data_centres, reporter.at("groups"));
-    auto const owners = collect_names(value.m_owners, reporter.at("owners"));
+    auto const customers =
+        collect_names(value.m_customers, reporter.at("customers"));
     auto const entries = collect_names(value.m_entries, reporter.at("entries"));
-    check_entries(value, owners, groups, reporter.at("entries"));
+    check_entries(value, customers, groups, reporter.at("entries"));
     collect_names(value.m_traffic, reporter.at("traffic"));
     check_traffic(value, entries, reporter.at("traffic"));
 }
--- a/packages/transport/src/settings/schema.hpp
+++ b/packages/transport/src/settings/schema.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,6 +47,16 @@
                    false);
     }
 
+    /// Accepts the former name of a field when reading, so that files of
+    /// earlier versions are still read. write() uses the present name only.
+    /// @param former the key path in files of earlier versions
+    /// @param key the present key path of the field
+    schema& renamed(std::string former, std::string key)
+    {
+        m_former_keys.emplace(std::move(former), std::move(key));
+        return *this;
+    }
+
     /// Parses an object.
     /// @param document the object
     /// @param reporter the path of the object; receives every error
@@ -168,6 +179,13 @@
         return it == m_fields.end() ? nullptr : &*it;
     }
 
+    /// @return the present name of a key
+    std::string const& present_key(std::string const& key) const
+    {
+        auto const it = m_former_keys.find(key);
+        return it == m_former_keys.end() ? key : it->second;
+    }
+
     bool is_object_prefix(std::string const& key) const
     {
         return std::any_of(m_fields.begin(), m_fields.end(),
@@ -184,11 +202,16 @@
             std::string const path =
                 prefix.empty() ? key : joined({prefix, ".", key});
             auto const child = reporter.at(key);
-            field const* const matched = find(path);
+            field const* const matched = find(present_key(path));
             if (matched != nullptr)
             {
-                present.insert(
-                    static_cast<std::size_t>(matched - &m_fields[0]));
+                auto const index =
+                    static_cast<std::size_t>(matched - &m_fields[0]);
+                if (!present.insert(index).second)
+                {
+                    child.report(setting_error_kind::repeated_key,
+                                 "only one of a key and its former name");
+                }
                 matched->m_read(value, found, child);
             }
             else if (!is_object_prefix(path))
@@ -228,6 +251,7 @@
     }
 
     std::vector<field> m_fields;
+    std::map<std::string, std::string> m_former_keys; ///< to present keys
 };
 
 } // namespace camphortide::transport
--- a/packages/transport/test/metrics/metrics_test.cpp
+++ b/packages/transport/test/metrics/metrics_test.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-TEST_CASE("samples are separated by owner and class")
+TEST_CASE("samples are separated by customer and class")
 {
     transport::metrics_registry registry;
     registry.find_or_create("b", "y").record(executed(2));
@@ -40,12 +40,12 @@
     registry.find_or_create("a", "x").record(executed(8));
     auto const all = registry.snapshot();
     REQUIRE(all.size() == 3);
-    CHECK(all[0].m_owner == "a");
+    CHECK(all[0].m_customer == "a");
     CHECK(all[0].m_class == "x");
     CHECK(all[0].m_latency.m_count == 2);
     CHECK(all[0].m_latency.mean() == doctest::Approx(7));
     CHECK(all[0].m_latency.m_max == 8);
-    CHECK(all[2].m_owner == "b");
+    CHECK(all[2].m_customer == "b");
     CHECK(&registry.find_or_create("a", "x") ==
           &registry.find_or_create("a", "x"));
 }
@@ -145,14 +145,14 @@
     CHECK(
         has_line(page, "# TYPE camphortide_request_latency_seconds histogram"));
     CHECK(has_line(page, "camphortide_request_latency_seconds_count"
-                         "{owner=\"a\",class=\"x\\\"y\"} 2"));
+                         "{customer=\"a\",class=\"x\\\"y\"} 2"));
     CHECK(has_line(page, "camphortide_request_latency_seconds_sum"
-                         "{owner=\"a\",class=\"x\\\"y\"} 2"));
+                         "{customer=\"a\",class=\"x\\\"y\"} 2"));
     CHECK(has_line(page, "camphortide_request_latency_seconds_bucket"
-                         "{owner=\"a\",class=\"x\\\"y\",le=\"+Inf\"} 2"));
+                         "{customer=\"a\",class=\"x\\\"y\",le=\"+Inf\"} 2"));
     CHECK(has_line(page,
-                   "camphortide_requests_total{owner=\"a\",class=\"x\\\"y\","
+                   "camphortide_requests_total{customer=\"a\",class=\"x\\\"y\","
                    "outcome=\"not_executed\",reason=\"rate_limit\"} 1"));
-    CHECK(has_line(page, "camphortide_request_routes_total{owner=\"a\","
+    CHECK(has_line(page, "camphortide_request_routes_total{customer=\"a\","
                          "class=\"x\\\"y\",route=\"replica\"} 2"));
 }
--- a/packages/transport/test/metrics/served_catalogue_test.cpp
+++ b/packages/transport/test/metrics/served_catalogue_test.cpp
@@ -8,12 +8,13 @@
 namespace
 {
 
-state::catalogue_entry entry(std::string const& name, std::string const& owner,
+state::catalogue_entry entry(std::string const& name,
+                             std::string const& customer,
                              std::string const& class_name)
 {
     state::catalogue_entry result;
     result.m_name = name;
-    result.m_owner = owner;
+    result.m_customer = customer;
     result.m_class_name = class_name;
     return result;
 }
--- a/packages/transport/test/settings/deployment_test.cpp
+++ b/packages/transport/test/settings/deployment_test.cpp
@@ -46,7 +46,7 @@
 
 std::string entry(std::string const& name, std::string const& rest)
 {
-    return R"({"name": ")" + name + R"(", "owner": "o", "class": "c",
+    return R"({"name": ")" + name + R"(", "customer": "o", "class": "c",
       "group": "g", "credential_hash": ")" +
            hash + "\"" + rest + "}";
 }
@@ -57,6 +57,20 @@
         "c.jsonc", "{" + group + ", \"entries\": [" + entries + "]}");
 }
 
+/// @param list the key of the list of customers
+/// @param fields of the only entry, besides name, class and groups
+std::string deployment_text(std::string const& list, std::string const& fields)
+{
+    return R"({"name": "n", "region": "r", "data_centres": ["x"],
+      "instances": [{"name": "i", "data_centre": "x"}],
+      "groups": [{"name": "g", "slots": 1, "connections": 1,
+                  "members": [{"name": "a", "data_centre": "x"}]}],
+      ")" + list +
+           R"(": [{"name": "o", "credential": "s"}],
+      "entries": [{"name": "e", "class": "c", "groups": ["g"], )" +
+           fields + "}]}";
+}
+
 } // namespace
 
 TEST_CASE("the examples have the documented sizes")
@@ -108,6 +122,59 @@
     CHECK(again.m_value.version() == 1);
 }
 
+// Guards against rejecting deployment files of earlier versions.
+TEST_CASE("a deployment with the former keys owners and owner is still read")
+{
+    auto const former = transport::parse_deployment(
+        "d.jsonc", deployment_text("owners", R"("owner": "o")"));
+    auto const present = transport::parse_deployment(
+        "d.jsonc", deployment_text("customers", R"("customer": "o")"));
+    REQUIRE(former.ok());
+    REQUIRE(present.ok());
+    CHECK(former.m_value == present.m_value);
+    REQUIRE(former.m_value.m_customers.size() == 1);
+    CHECK(former.m_value.m_customers[0].m_name == "o");
+    CHECK(former.m_value.m_entries[0].m_customer == "o");
+}
+
+// Guards against silently preferring one of two contradicting values.
+TEST_CASE("a key next to its former name is an error")
+{
+    auto const both = transport::parse_deployment(
+        "d.jsonc",
+        deployment_text("customers", R"("customer": "o", "owner": "p")"));
+    CHECK(has(both.m_errors, "entries[0].owner",
+              setting_error_kind::repeated_key));
+    CHECK(both.m_errors.size() == 1);
+    CHECK(has(parse(entry("e", R"(, "owner": "o")")).m_errors,
+              "entries[0].owner", setting_error_kind::repeated_key));
+}
+
+// Guards against rejecting exported catalogues of earlier versions.
+TEST_CASE("a catalogue with the former key owner is read, customer is written")
+{
+    auto former_text = entry("e", "");
+    auto const key = former_text.find("\"customer\"");
+    REQUIRE(key != std::string::npos);
+    former_text.replace(key, std::string("\"customer\"").size(), "\"owner\"");
+    auto const former = parse(former_text);
+    REQUIRE(former.ok());
+    CHECK(former.m_value.entries() == parse(entry("e", "")).m_value.entries());
+    CHECK(former.m_value.entries().at(0).m_customer == "o");
+    auto const written = transport::write_catalogue(former.m_value);
+    CHECK(written.find("\"customer\": \"o\"") != std::string::npos);
+    CHECK(written.find("owner") == std::string::npos);
+}
+
+// Guards against accepting an entry that belongs to nobody.
+TEST_CASE("an entry with neither customer nor owner is an error")
+{
+    auto const none = transport::parse_deployment(
+        "d.jsonc", deployment_text("customers", R"("limits": {})"));
+    CHECK(has(none.m_errors, "entries[0].customer",
+              setting_error_kind::missing_key));
+}
+
 TEST_CASE("unknown and duplicate names in a deployment are errors")
 {
     auto const result = transport::parse_deployment("d.jsonc", R"({
@@ -117,8 +184,8 @@
       "groups": [{"name": "g", "slots": 1, "connections": 1,
                   "members": [{"name": "a", "data_centre": "z"},
                               {"name": "a", "data_centre": "x"}]}],
-      "owners": [{"name": "o", "credential": "s"}],
-      "entries": [{"name": "e", "owner": "p", "class": "c",
+      "customers": [{"name": "o", "credential": "s"}],
+      "entries": [{"name": "e", "customer": "p", "class": "c",
                    "groups": ["g", "h"]}],
       "traffic": [{"name": "t", "entry": "f", "kind": "read", "rate": 1,
                    "statements": ["get a", "get b"]}]})");
@@ -130,7 +197,7 @@
               setting_error_kind::conflict));
     CHECK(
         has(errors, "groups[0].members[1].name", setting_error_kind::conflict));
-    CHECK(has(errors, "entries[0].owner", setting_error_kind::conflict));
+    CHECK(has(errors, "entries[0].customer", setting_error_kind::conflict));
     CHECK(has(errors, "entries[0].groups[1]", setting_error_kind::conflict));
     CHECK(has(errors, "traffic[0].entry", setting_error_kind::conflict));
     CHECK(has(errors, "traffic[0].statements", setting_error_kind::conflict));
--- a/tests/support/small_deployment.hpp
+++ b/tests/support/small_deployment.hpp
@@ -50,7 +50,7 @@
 
     v1::Access::Stub& stub() { return *m_stub; }
 
-    /// Adds the owner's credential to a call.
+    /// Adds the customer's credential to a call.
     static void authorize(grpc::ClientContext& context);
 
 private:
--- a/tests/test/path/gateway_test.cpp
+++ b/tests/test/path/gateway_test.cpp
@@ -36,7 +36,7 @@
         m_gateway->start();
         coordination::entry_limits limits;
         limits.m_name = "desk";
-        limits.m_owner = "library";
+        limits.m_customer = "library";
         m_gateway->with_shares([&limits](transport::share_control& shares)
                                { shares.set_fixed(4, {limits}); });
         m_gateway->set_primary(coordination::group_primary{
