coordination, proxy: the lag estimate of a replica recovers without its reads

Cause: the recorded lag of a replica fell only with positions that the replica itself reported. While the estimate was high, it received no reads. Without such answers the estimate stayed high forever. With them, a lag of 6 s fell by a fifth per request only. A refused read whose required position had no known time lowered the estimate to 2 ms, so that all reads went to the lagging replica.

Change: replica_lag holds the estimate, without network access. The weight of a shorter lag grows with the time since the last update; frequent replies weigh as before. An estimate of at least 150 ms that nothing has confirmed for 500 ms decreases with a half-life of 250 ms, and the replica receives one read at a time as a trial until it answers. A refusal never lowers the estimate. A request for the position is made once at a time and its connection is closed after 1 s without an answer.

--- a/packages/proxy/include/camphortide/proxy/member_pool.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_pool.hpp
@@ -12,6 +12,7 @@
 
 #include <camphortide/coordination/limits/moving_mean.hpp>
 #include <camphortide/coordination/placing/member_choice.hpp>
+#include <camphortide/coordination/placing/replica_lag.hpp>
 #include <camphortide/proxy/member_connection.hpp>
 
 namespace camphortide::proxy
@@ -82,15 +83,9 @@
 
     /// Records that the member refused a statement because it was busy.
     void record_busy(state::time_point now);
-    /// Records that the member refused a statement because it hadn't applied
-    /// the required position.
-    /// @param behind the least lag that explains the refusal
-    void record_lagging(state::duration behind);
-    /// Records a position that the member has applied.
-    /// @param position that it reported
-    /// @param behind the time since the primary advanced past it; zero if it
-    ///     hasn't
-    void record_applied(state::log_position position, state::duration behind);
+    /// @return the estimate of the member's lag while it is a replica
+    coordination::replica_lag& lag() { return m_lag; }
+    coordination::replica_lag const& lag() const { return m_lag; }
 
     /// @param customer whose statement is to be placed
     /// @param primary the member may be used as the primary now
@@ -102,9 +97,6 @@
     state::member_entry const& member() const { return m_member; }
     std::size_t connections() const { return m_all.size(); }
     std::uint32_t in_flight() const { return m_in_flight; }
-    state::duration lag() const { return m_lag; }
-    /// @return when the member last reported its position, or that it lags
-    state::time_point last_lag_update() const { return m_last_lag_update; }
 
     /// @return since when every attempt to reach the member has failed; nothing
     ///     if the last one succeeded
@@ -140,9 +132,7 @@
     state::time_point m_busy_until;
     std::optional<state::time_point> m_failing_since;
     coordination::moving_mean m_response;
-    std::optional<state::log_position> m_applied;
-    state::duration m_lag{};
-    state::time_point m_last_lag_update;
+    coordination::replica_lag m_lag;
     state::time_point m_last_finished;
 };
 
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -280,11 +280,12 @@
     if (failure.m_error == statement_error::lagging)
     {
         auto const requirements = requirements_for(request);
-        bound.m_pool->record_lagging(
+        bound.m_pool->lag().record_refusal(
             requirements.m_required_reached_at
                 ? std::max(now - *requirements.m_required_reached_at,
                            state::duration(1))
-                : state::duration(1));
+                : state::duration(1),
+            now);
     }
     else if (failure.m_error == statement_error::busy)
     {
--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -16,11 +16,9 @@
 /// How long an orderly change of primary waits for statements and transactions
 /// in progress.
 constexpr state::duration orderly_close_timeout{1500};
-/// A replica with at least this lag receives few reads, whose replies would
-/// show that it has caught up: its position is requested a few times a second
-/// instead.
-constexpr state::duration stale_replica_lag{150};
-constexpr state::duration stale_probe_interval{250};
+/// How long the answer to a probe is awaited before its connection is closed:
+/// several round trips between regions.
+constexpr state::duration probe_timeout{1000};
 /// How long a member must fail before it is reported as unreachable.
 constexpr state::duration unreachable_delay{300};
 
@@ -91,20 +89,37 @@
 
 void group_traffic::probe_if_stale(member_pool& pool, state::time_point now)
 {
-    bool const stale = pool.lag() >= stale_replica_lag &&
-                       now - pool.last_lag_update() >= stale_probe_interval;
-    auto const connection =
-        stale && !is_primary(pool.member().m_id) ? pool.acquire_any() : nullptr;
-    if (!connection)
+    if (is_primary(pool.member().m_id) || !pool.lag().needs_request(now))
     {
         return;
     }
+    auto const connection = pool.acquire_any();
+    if (!connection)
+    {
+        return; // the estimate decreases until a read is tried
+    }
+    pool.lag().record_request(now);
     auto const self = pool.shared_from_this();
+    auto const timer =
+        std::make_shared<boost::asio::steady_timer>(m_context, probe_timeout);
+    // The timer may expire while the answer is being handled: the connection
+    // then belongs to others already.
+    auto const answered = std::make_shared<bool>(false);
+    timer->async_wait(
+        [connection, answered](boost::system::error_code error)
+        {
+            if (!error && !*answered)
+            {
+                connection->close();
+            }
+        });
     self->statement_started();
     connection->send(platform::member_report_request(),
-                     [this, self, connection,
+                     [this, self, connection, timer, answered,
                       alive = m_alive](std::optional<statement_reply> reply)
                      {
+                         *answered = true;
+                         timer->cancel();
                          self->statement_finished(std::nullopt);
                          self->release(connection,
                                        reply && reply->m_phase ==
@@ -124,9 +139,11 @@
         state::log_position{position.m_term, position.m_index + 1};
     auto const passed = m_positions.reached_at(next);
     auto const now = state::clock::now();
-    pool.record_applied(position,
-                        passed ? std::max(now - *passed, state::duration(0))
-                               : state::duration(0));
+    pool.lag().record_applied(position,
+                              passed
+                                  ? std::max(now - *passed, state::duration(0))
+                                  : state::duration(0),
+                              now);
 }
 
 void group_traffic::report_reachability(member_pool const& pool,
@@ -181,9 +198,10 @@
     std::vector<member_gauge> result;
     for (auto const& pool : m_pools)
     {
-        result.push_back({m_group, pool->member().m_id,
-                          is_primary(pool->member().m_id), pool->connections(),
-                          pool->in_flight(), pool->lag(), m_queue.size()});
+        result.push_back(
+            {m_group, pool->member().m_id, is_primary(pool->member().m_id),
+             pool->connections(), pool->in_flight(),
+             pool->lag().value(state::clock::now()), m_queue.size()});
     }
     return result;
 }
--- a/packages/proxy/src/member_pool.cpp
+++ b/packages/proxy/src/member_pool.cpp
@@ -14,11 +14,6 @@
 /// Half-life of the mean response time while a member receives no statements,
 /// so that a member that was slow is used again eventually.
 constexpr state::duration response_half_life{2000};
-/// Weight of a new lag that is shorter than the recorded one.
-constexpr double lag_weight = 0.2;
-/// After a refusal because of lag, the recorded lag grows by this factor, up to
-/// twice the lag that the refusal showed.
-constexpr double refusal_lag_growth = 1.5;
 /// How long a member that had no slot gets no statements: about the duration of
 /// one.
 constexpr state::duration busy_backoff{10};
@@ -248,27 +243,6 @@
     m_busy_until = now + busy_backoff;
 }
 
-void member_pool::record_lagging(state::duration behind)
-{
-    m_last_lag_update = state::clock::now();
-    auto const grown = state::duration(static_cast<state::duration::rep>(
-        static_cast<double>(m_lag.count()) * refusal_lag_growth));
-    m_lag = std::max(behind, std::min(grown, behind * 2));
-}
-
-void member_pool::record_applied(state::log_position position,
-                                 state::duration behind)
-{
-    m_last_lag_update = state::clock::now();
-    if (!m_applied || position > *m_applied)
-    {
-        m_applied = position;
-    }
-    auto const weight = behind > m_lag ? 1.0 : lag_weight;
-    m_lag += state::duration(static_cast<state::duration::rep>(
-        static_cast<double>((behind - m_lag).count()) * weight));
-}
-
 coordination::member_condition
 member_pool::condition(std::string const& customer, bool primary,
                        state::time_point now) const
@@ -283,8 +257,13 @@
     auto const idle = static_cast<double>((now - m_last_finished).count()) /
                       static_cast<double>(response_half_life.count());
     value.m_response_ms = m_response.value_or(0) * std::exp2(-idle);
-    value.m_applied = m_applied;
-    value.m_lag = m_lag;
+    value.m_applied = m_lag.applied();
+    value.m_lag = m_lag.value(now);
+    if (!primary && m_lag.unconfirmed(now))
+    {
+        // One read at a time shows whether the replica has caught up.
+        value.m_free = value.m_free && m_in_flight == 0;
+    }
     return value;
 }
 
