proxy: the time-out of a probe as a function of its own

Cause: probe_if_stale had grown long with the time-out of its request, and the timer kept the connection alive.

Change: close_unless_answered holds the timer and refers to the connection weakly.

Measured: proxy_path_test and proxy_forwarding_test pass. No test covers the time-out itself: the stand-in answers every request for its state.

--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -22,6 +22,28 @@
 /// How long a member must fail before it is reported as unreachable.
 constexpr state::duration unreachable_delay{300};
 
+/// Closes a connection if a probe on it isn't answered in time.
+/// @return to be set to true when the answer arrives
+std::shared_ptr<bool>
+close_unless_answered(boost::asio::io_context& context,
+                      std::shared_ptr<member_connection> const& connection)
+{
+    auto answered = std::make_shared<bool>(false);
+    auto const timer =
+        std::make_shared<boost::asio::steady_timer>(context, probe_timeout);
+    timer->async_wait(
+        [timer, answered,
+         probed = std::weak_ptr(connection)](boost::system::error_code error)
+        {
+            auto const open = probed.lock();
+            if (!error && !*answered && open)
+            {
+                open->close();
+            }
+        });
+    return answered;
+}
+
 } // namespace
 
 std::shared_ptr<member_pool>
@@ -100,26 +122,13 @@
     }
     pool.lag().record_request(now);
     auto const self = pool.shared_from_this();
-    auto const timer =
-        std::make_shared<boost::asio::steady_timer>(m_context, probe_timeout);
-    // The timer may expire while the answer is being handled: the connection
-    // then belongs to others already.
-    auto const answered = std::make_shared<bool>(false);
-    timer->async_wait(
-        [connection, answered](boost::system::error_code error)
-        {
-            if (!error && !*answered)
-            {
-                connection->close();
-            }
-        });
+    auto const answered = close_unless_answered(m_context, connection);
     self->statement_started();
     connection->send(platform::member_report_request(),
-                     [this, self, connection, timer, answered,
+                     [this, self, connection, answered,
                       alive = m_alive](std::optional<statement_reply> reply)
                      {
                          *answered = true;
-                         timer->cancel();
                          self->statement_finished(std::nullopt);
                          self->release(connection,
                                        reply && reply->m_phase ==
