coordination, proxy: connections to a member are assigned by customer

Cause: the simple version closed the least recently used connection, opened one connection at a time, and sent reads to the primary where writes had already opened a connection.

Change: the pure class connection_assignment decides which idle connections to close and for which customers to open new ones, by the recent use of each customer (customer_activity), with a bound on the wait of a customer without a connection. choose_member adds the measured opening time (12 ms until measured) for a member at which a connection has to be opened. Two connections to a member may be opened at a time, for different customers. Metrics: connections opened, connections closed for another customer, statements that waited for an opening.

--- a/packages/coordination/include/camphortide/coordination/placing/member_choice.hpp
+++ b/packages/coordination/include/camphortide/coordination/placing/member_choice.hpp
@@ -25,6 +25,12 @@
     std::uint32_t m_in_flight = 0;
     /// Recent mean response time, including the wait at the member.
     double m_response_ms = 0;
+    /// It could accept a statement now, but has no idle connection for the
+    /// statement's customer; one is opening or can be opened.
+    bool m_openable = false;
+    /// Expected time until a connection for the statement's customer is open,
+    /// in ms; zero if one is idle.
+    double m_opening_ms = 0;
     /// Last position that the member reported as applied.
     std::optional<state::log_position> m_applied;
     /// Recent lag behind the primary.
@@ -56,6 +62,10 @@
 {
     /// Index of the member to send the statement to now; nothing: it waits.
     std::optional<std::size_t> m_member;
+    /// Index of the member whose connection the statement waits for: even with
+    /// the opening, its response is expected sooner than that of the members
+    /// that can accept the statement now.
+    std::optional<std::size_t> m_opening_member;
     /// Some member can execute the statement, now or once it is free.
     bool m_possible = false;
 
@@ -67,8 +77,10 @@
 /// primary only where its weighted response time is shorter, or where no
 /// replica is likely to have applied enough. A member in another data centre is
 /// chosen only where its response time is shorter by the same weight: traffic
-/// between data centres is dear. This balances load that is uneven among the
-/// members and avoids replicas that fall behind.
+/// between data centres is dear. A member at which a connection has to be
+/// opened first is a candidate, with the time of the opening added. This
+/// balances load that is uneven among the members and avoids replicas that fall
+/// behind.
 placement choose_member(placement_requirements const& requirements,
                         std::span<member_condition const> members,
                         state::time_point now);
--- a/packages/coordination/src/placing/member_choice.cpp
+++ b/packages/coordination/src/placing/member_choice.cpp
@@ -61,8 +61,8 @@
     double const response = std::max(member.m_response_ms, min_response_ms);
     double const primary_weight = member.m_primary ? primary_cost_factor : 1.0;
     double const remote_weight = member.m_remote ? remote_cost_factor : 1.0;
-    return response * (1.0 + member.m_in_flight) * primary_weight *
-           remote_weight;
+    return (response * (1.0 + member.m_in_flight) + member.m_opening_ms) *
+           primary_weight * remote_weight;
 }
 
 } // namespace
@@ -72,6 +72,7 @@
                         state::time_point now)
 {
     placement choice;
+    std::optional<std::size_t> chosen;
     double best = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < members.size(); ++index)
     {
@@ -82,12 +83,17 @@
         }
         choice.m_possible = true;
         double const expected = expected_ms(member);
-        if (member.m_free && expected < best)
+        if ((member.m_free || member.m_openable) && expected < best)
         {
             best = expected;
-            choice.m_member = index;
+            chosen = index;
         }
     }
+    if (chosen)
+    {
+        (members[*chosen].m_free ? choice.m_member : choice.m_opening_member) =
+            chosen;
+    }
     return choice;
 }
 
--- a/packages/coordination/test/placing/member_choice_test.cpp
+++ b/packages/coordination/test/placing/member_choice_test.cpp
@@ -108,3 +108,40 @@
     members[0].m_in_flight = 4;
     CHECK(choose_member(requirements, members, at(0)).m_member == 2);
 }
+
+TEST_CASE("a member at which a connection has to be opened is a candidate")
+{
+    // Guards against reads that stay at the primary because writes have opened
+    // a connection there.
+    placement_requirements requirements;
+    requirements.m_primary = false;
+    std::vector<member_condition> members{replica(5, 0), primary()};
+    members[0].m_free = false;
+    members[0].m_openable = true;
+    members[0].m_opening_ms = 12;
+    SUBCASE("an idle connection elsewhere is used if that is sooner")
+    {
+        auto const choice = choose_member(requirements, members, at(0));
+        CHECK(choice.m_member == 1);
+        CHECK_FALSE(choice.m_opening_member.has_value());
+    }
+    SUBCASE("the statement waits for the opening if that is sooner")
+    {
+        members[1].m_in_flight = 1;
+        auto const choice = choose_member(requirements, members, at(0));
+        CHECK_FALSE(choice.m_member.has_value());
+        CHECK(choice.m_opening_member == 0);
+        members[0].m_opening_ms = 31;
+        CHECK(choose_member(requirements, members, at(0)).m_member == 1);
+    }
+    SUBCASE("and where no other member can accept it")
+    {
+        members[1].m_free = false;
+        CHECK(choose_member(requirements, members, at(0)).m_opening_member ==
+              0);
+        members[0].m_openable = false;
+        auto const choice = choose_member(requirements, members, at(0));
+        CHECK_FALSE(choice.m_opening_member.has_value());
+        CHECK(choice.m_possible);
+    }
+}
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -93,6 +93,16 @@
     /// @return for each pool, the statements that wait for one of its
     ///     connections
     std::vector<member_pool::demand> send_waiting(state::time_point now);
+    /// Adds the statements of a customer that already wait for a connection to
+    /// the conditions of the members at which it has to be opened.
+    static void
+    add_waiting(std::vector<coordination::member_condition>& members,
+                std::vector<member_pool::demand> const& demand,
+                std::string const& customer);
+    static void add_demand(member_pool::demand& demand,
+                           statement_request const& request,
+                           coordination::waiting_statement const& item);
+    void note_opening_wait(statement_request& request, std::size_t index);
     /// @return index of the member that would be chosen if all had free
     ///     connections; nothing if none can run the statement
     std::optional<std::size_t> best_member(statement_request const& request,
@@ -173,6 +183,7 @@
     std::uint32_t m_max_connections = 1; ///< to a member, by all instances
     std::size_t m_home_count = 1;        ///< instances that share those
     bool m_is_home = true;               ///< this instance is one of them
+    bool m_by_customer = false;          ///< the configuration names customers
     bool m_dispatching = false;
     bool m_dispatch_again = false;
     /// Set to false on destruction; checked by handlers that may run later.
--- a/packages/proxy/include/camphortide/proxy/member_connection.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_connection.hpp
@@ -80,6 +80,7 @@
     coordination::connection_setup& setup() { return m_setup; }
 
     state::time_point last_used() const { return m_last_used; }
+    state::time_point opened_at() const { return m_opened_at; }
 
 private:
     void handle_connected();
@@ -103,6 +104,7 @@
     open_handler m_opening;
     std::function<void()> m_on_end;
     state::time_point m_last_used;
+    state::time_point m_opened_at;
     bool m_open = false;
     bool m_ended = false;
 };
--- a/packages/proxy/include/camphortide/proxy/member_pool.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_pool.hpp
@@ -11,6 +11,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <camphortide/coordination/limits/moving_mean.hpp>
+#include <camphortide/coordination/placing/connection_assignment.hpp>
+#include <camphortide/coordination/placing/customer_activity.hpp>
 #include <camphortide/coordination/placing/member_choice.hpp>
 #include <camphortide/proxy/member_connection.hpp>
 
@@ -23,11 +25,27 @@
     std::size_t m_connections = 1;       ///< kept open while idle
     std::size_t m_extra_connections = 0; ///< opened on demand
     std::uint32_t m_statements = 1;      ///< in flight
+    /// The configuration names customers: a member without a connection for a
+    /// customer is a candidate for its statements.
+    bool m_by_customer = false;
 
     friend auto operator<=>(member_pool_limits const&,
                             member_pool_limits const&) = default;
 };
 
+/// Counts of a pool's connections since it was created.
+struct member_pool_counts
+{
+    std::uint64_t m_opened = 0;
+    /// Closed because another customer needed a connection.
+    std::uint64_t m_reassigned = 0;
+    /// Statements that waited for a connection to open.
+    std::uint64_t m_opening_waits = 0;
+
+    friend auto operator<=>(member_pool_counts const&,
+                            member_pool_counts const&) = default;
+};
+
 /// Pool of this instance's connections to one member, with the member's
 /// observed response time, lag and failures.
 class member_pool : public std::enable_shared_from_this<member_pool>
@@ -41,15 +59,16 @@
     void update(state::member_entry member) { m_member = std::move(member); }
     void set_limits(member_pool_limits limits) { m_limits = limits; }
 
-    /// Number of statements that wait for a connection, by customer.
-    using demand = std::map<std::string, std::size_t>;
+    /// Statements that wait for a connection, by customer. The rates are filled
+    /// in by the pool.
+    using demand = coordination::connection_assignment::waiting_customers;
 
-    /// Opens a connection if one is needed, within the limits and unless an
-    /// earlier failure requires a pause. At the limit an idle connection of
-    /// another customer is closed first.
+    /// Opens the connections that are needed, within the limits and unless an
+    /// earlier failure requires a pause. At the limit, idle connections of
+    /// other customers are closed first.
     /// @param waiting statements that wait for a connection
-    /// @param changed called when the connection is open or has failed
-    void open_if_needed(demand const& waiting, changed_handler const& changed);
+    /// @param changed called when a connection is open or has failed
+    void open_if_needed(demand waiting, changed_handler const& changed);
 
     /// Removes from a customer's idle connections the one that requires the
     /// fewest setup commands for a session's values.
@@ -79,6 +98,8 @@
     /// @param response its response time, if the member ran it
     void statement_finished(std::optional<state::duration> response);
     void statement_started() { ++m_in_flight; }
+    /// Records that a statement waits for a connection to open.
+    void record_opening_wait() { ++m_counts.m_opening_waits; }
 
     /// Records that the member refused a statement because it was busy.
     void record_busy(state::time_point now);
@@ -103,6 +124,7 @@
     std::size_t connections() const { return m_all.size(); }
     std::uint32_t in_flight() const { return m_in_flight; }
     state::duration lag() const { return m_lag; }
+    member_pool_counts const& counts() const { return m_counts; }
     /// @return when the member last reported its position, or that it lags
     state::time_point last_lag_update() const { return m_last_lag_update; }
 
@@ -123,23 +145,46 @@
     void remove(std::shared_ptr<member_connection> const& connection);
     std::size_t max_connections() const;
     std::size_t idle_connections(std::string const& customer) const;
-    /// Closes the idle connection that was used least recently, of a customer
-    /// without waiting statements.
-    /// @return false if there is none
-    bool close_least_recent(demand const& waiting);
+    /// @return true if a connection for the customer is opening or may be
+    ///     opened
+    bool can_open(std::string const& customer, state::time_point now) const;
+    /// @return the expected time of an opening in ms; at least the time that
+    ///     the current ones have taken so far
+    double opening_ms(state::time_point now) const;
+    void assign(demand const& waiting, changed_handler const& changed,
+                state::time_point now);
+    void open_for(std::string const& customer, changed_handler const& changed);
+    coordination::connection_use
+    use_of(std::shared_ptr<member_connection> const& connection,
+           state::time_point now) const;
+    bool take_reclaim(std::string const& customer);
 
     boost::asio::io_context& m_context;
     state::member_entry m_member;
     member_pool_limits m_limits;
     std::set<std::shared_ptr<member_connection>> m_all;
     std::vector<std::shared_ptr<member_connection>> m_idle;
-    std::size_t m_opening = 0;
+    /// Connections in use, with the time since when.
+    std::map<std::shared_ptr<member_connection>, state::time_point> m_acquired;
+    /// Customers for which a connection is opening, with the time since when.
+    std::map<std::string, state::time_point> m_opening;
+    coordination::customer_activity m_activity;
+    /// Customers whose connections are closed when they are returned, and how
+    /// many of these.
+    std::set<std::string> m_reclaim;
+    std::size_t m_reclaim_count = 0;
+    /// Customers for which no connection could be opened, until when they
+    /// aren't considered again.
+    std::map<std::string, state::time_point> m_denied;
+    member_pool_counts m_counts;
     std::uint32_t m_in_flight = 0;
     state::time_point m_next_opening;
     state::duration m_opening_backoff{};
     state::time_point m_busy_until;
     std::optional<state::time_point> m_failing_since;
     coordination::moving_mean m_response;
+    coordination::moving_mean m_opening_time; ///< in ms
+    coordination::moving_mean m_use_time;     ///< of a connection, in ms
     std::optional<state::log_position> m_applied;
     state::duration m_lag{};
     state::time_point m_last_lag_update;
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -73,6 +73,7 @@
     /// Position that a replica must have applied, as of the choice of the
     /// member.
     std::optional<state::log_position> m_required_position;
+    bool m_waited_for_opening = false; ///< of a connection for its customer
     std::uint32_t m_send_count = 0;
     state::time_point m_sent_at;
     std::unique_ptr<boost::asio::steady_timer>
--- a/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
@@ -18,6 +18,11 @@
     std::uint32_t m_in_flight = 0;
     state::duration m_lag{};
     std::size_t m_waiting = 0; ///< statements that wait, of the whole group
+    std::uint64_t m_connections_opened = 0;
+    /// Connections closed because another customer needed one.
+    std::uint64_t m_connections_reassigned = 0;
+    /// Statements that waited for a connection to open.
+    std::uint64_t m_opening_waits = 0;
 };
 
 /// Counts of a group's reads: sent to a replica, or to the primary by reason.
--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -54,6 +54,7 @@
     {
         m_max_connections = limits->second.m_max_connections;
     }
+    m_by_customer = view.m_configuration->m_customers.has_value();
     m_data_centre = view.m_data_centre;
     auto const homes = view.m_homes.find(m_group);
     if (homes != view.m_homes.end())
@@ -131,9 +132,13 @@
         return limits;
     }
     auto const share = std::max<std::size_t>(1, shared / homes);
+    limits.m_by_customer = m_by_customer;
     limits.m_connections = std::max<std::size_t>(1, share / idle_divisor);
-    limits.m_extra_connections =
-        share + extra_connections - limits.m_connections;
+    // Where connections are reassigned, a member may still count the closed one
+    // when the new one arrives: an instance's extra connection is left unused.
+    auto const extra =
+        m_by_customer && share > 1 ? std::size_t{0} : extra_connections;
+    limits.m_extra_connections = share + extra - limits.m_connections;
     limits.m_statements =
         std::max(min_statements,
                  (member.m_slots * statements_per_slot + homes - 1) / homes);
@@ -297,7 +302,8 @@
         }
         auto const request = it->second;
         auto const requirements = requirements_for(*request);
-        auto const members = conditions(request->m_customer, now);
+        auto members = conditions(request->m_customer, now);
+        add_waiting(members, demand, request->m_customer);
         auto const choice =
             coordination::choose_member(requirements, members, now);
         if (choice.m_member)
@@ -307,18 +313,61 @@
             request->m_required_position = requirements.m_required_position;
             send_to(request, *choice.m_member);
         }
+        else if (choice.m_opening_member)
+        {
+            note_opening_wait(*request, *choice.m_opening_member);
+            add_demand(demand[*choice.m_opening_member], *request, item);
+        }
         else if (!choice.m_possible)
         {
             request->m_attempted_members = 0; // attempts all members again
         }
         else if (auto const best = best_member(*request, now))
         {
-            ++demand[*best][request->m_customer];
+            add_demand(demand[*best], *request, item);
         }
     }
     return demand;
 }
 
+void group_traffic::add_waiting(
+    std::vector<coordination::member_condition>& members,
+    std::vector<member_pool::demand> const& demand, std::string const& customer)
+{
+    for (std::size_t i = 0; i < members.size(); ++i)
+    {
+        auto const it = demand[i].find(customer);
+        if (members[i].m_openable && it != demand[i].end())
+        {
+            // The customer's connections to a member are opened one by one.
+            auto const ahead = it->second.m_statements;
+            members[i].m_in_flight += static_cast<std::uint32_t>(ahead);
+            members[i].m_opening_ms *= 1.0 + static_cast<double>(ahead);
+        }
+    }
+}
+
+void group_traffic::add_demand(member_pool::demand& demand,
+                               statement_request const& request,
+                               coordination::waiting_statement const& item)
+{
+    auto const [it, added] = demand.try_emplace(request.m_customer);
+    ++it->second.m_statements;
+    if (added)
+    {
+        it->second.m_send_by = item.m_send_by; // the first in the queue's order
+    }
+}
+
+void group_traffic::note_opening_wait(statement_request& request,
+                                      std::size_t index)
+{
+    if (!std::exchange(request.m_waited_for_opening, true))
+    {
+        m_pools[index]->record_opening_wait();
+    }
+}
+
 std::optional<std::size_t>
 group_traffic::best_member(statement_request const& request,
                            state::time_point now) const
--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -183,7 +183,9 @@
     {
         result.push_back({m_group, pool->member().m_id,
                           is_primary(pool->member().m_id), pool->connections(),
-                          pool->in_flight(), pool->lag(), m_queue.size()});
+                          pool->in_flight(), pool->lag(), m_queue.size(),
+                          pool->counts().m_opened, pool->counts().m_reassigned,
+                          pool->counts().m_opening_waits});
     }
     return result;
 }
--- a/packages/proxy/src/instance_gauges.cpp
+++ b/packages/proxy/src/instance_gauges.cpp
@@ -16,6 +16,15 @@
                       static_cast<double>(member.m_connections)});
     result.push_back({"member_in_flight", "statements at a member", labels,
                       static_cast<double>(member.m_in_flight)});
+    result.push_back({"member_connections_opened",
+                      "connections opened to a member", labels,
+                      static_cast<double>(member.m_connections_opened)});
+    result.push_back({"member_connections_reassigned",
+                      "connections closed for another customer", labels,
+                      static_cast<double>(member.m_connections_reassigned)});
+    result.push_back({"member_opening_waits",
+                      "statements that waited for a connection to open", labels,
+                      static_cast<double>(member.m_opening_waits)});
     result.push_back({"member_lag_ms", "lag behind the primary", labels,
                       static_cast<double>(member.m_lag.count())});
     result.push_back({"group_waiting", "statements that wait for a member",
--- a/packages/proxy/src/member_connection.cpp
+++ b/packages/proxy/src/member_connection.cpp
@@ -113,6 +113,7 @@
     auto const done = std::exchange(m_opening, nullptr);
     m_opening_timer.cancel();
     m_last_used = state::clock::now();
+    m_opened_at = m_last_used;
     m_open = result == opening_result::opened;
     if (!m_open)
     {
--- a/packages/proxy/src/member_pool.cpp
+++ b/packages/proxy/src/member_pool.cpp
@@ -27,6 +27,11 @@
 constexpr state::duration max_opening_backoff{500};
 /// Backoff after the member refused a connection because it had too many.
 constexpr state::duration full_backoff{300};
+/// Assumed time of an opening until one has been measured, in ms.
+constexpr double initial_opening_ms = 12;
+/// How long other members are considered for a customer for which no connection
+/// could be opened: several openings.
+constexpr state::duration denial_time{50};
 /// How long a connection above the number kept may stay idle.
 constexpr state::duration surplus_idle_timeout{1000};
 
@@ -36,7 +41,9 @@
                          state::member_entry member)
     : m_context(context),
       m_member(std::move(member)),
-      m_response(response_weight)
+      m_response(response_weight),
+      m_opening_time(response_weight),
+      m_use_time(response_weight)
 {
 }
 
@@ -52,71 +59,139 @@
                               { return connection->customer() == customer; }));
 }
 
-bool member_pool::close_least_recent(demand const& waiting)
+bool member_pool::can_open(std::string const& customer,
+                           state::time_point now) const
 {
-    std::shared_ptr<member_connection> oldest;
-    for (auto const& connection : m_idle)
+    if (m_opening.contains(customer))
     {
-        bool const older =
-            !oldest || connection->last_used() < oldest->last_used();
-        if (older && !waiting.contains(connection->customer()))
-        {
-            oldest = connection;
-        }
+        return true;
     }
-    if (oldest)
+    auto const denied = m_denied.find(customer);
+    return (denied == m_denied.end() || denied->second <= now) &&
+           now >= m_next_opening && max_connections() > 0 &&
+           (m_all.size() < max_connections() || !m_idle.empty());
+}
+
+double member_pool::opening_ms(state::time_point now) const
+{
+    // A lost member doesn't respond: the longer an opening takes, the sooner
+    // the statements are sent to other members.
+    double expected = m_opening_time.value_or(initial_opening_ms);
+    for (auto const& [customer, started] : m_opening)
     {
-        oldest->close();
-        remove(oldest);
+        expected =
+            std::max(expected, static_cast<double>((now - started).count()));
     }
-    return oldest != nullptr;
+    return expected;
 }
 
-void member_pool::open_if_needed(demand const& waiting,
-                                 changed_handler const& changed)
+void member_pool::open_if_needed(demand waiting, changed_handler const& changed)
 {
     auto const now = state::clock::now();
-    std::optional<std::string> customer;
-    for (auto const& [each, count] : waiting)
+    m_reclaim.clear();
+    m_reclaim_count = 0;
+    std::erase_if(m_denied,
+                  [now](auto const& entry) { return entry.second <= now; });
+    if (m_all.empty() && waiting.empty())
+    {
+        // Kept open to detect whether the member can be reached.
+        waiting[{}] = {1, now};
+    }
+    if (!waiting.empty() && now >= m_next_opening)
     {
-        if (!customer && count > idle_connections(each))
+        for (auto& [customer, each] : waiting)
         {
-            customer = each;
+            each.m_rate = m_activity.rate(customer, now);
+            each.m_rate_of_others = m_activity.rate_of_others(customer, now);
         }
+        assign(waiting, changed, now);
     }
-    if (m_all.empty() && !customer)
+}
+
+coordination::connection_use
+member_pool::use_of(std::shared_ptr<member_connection> const& connection,
+                    state::time_point now) const
+{
+    using coordination::connection_phase;
+    auto phase = connection_phase::opening;
+    if (m_acquired.contains(connection))
     {
-        customer.emplace();
+        phase = connection_phase::in_use;
     }
-    // One at a time: opening a connection occupies a part of a member's slot.
-    if (!customer || m_opening > 0 || now < m_next_opening)
+    else if (std::ranges::find(m_idle, connection) != m_idle.end())
     {
-        return;
+        phase = connection_phase::idle;
     }
-    if (m_all.size() >= max_connections() &&
-        (m_limits.m_connections == 0 || !close_least_recent(waiting)))
+    return {connection->customer(), phase, connection->last_used(),
+            m_activity.rate(connection->customer(), now),
+            connection->opened_at()};
+}
+
+void member_pool::assign(demand const& waiting, changed_handler const& changed,
+                         state::time_point now)
+{
+    std::vector<std::shared_ptr<member_connection>> const all(m_all.begin(),
+                                                              m_all.end());
+    std::vector<coordination::connection_use> uses;
+    uses.reserve(all.size());
+    for (auto const& connection : all)
     {
-        return;
+        uses.push_back(use_of(connection, now));
+    }
+    coordination::connection_limits limits;
+    limits.m_connections = max_connections();
+    limits.m_use_time = state::duration(std::llround(
+        m_use_time.value_or(static_cast<double>(limits.m_use_time.count()))));
+    auto const changes =
+        coordination::connection_assignment(uses, waiting, limits, now)
+            .decide();
+    for (auto const index : changes.m_close)
+    {
+        ++m_counts.m_reassigned;
+        all[index]->close();
+        remove(all[index]);
     }
+    for (auto const& customer : changes.m_open)
+    {
+        open_for(customer, changed);
+    }
+    m_reclaim = changes.m_reclaim;
+    m_reclaim_count = changes.m_reclaim_count;
+    for (auto const& customer : changes.m_denied)
+    {
+        m_denied[customer] = now + denial_time;
+    }
+}
+
+void member_pool::open_for(std::string const& customer,
+                           changed_handler const& changed)
+{
+    auto const started = state::clock::now();
     auto const connection = std::make_shared<member_connection>(m_context);
     m_all.insert(connection);
-    ++m_opening;
-    connection->open(
-        m_member, *customer,
-        [self = shared_from_this(), connection, changed](opening_result result)
-        {
-            self->opened(connection, result);
-            changed();
-        });
+    m_opening[customer] = started;
+    connection->open(m_member, customer,
+                     [self = shared_from_this(), connection, changed,
+                      started](opening_result result)
+                     {
+                         if (result == opening_result::opened)
+                         {
+                             self->m_opening_time.add(static_cast<double>(
+                                 (state::clock::now() - started).count()));
+                         }
+                         self->opened(connection, result);
+                         changed();
+                     });
 }
 
 void member_pool::opened(std::shared_ptr<member_connection> const& connection,
                          opening_result result)
 {
     auto const now = state::clock::now();
-    --m_opening;
+    m_opening.erase(connection->customer());
     if (result == opening_result::opened)
     {
+        ++m_counts.m_opened;
         m_opening_backoff = {};
         record_answer();
         m_idle.push_back(connection);
@@ -156,6 +231,7 @@
 void member_pool::remove(std::shared_ptr<member_connection> const& connection)
 {
     m_all.erase(connection);
+    m_acquired.erase(connection);
     std::erase(m_idle, connection);
 }
 
@@ -173,7 +249,13 @@
             nearest = connection;
         }
     }
-    std::erase(m_idle, nearest);
+    if (nearest)
+    {
+        auto const now = state::clock::now();
+        std::erase(m_idle, nearest);
+        m_acquired[nearest] = now;
+        m_activity.record_use(customer, now);
+    }
     return nearest;
 }
 
@@ -185,9 +267,21 @@
     }
     auto connection = m_idle.back();
     m_idle.pop_back();
+    m_acquired[connection] = state::clock::now();
     return connection;
 }
 
+bool member_pool::take_reclaim(std::string const& customer)
+{
+    bool const taken = m_reclaim_count > 0 && m_reclaim.contains(customer);
+    if (taken)
+    {
+        --m_reclaim_count;
+        ++m_counts.m_reassigned;
+    }
+    return taken;
+}
+
 void member_pool::release(std::shared_ptr<member_connection> const& connection,
                           bool clean)
 {
@@ -196,12 +290,20 @@
         remove(connection);
         return;
     }
-    if (!clean || m_all.size() > max_connections() || m_member.m_leaving)
+    if (!clean || m_all.size() > max_connections() || m_member.m_leaving ||
+        take_reclaim(connection->customer()))
     {
         connection->close();
         remove(connection);
         return;
     }
+    auto const acquired = m_acquired.find(connection);
+    if (acquired != m_acquired.end())
+    {
+        m_use_time.add(static_cast<double>(
+            (state::clock::now() - acquired->second).count()));
+        m_acquired.erase(acquired);
+    }
     m_idle.push_back(connection);
 }
 
@@ -276,8 +378,15 @@
     coordination::member_condition value;
     value.m_primary = primary;
     value.m_usable = !m_member.m_leaving || primary;
-    value.m_free = idle_connections(customer) > 0 &&
-                   m_in_flight < m_limits.m_statements && now >= m_busy_until;
+    bool const accepts =
+        m_in_flight < m_limits.m_statements && now >= m_busy_until;
+    bool const has_idle = idle_connections(customer) > 0;
+    value.m_free = has_idle && accepts;
+    if (m_limits.m_by_customer && !has_idle)
+    {
+        value.m_openable = accepts && can_open(customer, now);
+        value.m_opening_ms = opening_ms(now);
+    }
     value.m_in_flight = m_in_flight;
     // A past response time predicts the next one less and less as time passes.
     auto const idle = static_cast<double>((now - m_last_finished).count()) /
