--- a/packages/proxy/test/forwarding/home_router_test.cpp
+++ b/packages/proxy/test/forwarding/home_router_test.cpp
@@ -7,6 +7,7 @@
 
 namespace coordination = camphortide::coordination;
 namespace proxy = camphortide::proxy;
+namespace v1 = camphortide::proxy::v1;
 namespace state = camphortide::state;
 using coordination::sent_kind;
 using proxy::statement_request;
@@ -48,6 +49,14 @@
     {
         ++m_rolled_back;
     }
+    v1::Message answer_allowance(v1::AllowanceRequest const& message) override
+    {
+        v1::Message reply;
+        reply.mutable_allowance_reply()->set_number(message.number());
+        reply.mutable_allowance_reply()->set_granted(message.wanted());
+        return reply;
+    }
+    void note_allowance_keeper(v1::AllowanceAnnouncement const&) override {}
 
     /// Answers the last statement.
     /// @param row of the answer
