--- a/packages/coordination/test/allowance/keeper_order_test.cpp
+++ b/packages/coordination/test/allowance/keeper_order_test.cpp
@@ -62,9 +62,9 @@
     {
         ++customers[order.of("customer-" + std::to_string(i))[0].m_name];
     }
-    for (auto const& [name, count] : customers)
+    for (auto const& keeper : customers)
     {
-        CAPTURE(name);
-        CHECK(count < 30);
+        CAPTURE(keeper.first);
+        CHECK(keeper.second < 30);
     }
 }
--- a/packages/coordination/test/placing/statement_limit_test.cpp
+++ b/packages/coordination/test/placing/statement_limit_test.cpp
@@ -66,7 +66,7 @@
 TEST_CASE("homes can use all slots of a far member")
 {
     double const capacity_per_ms = static_cast<double>(slots) / work_ms;
-    for (std::size_t const homes : {1, 5})
+    for (std::size_t const homes : {std::size_t{1}, std::size_t{5}})
     {
         auto const limit =
             statement_limit(inputs(homes, far_ms, far_ms + work_ms));
@@ -79,7 +79,7 @@
 // Guards against a long queue at a far member that several homes use at once.
 TEST_CASE("a far member's queue stays as short as a near member's")
 {
-    for (std::size_t const homes : {1, 5})
+    for (std::size_t const homes : {std::size_t{1}, std::size_t{5}})
     {
         double const far = balanced_response_ms(homes, far_ms, work_ms);
         double const near = balanced_response_ms(homes, near_ms, work_ms);
@@ -91,7 +91,7 @@
 // Guards against more load on a member that is already slow.
 TEST_CASE("the limit at a far member shrinks as the member slows down")
 {
-    for (std::size_t const homes : {1, 5})
+    for (std::size_t const homes : {std::size_t{1}, std::size_t{5}})
     {
         auto last = statement_limit(inputs(homes, far_ms, far_ms + work_ms));
         auto const first = last;
@@ -120,7 +120,7 @@
 // Guards against statements that the member refuses because its queue is full.
 TEST_CASE("the limit never exceeds the capacity")
 {
-    for (std::uint32_t const capacity : {0, 1, 5, 12})
+    for (std::uint32_t const capacity : {0U, 1U, 5U, 12U})
     {
         auto value = inputs(1, far_ms, far_ms + work_ms);
         value.m_capacity = capacity;
