--- a/packages/coordination/test/allowance/keeper_order_test.cpp
+++ b/packages/coordination/test/allowance/keeper_order_test.cpp
@@ -13,6 +13,7 @@
 std::vector<keeper_candidate> instances(int count)
 {
     std::vector<keeper_candidate> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
     {
         result.push_back({{"edge-" + std::to_string(i), "address"}, 1});
--- a/packages/proxy/test/customers/customer_connections_test.cpp
+++ b/packages/proxy/test/customers/customer_connections_test.cpp
@@ -33,8 +33,8 @@
         {
             auto const text = std::to_string(number);
             tenants += (number == 0 ? "" : ",");
-            tenants +=
-                R"({"name":"c)" + text + R"(","apiKeys":["k)" + text + R"("]})";
+            tenants.append(R"({"name":"c)").append(text);
+            tenants.append(R"(","apiKeys":["k)").append(text).append(R"("]})");
         }
         configure(3, "read_your_writes", "loans", 6,
                   R"(,"tenants":[)" + tenants + ']');
@@ -69,6 +69,7 @@
     crowded_deployment fixture;
     REQUIRE(fixture.wait_writes());
     std::vector<std::unique_ptr<text_client>> callers;
+    callers.reserve(customers);
     for (int number = 0; number < customers; ++number)
     {
         // Constructed in place: a client can't be moved.
--- a/packages/state/include/camphortide/state/customer_directory.hpp
+++ b/packages/state/include/camphortide/state/customer_directory.hpp
@@ -70,7 +70,7 @@
 
 private:
     void add_key(std::string const& key, std::string const& name);
-    void fail(std::string message);
+    void fail(std::string const& message);
 
     customer_directory m_result;
     absl::Status m_status;
--- a/packages/state/src/customer_directory.cpp
+++ b/packages/state/src/customer_directory.cpp
@@ -78,11 +78,11 @@
     }
 }
 
-void customer_directory_builder::fail(std::string message)
+void customer_directory_builder::fail(std::string const& message)
 {
     if (m_status.ok())
     {
-        m_status = absl::InvalidArgumentError(std::move(message));
+        m_status = absl::InvalidArgumentError(message);
     }
 }
 
