Make two files build on arm64

GCC 12 on arm64 refuses them: the using-declaration of group_member clashes with a function of the C library, and -Wrestrict warns falsely about std::string + std::to_string(value).

No behaviour changes.

--- a/packages/coordination/test/stops/stop_planner_test.cpp
+++ b/packages/coordination/test/stops/stop_planner_test.cpp
@@ -9,7 +9,6 @@
 
 namespace coordination = camphortide::coordination;
 namespace state = camphortide::state;
-using coordination::group_member;
 using coordination::stop_problem;
 using state::stop_kind;
 using state::stop_state;
@@ -91,7 +90,7 @@
                                              std::string const& name)
     {
         return *std::ranges::find(
-            m_members, group_member{group_name, name},
+            m_members, coordination::group_member{group_name, name},
             &coordination::member_observation::m_group_member);
     }
 
@@ -157,7 +156,8 @@
     m_stops = {stop("s", stop_kind::member, "one", "loans", 1)};
     member("loans", "one").m_connections = 0;
     auto const own = plan(first_home("loans"));
-    CHECK(own.m_switch_over == std::vector<group_member>{{"loans", "one"}});
+    CHECK(own.m_switch_over ==
+          std::vector<coordination::group_member>{{"loans", "one"}});
     report(first_home("loans"));
     CHECK(m_stops[0].m_state == stop_state::draining);
     member("loans", "one").m_is_primary = false;
@@ -182,7 +182,8 @@
 {
     m_stops = {stop("s", stop_kind::endpoint, "host-two", "", 1)};
     CHECK(plan("instance-0").m_excluded_members ==
-          std::vector<group_member>{{"loans", "two"}, {"members", "two"}});
+          std::vector<coordination::group_member>{{"loans", "two"},
+                                                  {"members", "two"}});
     member("loans", "two").m_connections = 0;
     report(first_home("loans"));
     CHECK(m_stops[0].m_state == stop_state::draining);
@@ -197,19 +198,21 @@
     m_stops = {stop("b", stop_kind::member, "three", "loans", 9),
                stop("a", stop_kind::endpoint, "host-two", "", 4)};
     CHECK(plan("instance-0").m_excluded_members ==
-          std::vector<group_member>{{"loans", "two"}, {"members", "two"}});
+          std::vector<coordination::group_member>{{"loans", "two"},
+                                                  {"members", "two"}});
     SUBCASE("a stop that is already draining goes first")
     {
         m_stops[0].m_state = stop_state::draining;
         CHECK(plan("instance-0").m_excluded_members ==
-              std::vector<group_member>{{"loans", "three"}});
+              std::vector<coordination::group_member>{{"loans", "three"}});
     }
     SUBCASE("it still waits when the first is done, as that member may be "
             "shut down")
     {
         m_stops[1].m_state = stop_state::done;
         CHECK(plan("instance-0").m_excluded_members ==
-              std::vector<group_member>{{"loans", "two"}, {"members", "two"}});
+              std::vector<coordination::group_member>{{"loans", "two"},
+                                                      {"members", "two"}});
         CHECK(plan(first_home("loans")).m_reports.empty());
     }
     SUBCASE("it proceeds when the first is cancelled")
@@ -228,7 +231,8 @@
     marked.m_members[0].m_leaving = true;
     m_catalogue = state::catalogue_builder(m_catalogue).set(marked).build();
     CHECK(plan("instance-0").m_excluded_members ==
-          std::vector<group_member>{{"loans", "three"}, {"members", "one"}});
+          std::vector<coordination::group_member>{{"loans", "three"},
+                                                  {"members", "one"}});
 }
 
 TEST_CASE_FIXTURE(stop_fixture,
--- a/packages/transport/include/camphortide/transport/logging/log_field.hpp
+++ b/packages/transport/include/camphortide/transport/logging/log_field.hpp
@@ -28,7 +28,7 @@
     template <typename Number>
     requires std::is_integral_v<Number> log_field(std::string_view key,
                                                   Number value)
-        : m_text(std::string(key) + '=' + std::to_string(value))
+        : m_text(std::string(key).append("=").append(std::to_string(value)))
     {
     }
 
