proxy: a response that can't be parsed is logged as unreadable

An instance that couldn't parse a listing or a watch response logged "store updates failing ... outcome=done", which looks like the opposite of a failure. The outcome is now "unreadable".

--- a/packages/proxy/src/object_watch.cpp
+++ b/packages/proxy/src/object_watch.cpp
@@ -22,6 +22,22 @@
 /// each other don't respond in an endless loop.
 constexpr state::duration min_verification_step{1000};
 
+/// Parses the page in a response.
+/// @param outcome of the request; unreadable if the page is invalid
+/// @return the page; empty if there is none
+std::optional<platform::store_page>
+read_page(store_outcome& outcome,
+          std::optional<platform::http_response> const& response)
+{
+    auto page = outcome == store_outcome::done ? platform::parse_page(*response)
+                                               : std::nullopt;
+    if (!page && outcome == store_outcome::done)
+    {
+        outcome = store_outcome::unreadable;
+    }
+    return page;
+}
+
 } // namespace
 
 object_watch::object_watch(boost::asio::io_context& context,
@@ -67,9 +83,7 @@
     store_outcome outcome,
     std::optional<platform::http_response> const& response)
 {
-    auto const page = outcome == store_outcome::done
-                          ? platform::parse_page(*response)
-                          : std::nullopt;
+    auto const page = read_page(outcome, response);
     if (!page)
     {
         request_failed(outcome);
@@ -152,9 +166,7 @@
         list({});
         return;
     }
-    auto const page = outcome == store_outcome::done
-                          ? platform::parse_page(*response)
-                          : std::nullopt;
+    auto const page = read_page(outcome, response);
     if (!page && outcome == store_outcome::no_answer)
     {
         // A watch without a response doesn't show whether the store is
--- a/packages/proxy/test/news/object_watch_test.cpp
+++ b/packages/proxy/test/news/object_watch_test.cpp
@@ -308,3 +308,17 @@
     // seconds.
     CHECK(requests <= 60);
 }
+
+TEST_CASE("a response that can't be parsed is reported as unreadable")
+{
+    pair_of_instances instances;
+    instances.m_platform.put("config", "main", "}");
+    instances.m_first.start();
+    CHECK(instances.run_until(
+        [&]
+        {
+            return instances.m_first.m_last_status &&
+                   instances.m_first.m_last_status->first ==
+                       platform::store_outcome::unreadable;
+        }));
+}
