--- a/packages/transport/src/settings/value_kind.cpp
+++ b/packages/transport/src/settings/value_kind.cpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <system_error>
 
-#include <arpa/inet.h>
+#include <camphortide/state/endpoint.hpp>
 
 namespace camphortide::transport
 {
@@ -36,30 +36,9 @@
                        });
 }
 
-bool is_ip_number(std::string const& host)
-{
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-    {
-        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(),
-                         buffer.data()) == 1;
-    }
-    return inet_pton(AF_INET, host.c_str(), buffer.data()) == 1;
-}
-
 bool is_address(std::string const& text)
 {
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return false;
-    }
-    std::uint16_t port = 0;
-    char const* const end = text.data() + text.size();
-    auto const [rest, error] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    return error == std::errc() && rest == end &&
-           is_ip_number(text.substr(0, colon));
+    return state::port_of(text).has_value();
 }
 
 bool is_hexadecimal(std::string_view text, std::size_t bytes)
