proxy: connections that may have fallen silent aren't reused

After the open connections had fallen silent without a reset, a new configuration was in force at all instances only 6.4 s after its confirmation.

Cause: every silent connection was found out by a time-out of its own. A follower waited 1.5 s for its relay, 1.8 s for a watch on an idle connection to the store, 0.8 s for a listing on the next one; the relay meanwhile had no updates to pass on, for the same reason.

Change: a response that doesn't arrive closes all idle connections to that server, and a connection that was idle for 4 s isn't reused.

--- a/packages/proxy/include/camphortide/proxy/http_client.hpp
+++ b/packages/proxy/include/camphortide/proxy/http_client.hpp
@@ -33,8 +33,9 @@
     request_failure m_failure = request_failure::none;
 };
 
-/// Sends requests to one HTTP/1.1 server. Keeps a few connections alive; a
-/// connection on which a response failed to arrive is closed.
+/// Sends requests to one HTTP/1.1 server. Keeps a few connections alive. Once
+/// a response has failed to arrive, all of them are closed: whatever silenced
+/// one connection may have silenced the others.
 class http_client : public std::enable_shared_from_this<http_client>
 {
 public:
@@ -65,9 +66,18 @@
     class exchange;
     using connection = std::unique_ptr<boost::asio::ip::tcp::socket>;
 
+    struct idle_connection
+    {
+        connection m_socket;
+        state::time_point m_idle_since;
+    };
+
+    /// @return the connection that was used last; empty if none may be reused
+    connection take_idle();
+
     boost::asio::io_context& m_context;
     std::string m_address;
-    std::vector<connection> m_idle;
+    std::vector<idle_connection> m_idle; ///< the one used last is the last
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -20,6 +20,9 @@
 {
 
 constexpr std::size_t max_idle_connections = 4;
+/// A connection that was idle for longer isn't reused, as it may have broken
+/// without notice.
+constexpr state::duration max_idle_time{4000};
 constexpr std::uint64_t max_body_bytes = std::uint64_t{16} << 20;
 constexpr state::duration unacknowledged_timeout{4000};
 /// Once a response has begun: timeout for its next part, and for all of it. A
@@ -48,10 +51,9 @@
         build_request(request);
         m_deadline = state::clock::now() + timeout;
         wait_for_deadline();
-        if (!m_owner->m_idle.empty())
+        m_socket = m_owner->take_idle();
+        if (m_socket)
         {
-            m_socket = std::move(m_owner->m_idle.back());
-            m_owner->m_idle.pop_back();
             m_reused = true;
             write();
             return;
@@ -75,6 +77,7 @@
                     self->wait_for_deadline(); // extended meanwhile
                     return;
                 }
+                self->m_owner->m_idle.clear();
                 self->finish({std::nullopt, self->failure()});
             });
     }
@@ -198,7 +201,8 @@
         if (response.keep_alive() &&
             m_owner->m_idle.size() < max_idle_connections)
         {
-            m_owner->m_idle.push_back(std::move(m_socket));
+            m_owner->m_idle.push_back(
+                {std::move(m_socket), state::clock::now()});
         }
         finish({platform::http_response{response.result_int(),
                                         std::move(response.body())},
@@ -275,6 +279,20 @@
         ->start(request, timeout);
 }
 
+http_client::connection http_client::take_idle()
+{
+    auto const oldest = state::clock::now() - max_idle_time;
+    std::erase_if(m_idle, [oldest](auto const& each)
+                  { return each.m_idle_since < oldest; });
+    if (m_idle.empty())
+    {
+        return nullptr;
+    }
+    auto socket = std::move(m_idle.back().m_socket);
+    m_idle.pop_back();
+    return socket;
+}
+
 void http_client::set_address(std::string address)
 {
     if (address != m_address)
--- a/packages/proxy/test/distribution/relayed_configuration_test.cpp
+++ b/packages/proxy/test/distribution/relayed_configuration_test.cpp
@@ -299,3 +299,57 @@
           link_bytes_per_second / 2 + configuration(1466, 1).size() * 2);
     CHECK(sent >= configuration(1466, 1).size());
 }
+
+TEST_CASE("a configuration is in force in time after all open connections have "
+          "fallen silent")
+{
+    // Time after which a host whose connections were reset counts as
+    // undisturbed.
+    constexpr state::duration bound{4000};
+    constexpr std::size_t fast = std::size_t{125} << 20;
+    standin::text_platform store;
+    store.put("config", "main", configuration(16, 1));
+    fleet all;
+    auto const store_address = local_address(5, 7004);
+    tests::slow_link store_link(all.m_context, endpoint(store_address),
+                                endpoint(store.address()), fast);
+    std::vector<std::unique_ptr<tests::slow_link>> links;
+    std::vector<coordination::update_relay> relays;
+    for (int number = 5; number < 7; ++number)
+    {
+        auto const direct = local_address(number, 7005);
+        auto const linked = local_address(number, 7006);
+        REQUIRE(all.add(store_address).m_server.listen(direct));
+        links.push_back(std::make_unique<tests::slow_link>(
+            all.m_context, endpoint(linked), endpoint(direct), fast));
+        relays.push_back({"relay-" + std::to_string(number), linked});
+    }
+    auto& follower = all.add(store_address);
+    all.m_instances[0]->m_watch.set_order({std::nullopt, relays[1]});
+    all.m_instances[1]->m_watch.set_order({std::nullopt, relays[0]});
+    follower.m_watch.set_order({relays[0], std::nullopt, relays[1]});
+    for (auto const& each : all.m_instances)
+    {
+        each->start();
+        // An instance follows three kinds of objects at once.
+        for (int kind = 1; kind < 3; ++kind)
+        {
+            each->m_store.send(
+                platform::list_request(object_kind::members, {}),
+                [](platform::store_outcome,
+                   std::optional<platform::http_response> const&) {});
+        }
+    }
+    REQUIRE(all.run_until(long_time, [&] { return all.all_have_version(1); }));
+    all.run_until(wait * 2, [] { return false; });
+
+    store_link.silence_connections();
+    for (auto const& link : links)
+    {
+        link->silence_connections();
+    }
+    store.put("config", "main", configuration(16, 2));
+    auto const silenced_at = state::clock::now();
+    all.run_until(long_time, [&] { return all.all_have_version(2); });
+    CHECK(state::clock::now() - silenced_at < bound);
+}
--- a/packages/proxy/test/support/slow_link.hpp
+++ b/packages/proxy/test/support/slow_link.hpp
@@ -39,6 +39,10 @@
         accept();
     }
 
+    /// Nothing more is forwarded on the connections that are open now, and they
+    /// stay open.
+    void silence_connections() { ++m_silenced; }
+
     /// @return how long the link has been transferring responses
     std::chrono::nanoseconds busy_time() const { return m_busy_time; }
 
@@ -51,6 +55,8 @@
         std::shared_ptr<tcp::socket> m_from;
         std::shared_ptr<tcp::socket> m_to;
         bool m_limited = false;
+        /// Value of slow_link::m_silenced when the connection was opened.
+        std::size_t m_silenced_before = 0;
         boost::asio::steady_timer m_timer;
         std::array<char, max_chunk_bytes> m_chunk{};
     };
@@ -86,7 +92,7 @@
                  std::shared_ptr<tcp::socket> to, bool limited)
     {
         read(std::make_shared<direction>(
-            direction{std::move(from), std::move(to), limited,
+            direction{std::move(from), std::move(to), limited, m_silenced,
                       boost::asio::steady_timer(m_context)}));
     }
 
@@ -102,7 +108,8 @@
                     part->m_to->close(ignored);
                     return;
                 }
-                if (part->m_limited && size > m_remaining_bytes)
+                if (part->m_silenced_before != m_silenced ||
+                    (part->m_limited && size > m_remaining_bytes))
                 {
                     m_stopped.push_back(part);
                     return;
@@ -150,6 +157,7 @@
     tcp::endpoint m_server;
     std::size_t m_bytes_per_second;
     std::size_t m_remaining_bytes;
+    std::size_t m_silenced = 0;
     std::chrono::steady_clock::time_point m_free_at;
     std::chrono::nanoseconds m_busy_time{};
     /// Kept, so that their connections stay open.
