--- a/packages/proxy/src/object_watch.cpp
+++ b/packages/proxy/src/object_watch.cpp
@@ -97,7 +97,12 @@
     }
     m_listing.m_objects.insert(m_listing.m_objects.end(),
                                page->m_objects.begin(), page->m_objects.end());
-    if (page->m_has_more && !page->m_objects.empty())
+    if (page->m_has_more && page->m_objects.empty())
+    {
+        request_failed(store_outcome::unreadable); // no name to continue after
+        return;
+    }
+    if (page->m_has_more)
     {
         list(page->m_objects.back().m_name);
         return;
--- a/packages/proxy/test/news/object_watch_test.cpp
+++ b/packages/proxy/test/news/object_watch_test.cpp
@@ -322,3 +322,43 @@
                        platform::store_outcome::unreadable;
         }));
 }
+
+TEST_CASE("a listing goes on after a page that ends with an odd name")
+{
+    pair_of_instances instances;
+    instances.m_platform.set_page_size(2);
+    auto const names = {"a", "b c&d=1#%", "b/e?f", "m", "m\r\nX: y", "z"};
+    for (auto const* const name : names)
+    {
+        instances.m_platform.put("config", name, R"({"v":1})");
+    }
+    instances.m_first.start();
+    CHECK(instances.run_until([&] { return instances.m_first.has("z", "1"); }));
+    CHECK(instances.m_first.m_objects.size() == names.size());
+}
+
+TEST_CASE("a page that names no object to continue after doesn't end a listing")
+{
+    boost::asio::io_context context;
+    proxy::http_server server(context);
+    auto const address = "127.81." + std::to_string(::getpid() >> 8 & 255) +
+                         '.' + std::to_string(::getpid() & 255) + ":7003";
+    server.set_handler("/camphortide/objects/config",
+                       [](platform::http_request const&,
+                          proxy::http_server::responder const& respond)
+                       {
+                           respond({200, R"({"items":["no object"],)"
+                                         R"("hasMore":true,"at":9})"});
+                       });
+    REQUIRE(server.listen(address));
+    follower instance(context, address, 1003);
+    instance.start();
+    auto const end = state::clock::now() + state::duration(40000);
+    while (!instance.m_last_status && state::clock::now() < end)
+    {
+        context.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(instance.m_last_status);
+    CHECK(instance.m_last_status->first == platform::store_outcome::unreadable);
+    CHECK(instance.m_verified_at == state::time_point());
+}
