proxy: an instance registers in place of an odd entry of its name

What callers saw: nothing yet; an object of another writer that is named like an instance's record but isn't one kept that instance from registering for ever, so that it refused every statement.

Cause: the record is unknown, so it was created, which conflicts each time.

Change: the revision in the conflict's response is used for the next write if the object there is not a valid record. A valid one, of a later process, is left.

Evidence: the new case of proxy.odd_entries fails before (not serving after 40 s) and passes.

--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -158,6 +158,9 @@
     state::time_point m_records_verified_at;
     bool m_records_known = false;
     state::instance_entry m_own_record;
+    /// Revision of an object of another writer in place of the own record; 0:
+    /// there is none.
+    std::uint64_t m_invalid_own_revision = 0;
     bool m_writing = false;
     bool m_deregistering = false;
     /// Updates are requested from the store first.
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -41,6 +41,17 @@
 /// Minimum interval between two attempts to write the own record.
 constexpr state::duration min_write_interval{300};
 
+/// @return the revision of the object that a write conflicted with, if that is
+///     not a valid record; 0 otherwise
+std::uint64_t invalid_record_revision(platform::http_response const& response)
+{
+    auto const object = platform::parse_object(response);
+    state::fleet_records records;
+    return object && !platform::apply_object(*object, records)
+               ? object->m_revision
+               : 0;
+}
+
 } // namespace
 
 fleet_control::fleet_control(boost::asio::io_context& context,
@@ -257,8 +268,9 @@
         return;
     }
     auto const found = m_records.m_instances.find(m_own_record.m_name);
-    write_own_record(
-        found == m_records.m_instances.end() ? 0 : found->second.m_revision);
+    write_own_record(found == m_records.m_instances.end()
+                         ? m_invalid_own_revision
+                         : found->second.m_revision);
 }
 
 void fleet_control::write_own_record(std::uint64_t revision)
@@ -267,12 +279,17 @@
     m_last_write = state::clock::now();
     m_store.send(platform::write_request(m_own_record, revision),
                  [this](store_outcome outcome,
-                        std::optional<platform::http_response> const&)
+                        std::optional<platform::http_response> const& response)
                  {
                      m_writing = false;
+                     m_invalid_own_revision =
+                         outcome == store_outcome::conflict
+                             ? invalid_record_revision(*response)
+                             : 0;
                      transport::log_info(
                          log_part::membership, "write of own record completed",
-                         {{"outcome", platform::to_string(outcome)}});
+                         {{"outcome", platform::to_string(outcome)},
+                          {"invalid_revision", m_invalid_own_revision}});
                  });
 }
 
--- a/packages/proxy/test/odd_entries/odd_entries_path_test.cpp
+++ b/packages/proxy/test/odd_entries/odd_entries_path_test.cpp
@@ -98,3 +98,12 @@
         CHECK(serves(*each, "toys"));
     }
 }
+
+TEST_CASE("an instance registers in place of an odd entry of its name")
+{
+    deployment all;
+    all.m_platform.put("camphortide", "instance.edge-1",
+                       R"({"type":"instance","name":7})");
+    running_instance instance(all.m_platform.address(), 1);
+    CHECK(instance.wait_writes());
+}
