proxy: a stopping instance begins no operations

Cause: a session ended only if it was idle in the moment in which it was asked, every 100 ms; new sessions were opened to the end; deadlines did not know of the end.

Change: 2.3 s after the signal, when no new connections are to be expected, a session's next operation is refused as not executed, which tells its caller to connect elsewhere, and the session ends with that answer; open transactions have their time as before. What is begun before is due before the process ends. A caller that sent something within 200 ms isn't closed without an answer, as its next statement may be under way. A grace period below 5.8 s shortens the first phase.

--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -47,6 +47,12 @@
     /// @return false if the configuration may be too old to serve keys
     virtual bool keys_up_to_date() const = 0;
 
+    /// @return true if this instance is stopping and begins no operations
+    virtual bool leaving() const = 0;
+
+    /// @return when this instance stops; never if it isn't stopping
+    virtual state::time_point stops_at() const = 0;
+
     /// Rolls back a transaction that its caller abandoned.
     virtual void roll_back(std::string const& group,
                            bound_connection const& bound) = 0;
@@ -77,9 +83,10 @@
     /// Opens the session if its caller waits for the first configuration.
     void configuration_arrived();
 
-    /// Ends the session if it has no open request, no open transaction and no
-    /// unsent or partly received data.
-    void close_if_idle();
+    /// Ends the session if it has no open request, no open transaction, no
+    /// unsent or partly received data, and a caller that isn't about to send:
+    /// one that is gets an answer to its next statement.
+    void close_if_idle(state::time_point now);
 
     /// Rolls back the open transaction, if no request is in progress.
     void end_transaction();
--- a/packages/proxy/include/camphortide/proxy/traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -24,8 +24,8 @@
 /// Phases of a stop, as times since the signal.
 struct stop_times
 {
-    /// New connections are accepted until then: the load balancer checks
-    /// readiness every second and removes an instance after two failed checks.
+    /// Operations begin until then: the load balancer checks readiness every
+    /// second and removes an instance after two failed checks.
     state::duration m_accept{2300};
     state::duration
         m_transactions{};    ///< open transactions may finish until then
@@ -84,6 +84,8 @@
         std::string const& customer,
         std::function<void(coordination::allowance_decision)> done) override;
     bool keys_up_to_date() const override;
+    bool leaving() const override;
+    state::time_point stops_at() const override;
 
     /// Sets from when on operations that need a key are refused.
     /// @param time no limit if it is never reached
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "socket_options.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <camphortide/coordination/limits/retry_hint.hpp>
@@ -23,6 +24,9 @@
 constexpr state::duration caller_ack_timeout{10000};
 /// How long a transaction may go on after its caller's key has been withdrawn.
 constexpr state::duration withdrawal_grace{2000};
+/// A caller that sent something this recently is likely to send a statement
+/// while its session is being closed.
+constexpr state::duration active_time{200};
 /// Low bits of a statement's number; the high bits are the session's number, so
 /// that numbers are unique across sessions.
 constexpr unsigned statement_bits = 24;
@@ -146,6 +150,11 @@
 
 std::optional<state::statement_failure> caller_session::find_route()
 {
+    if (m_host.leaving())
+    {
+        return state::statement_failure{
+            statement_error::busy, "stopping, connect to another instance"};
+    }
     m_configuration = m_host.configuration();
     m_withdrawn_at.reset();
     auto const it = m_configuration->m_routes.find(m_database);
@@ -232,6 +241,7 @@
             state::statement_reply reply;
             reply.m_failure = failure;
             m_host.refused_locally(message.m_id, m_database, *failure);
+            m_close_when_written = m_host.leaving();
             reply_to_caller(reply);
             return;
         }
@@ -327,7 +337,8 @@
     request->m_last_commit = m_last_commit;
     request->m_started = m_started;
     request->m_arrived = m_last_received;
-    request->m_deadline = m_last_received + m_route->m_statement_timeout;
+    request->m_deadline = std::min(
+        m_last_received + m_route->m_statement_timeout, m_host.stops_at());
     request->m_bound = m_bound;
     return request;
 }
@@ -396,10 +407,11 @@
     }
 }
 
-void caller_session::close_if_idle()
+void caller_session::close_if_idle(state::time_point now)
 {
-    if (!m_busy && m_state.phase() == state::session_phase::idle &&
-        !m_writer.busy() && !m_lines.partial())
+    if (!m_busy && now - m_last_received >= active_time &&
+        m_state.phase() == state::session_phase::idle && !m_writer.busy() &&
+        !m_lines.partial())
     {
         end();
     }
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -1,5 +1,6 @@
 #include "instance_gauges.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -378,6 +379,7 @@
     stop_times times;
     times.m_transactions = m_settings.m_stop_grace / 2;
     times.m_end = m_settings.m_stop_grace - shutdown_reserve;
+    times.m_accept = std::min(times.m_accept, times.m_end / 2);
     asio::post(m_traffic_context,
                [this, times]
                {
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -16,6 +16,8 @@
 /// How often idle transactions, surplus connections and the progress of a stop
 /// are checked.
 constexpr state::duration sweep_interval{100};
+/// Part of a stop that is kept to send the last answers.
+constexpr state::duration answer_reserve{100};
 
 } // namespace
 
@@ -157,6 +159,18 @@
     return state::clock::now() < m_keys_valid_until;
 }
 
+bool traffic::leaving() const
+{
+    return m_on_stopped &&
+           state::clock::now() - m_stop_started >= m_stop.m_accept;
+}
+
+state::time_point traffic::stops_at() const
+{
+    return m_on_stopped ? m_stop_started + m_stop.m_end - answer_reserve
+                        : state::time_point::max();
+}
+
 v1::Message traffic::answer_allowance(v1::AllowanceRequest const& message)
 {
     return m_allowances.answer(message);
@@ -246,7 +260,7 @@
         {
             entry.second->end_transaction();
         }
-        entry.second->close_if_idle();
+        entry.second->close_if_idle(now);
     }
     if ((m_sessions.empty() && m_home_server.idle()) || passed >= m_stop.m_end)
     {
