--- a/packages/proxy/test/stopping/stopping_path_test.cpp
+++ b/packages/proxy/test/stopping/stopping_path_test.cpp
@@ -64,6 +64,7 @@
     std::vector<std::unique_ptr<text_client>> clients;
     std::vector<session_end> ends(callers);
     std::vector<std::thread> threads;
+    clients.reserve(callers);
     for (int i = 0; i < callers; ++i)
     {
         clients.push_back(instance->open());
