--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -135,6 +135,7 @@
             log_part::catalogue, "configuration in force",
             {{"version", value->m_version},
              {"routes", value->m_routes.size()},
+             {"complete", !platform::has_unreadable_values(object)},
              {"asked_ms_ago", state::clock::now() - update.m_requested_at}});
         m_configuration =
             std::make_shared<state::configuration const>(*std::move(value));
