proxy: tests: an instance starts after the configuration that names its callers

The instance is now started after version 2 is written. All checks are unchanged, and hold from the first statement on.

--- a/packages/proxy/test/customers/customer_keys_test.cpp
+++ b/packages/proxy/test/customers/customer_keys_test.cpp
@@ -13,13 +13,20 @@
 namespace
 {
 
-/// A deployment whose callers need keys, with one instance.
-struct keyed_deployment : deployment
+/// A platform whose callers need keys.
+struct keyed_platform : deployment
 {
-    explicit keyed_deployment(std::string const& tenants)
+    explicit keyed_platform(std::string const& tenants)
     {
         configure_customers(2, tenants);
     }
+};
+
+/// A deployment whose callers need keys, with one instance, which never sees a
+/// configuration without customers.
+struct keyed_deployment : keyed_platform
+{
+    using keyed_platform::keyed_platform;
 
     /// @return true if the instance serves writes of a key
     bool wait_writes(std::string const& key)
