--- a/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
@@ -39,8 +39,9 @@
 struct duty_write
 {
     state::duty_record m_record;
-    /// Revision that the record must have; 0: the record is created.
-    std::uint64_t m_revision = 0;
+    /// Revision that the record must have; the default value: the record is
+    /// created.
+    state::store_revision m_revision;
 
     friend auto operator<=>(duty_write const&, duty_write const&) = default;
 };
@@ -48,12 +49,23 @@
 /// Lease on the duty of replacing primaries, which at most one instance holds
 /// at a time. Other instances take it over when its record has not changed for
 /// the lease time, measured with their own clocks.
+///
+/// After the store came back from a copy, the record shows who held the duty
+/// some time before. A holder whose lease runs writes it again at once, with a
+/// token of the new era. Others take it over only after the lease time,
+/// whatever it says: another holder's record may have been lost. Until the
+/// record is of the present era, nobody holds the duty.
 class duty_lease
 {
 public:
     duty_lease(std::string name, std::int64_t start_time,
                duty_lease_settings settings = {});
 
+    /// Notes what was read together with the record.
+    /// @param era of the store
+    /// @param highest_token the highest fencing token in any other record
+    void note_store(std::uint64_t era, std::uint64_t highest_token);
+
     /// Processes a read of the record. Reads older than the cached revision are
     /// ignored.
     /// @param record the record, as of some time after the read was sent
@@ -69,7 +81,7 @@
     /// Processes the result of a write.
     /// @param revision revision of the written record; nothing if the write
     ///     failed or its result is unknown
-    void write_finished(std::optional<std::uint64_t> revision,
+    void write_finished(std::optional<state::store_revision> const& revision,
                         state::time_point now);
 
     /// Stops holding and renewing the lease.
@@ -81,6 +93,14 @@
     /// @return true if this instance holds the duty now and for that time
     bool holds(state::time_point now, state::duration ahead = {}) const;
 
+    /// Notes that every permit of earlier eras of the store has lapsed. Written
+    /// with the next renewal, for later holders.
+    void note_earlier_permits_lapsed() { m_earlier_permits_lapsed = true; }
+
+    /// @return true if the record says that every permit of earlier eras has
+    ///     lapsed
+    bool earlier_permits_lapsed() const;
+
     /// @return the token of the current holder; 0 if no record is cached
     std::uint64_t token() const;
 
@@ -93,6 +113,9 @@
     };
 
     bool is_own(state::duty_record const& record) const;
+    bool lease_runs(state::time_point now, state::duration ahead = {}) const;
+    void note_token(std::uint64_t token);
+    std::uint64_t next_token() const;
     bool can_take_over(state::time_point now) const;
     std::optional<duty_write> start_write(state::duty_record record,
                                           state::time_point now);
@@ -113,6 +136,10 @@
     state::time_point m_last_attempt;
     /// Renewal number of the last attempt.
     std::uint64_t m_renewals = 0;
+    std::uint64_t m_era = 0;               ///< latest era of the store
+    bool m_earlier_permits_lapsed = false; ///< those of before that era
+    /// The highest token of that era in any record.
+    std::uint64_t m_highest_token = 0;
 };
 
 } // namespace camphortide::coordination
--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -20,7 +20,7 @@
     /// Start time of the process that answered.
     std::int64_t m_start_time = 0;
     /// Revision of the closing record that the instance acted on.
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
 
     friend auto operator<=>(closing_answer const&,
                             closing_answer const&) = default;
@@ -59,6 +59,9 @@
     /// When each expelled instance was first seen expelled; it has got no
     /// permit since.
     std::map<std::string, state::time_point> m_expelled;
+    /// Until then, instances that aren't registered may have permits: their
+    /// registrations were lost when the store came back from a copy.
+    state::time_point m_unregistered_permits_until;
     std::vector<reported_member> m_members;
     std::uint32_t m_sync_replicas = 0;
     replacement_reason m_reason = replacement_reason::none;
@@ -143,6 +146,12 @@
 /// holder first writes its token into a closing record: outstanding conditional
 /// writes of its predecessor then fail. While the write of an open record may
 /// be outstanding, nothing else is done.
+///
+/// A record of an earlier era of the store shows some time before the store
+/// came back from a copy. It is written again when every member has reported
+/// and one of them leads. Otherwise, once all permits of earlier eras have
+/// lapsed, a member is promoted, as a promotion that the record lacks may be
+/// known to no other member.
 class replacement
 {
 public:
@@ -167,6 +176,11 @@
 
     void update_from_record(replacement_facts const& facts);
     void close_if_needed(replacement_facts const& facts, actions& result);
+    void restore_record(replacement_facts const& facts, actions& result);
+    /// @return the member that all members' reports show as the primary;
+    ///     nullptr if a report is missing or none is
+    reported_member const* agreed_primary(replacement_facts const& facts,
+                                          state::time_point after) const;
     bool claim_record(replacement_facts const& facts, actions& result);
     void request_closings(replacement_facts const& facts,
                           std::vector<std::string> const& missing,
@@ -195,12 +209,12 @@
                actions& result);
 
     replacement_settings m_settings;
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
     /// Whether the record was closing when last seen.
     bool m_closing = false;
     /// The record has been closing without interruption since this revision, or
     /// longer.
-    std::uint64_t m_closing_since = 0;
+    state::store_revision m_closing_since;
     /// When that revision was first seen.
     state::time_point m_closing_seen_at;
     /// When this holder's token was first seen in the record.
@@ -233,7 +247,7 @@
         state::duration m_interval{};
         state::time_point m_next;
         /// Of the instance's record.
-        std::uint64_t m_revision = 0;
+        state::store_revision m_revision;
     };
 
     /// Requests to stop using the primary, by instance.
--- a/packages/coordination/src/primary/duty_lease.cpp
+++ b/packages/coordination/src/primary/duty_lease.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
+#include <camphortide/coordination/primary/fencing_token.hpp>
 
 namespace camphortide::coordination
 {
@@ -35,6 +36,25 @@
     return record.m_holder == m_name && record.m_start_time == m_start_time;
 }
 
+void duty_lease::note_store(std::uint64_t era, std::uint64_t highest_token)
+{
+    if (era > m_era)
+    {
+        m_era = era;
+        m_earlier_permits_lapsed = false;
+    }
+    note_token(highest_token);
+}
+
+void duty_lease::note_token(std::uint64_t token)
+{
+    // An odd entry of another writer may have any token.
+    if (era_of_token(token) <= m_era)
+    {
+        m_highest_token = std::max(m_highest_token, token);
+    }
+}
+
 void duty_lease::observe(
     std::optional<state::stored<state::duty_record>> const& record,
     bool holder_ended, state::time_point now)
@@ -54,6 +74,14 @@
     m_last_read = now;
     m_cached = record;
     m_holder_ended = holder_ended;
+    if (record)
+    {
+        note_store(record->m_revision.era(), record->m_record.m_token);
+    }
+    if (record && !is_of_current_era(*record))
+    {
+        return; // doesn't show who holds the duty now
+    }
     if (record && is_own(record->m_record))
     {
         confirm(record->m_record);
@@ -76,6 +104,11 @@
 bool duty_lease::can_take_over(state::time_point now) const
 {
     auto const unchanged_for = now - m_unchanged_since;
+    if (m_cached && !is_of_current_era(*m_cached))
+    {
+        return lease_runs(now) ||
+               unchanged_for >= m_settings.m_lease + m_settings.m_hesitation;
+    }
     bool const is_free = !m_cached || m_cached->m_record.m_holder.empty();
     if (is_free)
     {
@@ -95,8 +128,11 @@
     m_renewals =
         std::max(m_renewals, m_cached ? m_cached->m_record.m_renewals : 0) + 1;
     record.m_renewals = m_renewals;
-    duty_write const write{std::move(record),
-                           m_cached ? m_cached->m_revision : 0};
+    record.m_earlier_permits_lapsed =
+        m_earlier_permits_lapsed || earlier_permits_lapsed();
+    duty_write const write{std::move(record), m_cached
+                                                  ? m_cached->m_revision
+                                                  : state::store_revision()};
     m_pending = pending_write{write, now, false};
     m_last_attempt = now;
     return write;
@@ -110,7 +146,7 @@
     {
         return std::nullopt;
     }
-    if (m_cached && is_own(m_cached->m_record))
+    if (m_cached && is_of_current_era(*m_cached) && is_own(m_cached->m_record))
     {
         if (m_confirmed_from &&
             now - *m_confirmed_from < m_settings.m_renewal_interval)
@@ -126,26 +162,38 @@
     state::duty_record record;
     record.m_holder = m_name;
     record.m_start_time = m_start_time;
-    record.m_token = token() + 1;
+    record.m_token = next_token();
     return start_write(std::move(record), now);
 }
 
-void duty_lease::write_finished(std::optional<std::uint64_t> revision,
-                                state::time_point now)
+bool duty_lease::earlier_permits_lapsed() const
+{
+    return m_cached && is_of_current_era(*m_cached) &&
+           m_cached->m_record.m_earlier_permits_lapsed;
+}
+
+std::uint64_t duty_lease::next_token() const
+{
+    return std::max(m_highest_token, m_era * tokens_per_era) + 1;
+}
+
+void duty_lease::write_finished(
+    std::optional<state::store_revision> const& revision, state::time_point now)
 {
     if (!m_pending)
     {
         return;
     }
     m_pending->m_completed = true;
-    if (!revision)
+    if (!revision || revision->era() < m_era)
     {
         return;
     }
     m_cached = {m_pending->m_write.m_record, *revision};
+    note_store(revision->era(), m_cached->m_record.m_token);
     m_unchanged_since = now;
     m_holder_ended = false;
-    if (!m_released)
+    if (!m_released && is_of_current_era(*m_cached))
     {
         confirm(m_cached->m_record);
     }
@@ -165,6 +213,11 @@
 }
 
 bool duty_lease::holds(state::time_point now, state::duration ahead) const
+{
+    return m_cached && is_of_current_era(*m_cached) && lease_runs(now, ahead);
+}
+
+bool duty_lease::lease_runs(state::time_point now, state::duration ahead) const
 {
     return m_confirmed_from && now + ahead < *m_confirmed_from +
                                                  m_settings.m_lease -
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -2,6 +2,7 @@
 #include <tuple>
 #include <utility>
 
+#include <camphortide/coordination/primary/fencing_token.hpp>
 #include <camphortide/coordination/primary/replacement.hpp>
 
 namespace camphortide::coordination
@@ -18,14 +19,19 @@
     {
         return result;
     }
-    if (facts.m_record.m_record.m_phase == term_phase::open)
+    if (m_open_record)
     {
-        close_if_needed(facts, result);
+        write(facts, *m_open_record, result);
         return result;
     }
-    if (m_open_record)
+    if (!is_of_current_era(facts.m_record))
     {
-        write(facts, *m_open_record, result);
+        restore_record(facts, result);
+        return result;
+    }
+    if (facts.m_record.m_record.m_phase == term_phase::open)
+    {
+        close_if_needed(facts, result);
         return result;
     }
     if (claim_record(facts, result))
@@ -38,6 +44,10 @@
         request_closings(facts, missing, result);
         return result;
     }
+    if (facts.m_now < facts.m_unregistered_permits_until)
+    {
+        return result;
+    }
     if (!m_permits_ended_at)
     {
         m_permits_ended_at = facts.m_now;
@@ -113,6 +123,56 @@
     write(facts, std::move(record), result);
 }
 
+void replacement::restore_record(replacement_facts const& facts,
+                                 actions& result)
+{
+    // A promotion that the previous holder requested may take effect until
+    // then.
+    auto const settled_at = m_claim_seen_at + m_settings.m_takeover_delay;
+    auto record = facts.m_record.m_record;
+    record.m_orderly = false;
+    record.m_target.clear();
+    if (auto const* primary = agreed_primary(facts, settled_at))
+    {
+        record.m_term = primary->m_report->m_term;
+        record.m_primary = primary->m_entry.m_id;
+        record.m_phase = term_phase::open;
+        write_open(facts, std::move(record), result);
+    }
+    else if (facts.m_now >=
+             std::max(settled_at, facts.m_unregistered_permits_until))
+    {
+        // Any member may be the primary of the recorded term or of a later one.
+        record.m_term -= record.m_term == 0 ? 0 : 1;
+        record.m_primary.clear();
+        record.m_phase = term_phase::closing;
+        write(facts, std::move(record), result);
+    }
+}
+
+reported_member const*
+replacement::agreed_primary(replacement_facts const& facts,
+                            state::time_point after) const
+{
+    reported_member const* primary = nullptr;
+    std::uint64_t latest_term = facts.m_record.m_record.m_term;
+    for (auto const& member : facts.m_members)
+    {
+        if (!member.m_report || member.m_requested_at < after)
+        {
+            return nullptr;
+        }
+        auto const term = member.m_report->m_term;
+        if (term >= latest_term)
+        {
+            bool const leads = member.m_report->m_primary;
+            primary = leads ? &member : term > latest_term ? nullptr : primary;
+            latest_term = term;
+        }
+    }
+    return primary;
+}
+
 bool replacement::permit_ended(replacement_facts const& facts,
                                state::instance_entry const& instance) const
 {
--- a/packages/coordination/test/primary/duty_lease_test.cpp
+++ b/packages/coordination/test/primary/duty_lease_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
+#include <camphortide/coordination/primary/fencing_token.hpp>
 
 namespace coordination = camphortide::coordination;
 namespace state = camphortide::state;
@@ -189,3 +190,143 @@
     CHECK_FALSE(lease.holds(at(1020)));
     CHECK_FALSE(lease.step(at(3000)).has_value());
 }
+
+namespace
+{
+
+constexpr std::uint64_t era_tokens = coordination::tokens_per_era;
+
+/// @return a record as it was read in an era of the store
+record read_in_era(std::uint64_t era, std::string const& holder,
+                   std::uint64_t token, std::uint64_t revision)
+{
+    return state::stored<state::duty_record>{{holder, 7, token, 1},
+                                             {revision, era}};
+}
+
+/// Takes a missing duty in era 1, with the first token of the era.
+void take_in_era_1(duty_lease& lease)
+{
+    lease.note_store(1, 0);
+    lease.observe({}, false, at(1000));
+    auto const write = lease.step(at(1000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_record.m_token == era_tokens + 1);
+    lease.write_finished(state::store_revision(5, 1), at(1010));
+    REQUIRE(lease.holds(at(1010)));
+}
+
+} // namespace
+
+TEST_CASE("a holder of before a restore continues with a token of the new era")
+{
+    duty_lease lease("a", 7);
+    take_in_era_1(lease);
+    // The copy is of before it took the duty.
+    lease.observe(read_in_era(2, "b", era_tokens, 3), false, at(2000));
+    CHECK_FALSE(lease.holds(at(2000)));
+    auto const write = lease.step(at(2000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_revision.number() == 3);
+    CHECK(write->m_record.m_token == 2 * era_tokens + 1);
+    lease.write_finished(state::store_revision(4, 2), at(2010));
+    CHECK(lease.holds(at(2010)));
+}
+
+// Guards against a token that the holder of before a restore has used.
+TEST_CASE("a restored record is taken over only after the lease")
+{
+    duty_lease lease("a", 8);
+    auto const restored = [](int ms)
+    {
+        // Its own earlier process, a free duty, and another holder.
+        return ms == 0   ? read_in_era(2, "a", era_tokens + 1, 3)
+               : ms == 1 ? read_in_era(2, "", era_tokens + 1, 3)
+                         : read_in_era(2, "b", era_tokens + 1, 3);
+    };
+    int variant = 0;
+    SUBCASE("of an earlier process")
+    {
+        variant = 0;
+    }
+    SUBCASE("of a free duty")
+    {
+        variant = 1;
+    }
+    SUBCASE("of an ended process")
+    {
+        variant = 2;
+    }
+    for (int time = 1000; time <= 4500; time += 500)
+    {
+        lease.observe(restored(variant), true, at(time));
+        CHECK_FALSE(lease.step(at(time)).has_value());
+    }
+    lease.observe(restored(variant), true, at(5000));
+    auto const write = lease.step(at(5000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_record.m_token == 2 * era_tokens + 1);
+}
+
+TEST_CASE("answers of an earlier era change nothing")
+{
+    duty_lease lease("a", 7);
+    take_in_era_1(lease);
+    auto const renewal = lease.step(at(2010));
+    REQUIRE(renewal.has_value());
+    lease.observe(read_in_era(2, "b", era_tokens, 3), false, at(2020));
+    SUBCASE("of a write")
+    {
+        lease.write_finished(state::store_revision(6, 1), at(2030));
+    }
+    SUBCASE("of a read")
+    {
+        lease.write_finished({}, at(2030));
+        lease.observe(read_in_era(1, "a", era_tokens + 1, 90), false, at(2030));
+    }
+    CHECK_FALSE(lease.holds(at(2030)));
+    auto const write = lease.step(at(2300));
+    REQUIRE(write.has_value());
+    CHECK(write->m_record.m_token == 2 * era_tokens + 1);
+}
+
+TEST_CASE("a late write of an earlier era doesn't free a token for others")
+{
+    duty_lease lease("a", 7);
+    lease.note_store(2, 2 * era_tokens + 6);
+    // It was sent in era 1 and executed in era 2.
+    lease.observe(read_in_era(2, "b", era_tokens + 9, 30), false, at(1000));
+    for (int time = 1500; time <= 5000; time += 500)
+    {
+        lease.observe(read_in_era(2, "b", era_tokens + 9, 30), false, at(time));
+    }
+    auto const write = lease.step(at(5000));
+    REQUIRE(write.has_value());
+    CHECK(write->m_record.m_token == 2 * era_tokens + 7);
+}
+
+TEST_CASE("an odd token of another writer doesn't use up the tokens")
+{
+    duty_lease lease("a", 7);
+    lease.note_store(0, 9007199254740992U);
+    lease.observe({}, false, at(1000));
+    CHECK(lease.step(at(1000))->m_record.m_token == 1);
+}
+
+TEST_CASE("later holders learn that the permits of earlier eras have lapsed")
+{
+    duty_lease lease("a", 7);
+    take_in_era_1(lease);
+    CHECK_FALSE(lease.earlier_permits_lapsed());
+    lease.note_earlier_permits_lapsed();
+    auto const renewal = lease.step(at(2010));
+    REQUIRE(renewal.has_value());
+    CHECK(renewal->m_record.m_earlier_permits_lapsed);
+    duty_lease later("b", 8);
+    later.observe(state::stored<state::duty_record>{renewal->m_record, {6, 1}},
+                  false, at(2020));
+    CHECK(later.earlier_permits_lapsed());
+    later.observe(state::stored<state::duty_record>{renewal->m_record, {4, 2}},
+                  false, at(2030));
+    CHECK_FALSE(later.earlier_permits_lapsed());
+}
--- a/packages/coordination/test/primary/replacement_explorer_test.cpp
+++ b/packages/coordination/test/primary/replacement_explorer_test.cpp
@@ -5,6 +5,7 @@
 using replacement_explorer::omitted_guard;
 using replacement_explorer::schedule_result;
 using replacement_explorer::simulation;
+using replacement_explorer::store_kind;
 
 namespace
 {
@@ -23,13 +24,15 @@
 /// @return seed of the first schedule with a violation; 0 if there is none
 std::uint64_t first_violation(omitted_guard omitted,
                               std::uint64_t max_schedules,
-                              schedule_result& total)
+                              schedule_result& total,
+                              store_kind store = store_kind::lasting)
 {
     for (std::uint64_t seed = 1; seed <= max_schedules; ++seed)
     {
-        auto const found = simulation(seed, omitted).run(length);
+        auto const found = simulation(seed, omitted, store).run(length);
         total.m_promotions += found.m_promotions;
         total.m_acknowledged += found.m_acknowledged;
+        total.m_restores += found.m_restores;
         if (found.has_violation())
         {
             return seed;
@@ -61,3 +64,27 @@
         CHECK(first_violation(omitted, omitted_guard_schedules, total) != 0);
     }
 }
+
+// Guards against tokens, permits and closings of before a restore that count
+// after it.
+TEST_CASE("no schedule with a restored store violates a guarantee")
+{
+    schedule_result total;
+    CHECK(first_violation(omitted_guard::none, schedules, total,
+                          store_kind::restored_from_copies) == 0);
+    CHECK(total.m_restores > static_cast<int>(schedules));
+    CHECK(total.m_promotions > static_cast<int>(schedules) / 4);
+    CHECK(total.m_acknowledged > static_cast<int>(schedules) * 100);
+}
+
+TEST_CASE("each safeguard omitted with a restored store leads to a violation")
+{
+    for (auto const omitted :
+         {omitted_guard::era, omitted_guard::lost_registrations})
+    {
+        CAPTURE(static_cast<int>(omitted));
+        schedule_result total;
+        CHECK(first_violation(omitted, omitted_guard_schedules, total,
+                              store_kind::restored_from_copies) != 0);
+    }
+}
--- a/packages/coordination/test/primary/replacement_simulation.cpp
+++ b/packages/coordination/test/primary/replacement_simulation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <camphortide/coordination/primary/fencing_token.hpp>
+
 namespace replacement_explorer
 {
 
@@ -54,21 +56,27 @@
     std::unique_ptr<coordination::duty_lease> m_lease;
     std::unique_ptr<coordination::replacement> m_replacement;
     coordination::primary_watch m_watch = coordination::primary_watch();
-    std::uint64_t m_watched_revision = 0;
+    state::store_revision m_watched_revision;
+    /// Token that the replacement belongs to.
+    std::uint64_t m_held_token = 0;
     /// Token of the duty under which it chose a target.
     std::uint64_t m_target_token = 0;
     state::fleet_records m_records;
     bool m_has_records = false;
+    time_point m_unregistered_permits_until;
     time_point m_last_read;
     time_point m_last_registration;
     std::map<std::string, coordination::closing_answer> m_answers;
     std::map<std::string, coordination::reported_member> m_reports;
 };
 
-simulation::simulation(std::uint64_t seed, omitted_guard omitted)
+simulation::simulation(std::uint64_t seed, omitted_guard omitted,
+                       store_kind store)
     : m_omitted(omitted),
       m_random(seed),
-      m_now(ms(1000000))
+      m_now(ms(1000000)),
+      m_store_kind(store),
+      m_era(store == store_kind::restored_from_copies ? 1 : 0)
 {
     for (int i = 0; i < members; ++i)
     {
@@ -145,8 +153,10 @@
 }
 
 void simulation::write_store(
-    instance& self, std::function<bool(std::uint64_t)> const& apply,
-    std::function<void(instance&, std::optional<std::uint64_t>)> const& done)
+    instance& self,
+    std::function<bool(state::store_revision const&)> const& apply,
+    std::function<void(instance&, std::optional<state::store_revision>)> const&
+        done)
 {
     auto const index = self.m_index;
     auto const incarnation = self.m_incarnation;
@@ -161,21 +171,22 @@
     int const transit_ms = lost && random_chance(0.5)
                                ? random_between(500, 6000)
                                : random_between(2, 8);
-    schedule(transit_ms,
-             [this, index, incarnation, apply, done, lost]
-             {
-                 bool const changed = apply(m_revision + 1);
-                 auto const revision = changed ? ++m_revision : 0;
-                 if (!lost)
-                 {
-                     schedule_at(index, incarnation, random_between(2, 8),
-                                 [done, revision](instance& later) {
-                                     done(later, revision == 0
-                                                     ? std::nullopt
-                                                     : std::optional(revision));
-                                 });
-                 }
-             });
+    schedule(
+        transit_ms,
+        [this, index, incarnation, apply, done, lost]
+        {
+            state::store_revision const revision(m_revision + 1, visible_era());
+            bool const changed = apply(revision);
+            m_revision += changed ? 1 : 0;
+            if (!lost)
+            {
+                schedule_at(index, incarnation, random_between(2, 8),
+                            [done, changed, revision](instance& later) {
+                                done(later, changed ? std::optional(revision)
+                                                    : std::nullopt);
+                            });
+            }
+        });
     if (lost)
     {
         schedule_at(index, incarnation, 800,
@@ -203,7 +214,7 @@
     schedule(random_between(2, 60),
              [this, index, incarnation, requested_at]
              {
-                 auto const records = m_records;
+                 auto const records = read_records();
                  schedule_at(index, incarnation, random_between(2, 60),
                              [this, records, requested_at](instance& later)
                              {
@@ -221,10 +232,17 @@
                                state::fleet_records const& records,
                                time_point requested_at)
 {
-    if (self.m_has_records && requested_at < self.m_last_read)
+    if (self.m_has_records && (requested_at < self.m_last_read ||
+                               records.m_era < self.m_records.m_era))
     {
         return;
     }
+    bool const new_era =
+        !self.m_has_records || records.m_era != self.m_records.m_era;
+    if (new_era && records.m_era != 0)
+    {
+        self.m_unregistered_permits_until = m_now + coordination::permit_lease;
+    }
     self.m_has_records = true;
     self.m_last_read = requested_at;
     self.m_records = records;
@@ -242,19 +260,32 @@
                        holder->second.m_record.m_start_time >
                            records.m_duty->m_record.m_start_time;
     }
+    std::uint64_t highest_token = 0;
+    for (auto const& entry : records.m_terms)
+    {
+        highest_token = std::max(highest_token, entry.second.m_record.m_token);
+    }
+    self.m_lease->note_store(records.m_era, highest_token);
     self.m_lease->observe(records.m_duty, holder_ended, m_now);
+    if (records.m_era != 0 && m_now >= self.m_unregistered_permits_until)
+    {
+        self.m_lease->note_earlier_permits_lapsed();
+    }
     auto const term = records.m_terms.find(group);
     if (term == records.m_terms.end())
     {
         return;
     }
-    auto const& record = term->second.m_record;
-    bool const open = record.m_phase == state::term_phase::open;
-    self.m_permit.renew({record.m_term, record.m_primary, open && registered,
-                         !open, false, term->second.m_revision, requested_at});
-    if (!open)
+    auto const status =
+        coordination::status_of(term->second, registered, requested_at);
+    if (!status)
+    {
+        return;
+    }
+    self.m_permit.renew(*status);
+    if (status->m_closing)
     {
-        self.m_permit.close(term->second.m_revision);
+        self.m_permit.close(status->m_revision);
     }
 }
 
@@ -263,17 +294,20 @@
 {
     write_store(
         self,
-        [this, write](std::uint64_t revision)
+        [this, write](state::store_revision const& revision)
         {
-            auto const at = m_records.m_duty ? m_records.m_duty->m_revision : 0;
-            if (at != write.m_revision)
+            // A request only names the number.
+            auto const at =
+                m_records.m_duty ? m_records.m_duty->m_revision.number() : 0;
+            if (at != write.m_revision.number())
             {
                 return false;
             }
             m_records.m_duty = {write.m_record, revision};
             return true;
         },
-        [this](instance& later, std::optional<std::uint64_t> revision)
+        [this](instance& later,
+               std::optional<state::store_revision> const& revision)
         { later.m_lease->write_finished(revision, m_now); });
 }
 
@@ -287,7 +321,7 @@
     auto const cached = self.m_records.m_instances.find(self.m_name);
     auto const at = cached == self.m_records.m_instances.end()
                         ? 0
-                        : cached->second.m_revision;
+                        : cached->second.m_revision.number();
     state::instance_entry const entry{
         self.m_name, static_cast<std::int64_t>(self.m_incarnation),
         "",          "",
@@ -295,12 +329,12 @@
         ""};
     write_store(
         self,
-        [this, entry, at](std::uint64_t revision)
+        [this, entry, at](state::store_revision const& revision)
         {
             auto const stored = m_records.m_instances.find(entry.m_name);
             auto const now = stored == m_records.m_instances.end()
                                  ? 0
-                                 : stored->second.m_revision;
+                                 : stored->second.m_revision.number();
             if (now != at)
             {
                 return false;
@@ -308,28 +342,28 @@
             m_records.m_instances[entry.m_name] = {entry, revision};
             return true;
         },
-        [](instance&, std::optional<std::uint64_t>) {});
+        [](instance&, std::optional<state::store_revision> const&) {});
 }
 
 void simulation::write_term(instance& self, state::term_record const& record,
-                            std::uint64_t at)
+                            state::store_revision const& at)
 {
     write_store(
         self,
-        [this, record, at](std::uint64_t revision)
+        [this, record, at](state::store_revision const& revision)
         {
             auto const stored = m_records.m_terms.find(group);
             auto const now = stored == m_records.m_terms.end()
                                  ? 0
-                                 : stored->second.m_revision;
-            if (now != at)
+                                 : stored->second.m_revision.number();
+            if (now != at.number())
             {
                 return false;
             }
             m_records.m_terms[group] = {record, revision};
             return true;
         },
-        [](instance&, std::optional<std::uint64_t>) {});
+        [](instance&, std::optional<state::store_revision> const&) {});
 }
 
 bool simulation::reaches(instance const& from, int index) const
@@ -408,14 +442,26 @@
     {
         probe(self);
     }
+    bool const new_token = holds && self.m_held_token != self.m_lease->token();
+    if (new_token && m_store_kind == store_kind::restored_from_copies)
+    {
+        self.m_held_token = self.m_lease->token();
+        self.m_replacement = std::make_unique<coordination::replacement>();
+    }
     auto const term = self.m_records.m_terms.find(group);
     if (term == self.m_records.m_terms.end())
     {
         if (holds && self.m_reports.contains("m0"))
         {
             write_term(self,
-                       {group, 1, "m0", state::term_phase::open, false, 0, {}},
-                       0);
+                       {group,
+                        1,
+                        "m0",
+                        state::term_phase::open,
+                        false,
+                        self.m_lease->token(),
+                        {}},
+                       {});
         }
         return;
     }
@@ -442,10 +488,20 @@
     {
         facts.m_members.push_back(entry.second);
     }
-    bool const lost = self.m_watch.evaluate(instances, m_now) !=
-                      coordination::primary_loss::none;
+    if (m_store_kind == store_kind::restored_from_copies)
+    {
+        add_silent_members(self, facts);
+    }
+    bool const lost = coordination::is_of_current_era(term->second) &&
+                      self.m_watch.evaluate(instances, m_now) !=
+                          coordination::primary_loss::none;
     facts.m_reason = lost ? coordination::replacement_reason::lost
                           : coordination::replacement_reason::none;
+    if (m_omitted != omitted_guard::lost_registrations &&
+        !self.m_lease->earlier_permits_lapsed())
+    {
+        facts.m_unregistered_permits_until = self.m_unregistered_permits_until;
+    }
     facts.m_holds_duty = holds;
     facts.m_now = m_now;
     facts.m_token = self.m_lease->token();
@@ -464,6 +520,20 @@
     }
 }
 
+void simulation::add_silent_members(
+    instance const& self, coordination::replacement_facts& facts) const
+{
+    for (auto const& each : m_members)
+    {
+        if (!self.m_reports.contains(each->m_id))
+        {
+            coordination::reported_member silent;
+            silent.m_entry.m_id = each->m_id;
+            facts.m_members.push_back(silent);
+        }
+    }
+}
+
 void simulation::execute(instance& self, replacement_action const& action)
 {
     auto const& term = self.m_records.m_terms.at(group);
@@ -548,6 +618,10 @@
                                 m_now);
                         });
             m_result.m_lower_tokens += token < m_highest_token ? 1 : 0;
+            std::pair const user(index, incarnation);
+            auto const first_user =
+                m_token_users.try_emplace(token, user).first->second;
+            m_result.m_shared_tokens += first_user != user ? 1 : 0;
             m_highest_token = std::max(m_highest_token, token);
             schedule(promotion_ms,
                      [this, name]
@@ -730,14 +804,104 @@
         stop_instance(victim);
         break;
     default:
-    {
-        auto const index = static_cast<std::size_t>(m_leader);
-        m_members[index]->m_up = false;
-        schedule(random_between(300, 6000),
-                 [this, index] { m_members[index]->m_up = true; });
+        lose_primary();
         break;
     }
+}
+
+std::uint64_t simulation::visible_era() const
+{
+    return m_omitted == omitted_guard::era ? 0 : m_era;
+}
+
+state::fleet_records simulation::read_records() const
+{
+    auto records = m_records;
+    records.m_era = visible_era();
+    auto const set_era = [&](state::store_revision& revision)
+    {
+        revision = {revision.number(), records.m_era};
+    };
+    for (auto& entry : records.m_terms)
+    {
+        set_era(entry.second.m_revision);
+    }
+    for (auto& entry : records.m_instances)
+    {
+        set_era(entry.second.m_revision);
     }
+    if (records.m_duty)
+    {
+        set_era(records.m_duty->m_revision);
+    }
+    return records;
+}
+
+void simulation::lose_primary()
+{
+    auto const index = static_cast<std::size_t>(m_leader);
+    m_members[index]->m_up = false;
+    schedule(random_between(300, 6000),
+             [this, index] { m_members[index]->m_up = true; });
+}
+
+void simulation::isolate_instance(int index)
+{
+    auto& isolated = *m_instances[static_cast<std::size_t>(index)];
+    auto const until = m_now + ms(random_between(5000, 15000));
+    isolated.m_store_cut_until = until;
+    isolated.m_peers_cut_until = until;
+    for (auto const& other : m_instances)
+    {
+        if (other->m_index != index)
+        {
+            other->m_member_cut_until[m_leader] = until;
+        }
+    }
+}
+
+void simulation::restore_store()
+{
+    schedule(random_between(18000, 40000), [this] { restore_store(); });
+    // Something is often lost with the copy, or goes wrong just after it.
+    for (int count = random_between(0, 2); count > 0; --count)
+    {
+        schedule(random_between(0, 5000),
+                 [this]
+                 {
+                     if (random_chance(0.5))
+                     {
+                         lose_primary();
+                     }
+                     else
+                     {
+                         stop_instance(*m_instances[static_cast<std::size_t>(
+                             random_between(0, instances - 1))]);
+                     }
+                 });
+    }
+    int const newcomer =
+        random_chance(0.4) ? random_between(0, instances - 1) : instances;
+    auto records = m_records;
+    records.m_instances.erase(numbered('i', newcomer));
+    schedule(random_between(500, 6000),
+             [this, copy = std::move(records), revision = m_revision, newcomer]
+             {
+                 if (newcomer < instances)
+                 {
+                     isolate_instance(newcomer);
+                 }
+                 m_store_up = false;
+                 schedule(random_between(50, 2000),
+                          [this, copy, revision]
+                          {
+                              m_records = copy;
+                              m_revision = revision;
+                              ++m_era;
+                              ++m_result.m_restores;
+                              m_store_up = true;
+                          });
+             });
 }
 
 schedule_result simulation::run(state::duration length)
@@ -745,6 +909,10 @@
     auto const end = m_now + length;
     schedule(4000, [this] { inject_fault(); });
     schedule(20, [this] { replicate(); });
+    if (m_store_kind == store_kind::restored_from_copies)
+    {
+        schedule(random_between(4000, 8000), [this] { restore_store(); });
+    }
     while (!m_queue.empty() && m_queue.top().m_at < end)
     {
         auto const next = m_queue.top();
--- a/packages/coordination/test/primary/replacement_simulation.hpp
+++ b/packages/coordination/test/primary/replacement_simulation.hpp
@@ -36,7 +36,18 @@
     /// promoted.
     target,
     /// A new holder assumes that its predecessor has no outstanding writes.
-    claim
+    claim,
+    /// Revisions are compared without the era of the store.
+    era,
+    /// Instances whose registration was lost count as having stopped.
+    lost_registrations
+};
+
+/// Whether the store comes back from older copies of its records.
+enum class store_kind
+{
+    lasting,
+    restored_from_copies
 };
 
 /// Violations and counts of one schedule.
@@ -48,12 +59,17 @@
     int m_stale_reads = 0;
     /// Promotion requests with a lower token than an earlier one.
     int m_lower_tokens = 0;
+    /// Promotion requests with a token that another holder has used.
+    int m_shared_tokens = 0;
     int m_promotions = 0;
+    int m_restores = 0;
     int m_acknowledged = 0;
 
     bool has_violation() const
     {
-        return m_superseded_answers + m_stale_reads + m_lower_tokens > 0;
+        return m_superseded_answers + m_stale_reads + m_lower_tokens +
+                   m_shared_tokens >
+               0;
     }
 };
 
@@ -65,7 +81,8 @@
 class simulation
 {
 public:
-    simulation(std::uint64_t seed, omitted_guard omitted);
+    simulation(std::uint64_t seed, omitted_guard omitted,
+               store_kind store = store_kind::lasting);
     ~simulation();
 
     /// Runs one schedule.
@@ -104,16 +121,29 @@
     void apply_records(instance& self, state::fleet_records const& records,
                        time_point requested_at);
     void write_term(instance& self, state::term_record const& record,
-                    std::uint64_t revision);
+                    state::store_revision const& revision);
     void write_duty(instance& self, coordination::duty_write const& write);
     void write_registration(instance& self);
     /// Sends a conditional write to the store.
     /// @param apply changes the records; returns false if the condition fails
     /// @param done called with the new revision, or nothing
     void write_store(
-        instance& self, std::function<bool(std::uint64_t)> const& apply,
-        std::function<void(instance&, std::optional<std::uint64_t>)> const&
-            done);
+        instance& self,
+        std::function<bool(state::store_revision const&)> const& apply,
+        std::function<void(instance&,
+                           std::optional<state::store_revision>)> const& done);
+    /// @return the era as instances read it
+    std::uint64_t visible_era() const;
+    /// @return the store's records, at revisions of the present era
+    state::fleet_records read_records() const;
+    void restore_store();
+    void lose_primary();
+    /// Leaves an instance only the connection to the primary, which the others
+    /// lose.
+    void isolate_instance(int index);
+    /// Adds the registered members that haven't reported to an instance.
+    void add_silent_members(instance const& self,
+                            coordination::replacement_facts& facts) const;
     void execute(instance& self,
                  coordination::replacement_action const& action);
     void request_close(instance& self, std::string const& name);
@@ -134,10 +164,14 @@
     std::vector<std::unique_ptr<member>> m_members;
     state::fleet_records m_records;
     std::uint64_t m_revision = 1;
+    store_kind m_store_kind;
+    std::uint64_t m_era = 0;
     bool m_store_up = true;
     int m_leader = 0;
     std::uint64_t m_term = 1;
     std::uint64_t m_highest_token = 0;
+    /// The instance that used each token, with its incarnation.
+    std::map<std::uint64_t, std::pair<int, std::uint64_t>> m_token_users;
     /// Last acknowledged index in the log of the current leader.
     std::uint64_t m_acknowledged = 0;
     schedule_result m_result;
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <camphortide/coordination/primary/fencing_token.hpp>
 #include <camphortide/coordination/primary/replacement.hpp>
 
 namespace coordination = camphortide::coordination;
@@ -88,7 +89,7 @@
     CHECK(by[0].m_record.m_phase == state::term_phase::closing);
     REQUIRE_FALSE(by[0].m_record.m_target.empty());
     facts.m_record.m_record = by[0].m_record;
-    facts.m_record.m_revision = revision;
+    facts.m_record.m_revision = {revision, facts.m_record.m_revision.era()};
 }
 
 /// Makes a replacement that has written the closing record itself.
@@ -473,3 +474,102 @@
     report(facts, 9000);
     accept_target(facts, value.step(facts), 12);
 }
+
+namespace
+{
+
+/// The record of facts_at() after the store came back from a copy.
+replacement_facts restored_facts_at(int now)
+{
+    auto facts = facts_at(now);
+    facts.m_record.m_revision = {8, 1};
+    facts.m_token = coordination::tokens_per_era + 1;
+    facts.m_unregistered_permits_until = at(0) + permit_lease;
+    return facts;
+}
+
+} // namespace
+
+TEST_CASE("a restored record is written again once all members agree")
+{
+    replacement value;
+    auto facts = restored_facts_at(0);
+    auto const step_at = [&](int now)
+    {
+        facts.m_now = at(now);
+        for (auto& member : facts.m_members)
+        {
+            member.m_requested_at = at(now);
+        }
+        return value.step(facts);
+    };
+    facts.m_members = {member("m1", true, 3, 30, 0),
+                       member("m2", true, 4, 25, 0),
+                       member("m3", false, 4, 25, 0)};
+    CHECK(step_at(0).empty());
+    CHECK(step_at(1499).empty()); // a promotion may still take effect
+    SUBCASE("the primary of the latest term")
+    {
+        auto const actions = step_at(1500);
+        REQUIRE(kinds(actions) == std::vector{kind::write_record});
+        CHECK(actions[0].m_record ==
+              state::term_record{"g", 4, "m2", state::term_phase::open, false,
+                                 coordination::tokens_per_era + 1, ""});
+    }
+    SUBCASE("not before each has reported")
+    {
+        facts.m_members[2].m_report.reset();
+        CHECK(step_at(1500).empty());
+        CHECK(step_at(9999).empty());
+    }
+    SUBCASE("not while a member knows a later term")
+    {
+        facts.m_members[2] = member("m3", false, 5, 25, 0);
+        CHECK(step_at(1500).empty());
+        CHECK(step_at(9999).empty());
+    }
+}
+
+TEST_CASE(
+    "without agreement a restored record is closed, and no member avoided")
+{
+    replacement value;
+    auto facts = restored_facts_at(0);
+    facts.m_members = {member("m1", true, 3, 30, 0)};
+    facts.m_members.push_back(member("m2", false, 3, 25, 0));
+    facts.m_members[1].m_report.reset();
+    value.step(facts);
+    facts.m_now = at(0) + permit_lease;
+    facts.m_members[0].m_requested_at = facts.m_now;
+    auto const actions = value.step(facts);
+    REQUIRE(kinds(actions) == std::vector{kind::write_record});
+    auto const& closing = actions[0].m_record;
+    CHECK(closing.m_phase == state::term_phase::closing);
+    CHECK(closing.m_primary.empty());
+    CHECK(closing.m_term == 2);
+    facts.m_record = {closing, {9, 1}};
+    facts.m_answers = {{"a", {7, {9, 1}}}, {"b", {7, {9, 1}}}};
+    value.step(facts);
+    facts.m_now = at(300) + permit_lease;
+    facts.m_members[0].m_requested_at = facts.m_now;
+    accept_target(facts, value.step(facts), 10);
+    CHECK(facts.m_record.m_record.m_target == "m1");
+}
+
+TEST_CASE("no member is promoted while lost registrations may have permits")
+{
+    auto facts = restored_facts_at(0);
+    facts.m_record.m_record.m_token = facts.m_token;
+    replacement value;
+    facts.m_reason = replacement_reason::lost;
+    REQUIRE(kinds(value.step(facts)) == std::vector{kind::write_record});
+    facts.m_record.m_record.m_phase = state::term_phase::closing;
+    facts.m_record.m_revision = {9, 1};
+    facts.m_answers = {{"a", {7, {9, 1}}}, {"b", {7, {9, 1}}}};
+    facts.m_now = at(9999);
+    report(facts, 9999);
+    CHECK(value.step(facts).empty());
+    facts.m_now = at(10000);
+    report(facts, 10000);
+    CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
+}
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -39,10 +39,12 @@
     void tick(state::time_point now);
 
     /// Records that this instance complies with a closing record.
-    void acknowledge_closing(std::string const& group, std::uint64_t revision);
+    void acknowledge_closing(std::string const& group,
+                             state::store_revision const& revision);
 
     /// Records that the holder of the duty has requested the closing.
-    void note_close_request(std::string const& group, std::uint64_t revision);
+    void note_close_request(std::string const& group,
+                            state::store_revision const& revision);
 
     /// Sets whether updates are requested from the store first, instead of from
     /// relays.
@@ -91,6 +93,13 @@
         return m_expelled;
     }
 
+    /// @return until when instances whose registrations were lost as the store
+    ///     came back from a copy may have permits to use primaries
+    state::time_point unregistered_permits_until() const
+    {
+        return m_unregistered_permits_until;
+    }
+
     /// @return true if a later process is registered under the instance's name
     bool is_replaced(std::string const& name, std::int64_t start_time) const;
 
@@ -107,12 +116,13 @@
     void apply_configuration(object_watch::update const& update);
     void apply_members(object_watch::update const& update);
     void apply_records(object_watch::update const& update);
+    void begin_era(std::uint64_t era, object_watch::update const& update);
     void update_expelled();
     void update_source_orders();
     bool must_confirm_closing(state::time_point now);
     bool registered() const;
     void register_if_due(state::time_point now);
-    void write_own_record(std::uint64_t revision);
+    void write_own_record(state::store_revision const& revision);
     void remove_missing_members(state::time_point now);
     void publish_view();
     void update_homes();
@@ -134,6 +144,9 @@
     std::map<std::string, cached_member> m_members;
     std::map<std::string, state::member_entry> m_member_entries; ///< by id
     state::fleet_records m_records;
+    /// As published, by group.
+    std::map<std::string, coordination::primary_status> m_primaries;
+    state::time_point m_unregistered_permits_until;
     /// By group; derived from the configuration and the registered instances.
     std::shared_ptr<home_map const> m_homes;
     bool m_homes_outdated = true;
@@ -158,17 +171,17 @@
     state::time_point m_records_verified_at;
     bool m_records_known = false;
     state::instance_entry m_own_record;
-    /// Revision of an object of another writer in place of the own record; 0:
-    /// there is none.
-    std::uint64_t m_invalid_own_revision = 0;
+    /// Revision of an object of another writer in place of the own record; the
+    /// default value: there is none.
+    state::store_revision m_invalid_own_revision;
     bool m_writing = false;
     bool m_deregistering = false;
     /// Updates are requested from the store first.
     bool m_reads_store = false;
     /// Revisions of the requested closings, by group.
-    std::map<std::string, std::uint64_t> m_requested_closings;
+    std::map<std::string, state::store_revision> m_requested_closings;
     /// Revision of each closing record and when it was first seen, by group.
-    std::map<std::string, std::pair<std::uint64_t, state::time_point>>
+    std::map<std::string, std::pair<state::store_revision, state::time_point>>
         m_closing_seen;
     state::time_point m_last_write;
 };
--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -55,7 +55,7 @@
     /// @param orderly statements and transactions in progress may finish first,
     ///     within a time limit
     /// @param closed called when nothing uses the primary any more; may be null
-    void close_primary(std::uint64_t revision, bool orderly,
+    void close_primary(state::store_revision const& revision, bool orderly,
                        std::function<void()> closed);
 
     /// Periodic maintenance of connections, probes and reports.
@@ -73,7 +73,7 @@
 
     struct pending_close
     {
-        std::uint64_t m_revision = 0;
+        state::store_revision m_revision;
         std::string m_primary; ///< the primary that must not be used
         state::time_point m_deadline;
         std::function<void()> m_on_closed;
@@ -177,7 +177,7 @@
                     std::vector<coordination::member_condition> const& members,
                     bool primary, state::time_point now);
     void finish_pending_closes();
-    bool primary_in_use(std::uint64_t revision) const;
+    bool primary_in_use(state::store_revision const& revision) const;
 
     boost::asio::io_context& m_context;
     std::string m_group;
@@ -204,7 +204,7 @@
     std::array<std::size_t, 2> m_waiting_counts{};
     /// Number of transactions and statements that use the primary, by the
     /// revision of its record.
-    std::map<std::uint64_t, std::size_t> m_primary_uses;
+    std::map<state::store_revision, std::size_t> m_primary_uses;
     std::vector<pending_close> m_pending_closes;
     read_counts m_reads;
     std::set<std::string> m_unreachable; ///< members reported as such
--- a/packages/proxy/include/camphortide/proxy/object_cache.hpp
+++ b/packages/proxy/include/camphortide/proxy/object_cache.hpp
@@ -27,7 +27,7 @@
 struct object_reference
 {
     std::string m_name;
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
 
     friend auto operator<=>(object_reference const&,
                             object_reference const&) = default;
@@ -41,8 +41,8 @@
     std::vector<object_reference> m_references;
     /// The page holds all objects; any other object doesn't exist.
     bool m_snapshot = false;
-    /// Revision of the store.
-    std::uint64_t m_revision = 0;
+    /// Revision of the store. Its era is that of all objects and references.
+    state::store_revision m_revision;
     /// Position after the page.
     change_cursor m_cursor;
     /// Digest of all objects' names and revisions after the page.
@@ -59,27 +59,28 @@
     /// @param process start time of this process
     explicit object_cache(std::uint64_t process) : m_process(process) {}
 
-    /// Applies changed objects.
+    /// Applies changed objects. The first update of an era of the store has to
+    /// be a snapshot.
     /// @param snapshot true if the objects are all that exist
     /// @param revision revision of the store up to which changes are included
     void update(std::vector<platform::store_object> const& objects,
-                bool snapshot, std::uint64_t revision);
+                bool snapshot, state::store_revision const& revision);
 
     /// @return true once a snapshot has been applied
     bool complete() const { return m_complete; }
-    std::uint64_t revision() const { return m_revision; }
+    state::store_revision const& revision() const { return m_revision; }
     change_cursor cursor() const { return {m_process, m_change}; }
 
     /// @param cursor the cursor of an earlier page
     /// @param known_revision revision up to which the reader has all objects;
-    /// 0:
-    ///     it has none
+    ///     the default value: it has none
     /// @return the changes after the cursor. If the cursor is of another
     ///     process: the changes after the known revision, to be checked by the
-    ///     digest. Without one, or if the changes aren't kept any more: a
-    ///     snapshot
-    change_page changes_since(change_cursor const& cursor,
-                              std::uint64_t known_revision = 0) const;
+    ///     digest. Without one, if it is of another era of the store, or if the
+    ///     changes aren't kept any more: a snapshot
+    change_page
+    changes_since(change_cursor const& cursor,
+                  state::store_revision const& known_revision = {}) const;
 
     /// @return the object; nullptr if it doesn't exist
     platform::store_object const* find(std::string const& name) const;
@@ -94,13 +95,9 @@
         /// Number of the object's last change.
         std::uint64_t m_change = 0;
         /// Revision of the cache when it received the last change.
-        std::uint64_t m_received_revision = 0;
+        state::store_revision m_received_revision;
     };
 
-    /// Whether a reader needs an object, given the number of the last change or
-    /// the revision that it knows.
-    using entry_filter = bool (*)(entry const&, std::uint64_t);
-
     void put(platform::store_object const& object);
     void
     mark_missing_deleted(std::vector<platform::store_object> const& objects);
@@ -109,7 +106,7 @@
 
     std::uint64_t m_process;
     std::uint64_t m_change = 0;
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
     std::uint64_t m_digest = 0;
     /// Deletions up to this change aren't kept.
     std::uint64_t m_pruned_change = 0;
--- a/packages/proxy/include/camphortide/proxy/object_watch.hpp
+++ b/packages/proxy/include/camphortide/proxy/object_watch.hpp
@@ -21,6 +21,10 @@
 /// changes, and lists again when the store no longer has the history. From a
 /// relay it requests that instance's cached objects along with their age.
 ///
+/// A store that comes back from an older copy gives out revisions again. From
+/// the first response of the new era on, those of earlier eras are dropped, and
+/// nothing is taken from the new era before all of its objects.
+///
 /// A relay's link may be slow, so it sends large objects as references, which
 /// the other instances read from the store. Only to instances that the store
 /// doesn't answer it sends them whole, within a budget.
@@ -33,7 +37,7 @@
         std::vector<platform::store_object> m_objects;
         /// The update holds all objects; any other object doesn't exist.
         bool m_snapshot = false;
-        std::uint64_t m_revision = 0;
+        state::store_revision m_revision;
         /// When the request to the store was sent.
         state::time_point m_requested_at;
         /// All objects are verified to be at least as new as m_requested_at.
@@ -149,8 +153,10 @@
     update_handler m_on_update;
     status_handler m_on_status;
     update m_listing;
-    /// Revision to watch from; 0: list first.
-    std::uint64_t m_revision = 0;
+    /// Revision up to which changes are known.
+    state::store_revision m_revision;
+    /// The next request to the store lists the objects.
+    bool m_must_list = true;
     state::time_point m_requested_at;
     state::time_point m_last_success;
     /// When the store last responded successfully, to this instance or to the
--- a/packages/proxy/include/camphortide/proxy/peer_messages.hpp
+++ b/packages/proxy/include/camphortide/proxy/peer_messages.hpp
@@ -15,7 +15,7 @@
 {
     std::string m_group;
     /// Revision of the closing record.
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
     /// Statements and transactions in flight may finish first.
     bool m_orderly = false;
 
@@ -29,7 +29,7 @@
     std::string m_instance;
     /// Start time of the responding process, Unix milliseconds.
     std::int64_t m_start_time = 0;
-    std::uint64_t m_revision = 0;
+    state::store_revision m_revision;
 
     friend auto operator<=>(close_response const&,
                             close_response const&) = default;
--- a/packages/proxy/include/camphortide/proxy/peer_updates.hpp
+++ b/packages/proxy/include/camphortide/proxy/peer_updates.hpp
@@ -18,10 +18,14 @@
     /// Cursor of that instance's last response.
     change_cursor m_cursor;
     state::duration m_wait{};
-    /// Revision up to which the requester has all objects; 0: it has none.
-    std::uint64_t m_known_revision = 0;
+    /// Revision up to which the requester has all objects; the default value:
+    /// it has none.
+    state::store_revision m_known_revision = {};
     /// The contents of large objects may be omitted.
     bool m_accepts_references = false;
+    /// False for an instance of an earlier release, whose revisions count as of
+    /// the present era of the store.
+    bool m_names_era = true;
 
     friend auto operator<=>(update_request const&,
                             update_request const&) = default;
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -48,7 +48,7 @@
     void primary_unreachable(std::string const& group,
                              std::string const& member) override;
     void primary_closed(std::string const& group,
-                        std::uint64_t revision) override;
+                        state::store_revision const& revision) override;
 
     void register_handlers();
     void handle_readiness(http_server::responder const& respond);
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -67,6 +67,7 @@
     };
 
     void step_lease(state::time_point now);
+    std::uint64_t highest_token() const;
     void step_group(std::string const& name, state::time_point now);
     void create_record(std::string const& name, group_control& group);
     void poll_members(std::string const& name, group_control& group,
@@ -80,11 +81,11 @@
                      state::time_point now);
     void execute(std::string const& name,
                  coordination::replacement_action const& action,
-                 std::uint64_t revision);
+                 state::store_revision const& revision);
     void write_record(std::string const& name, state::term_record const& record,
-                      std::uint64_t revision);
+                      state::store_revision const& revision);
     void request_close(std::string const& name, std::string const& instance,
-                       std::uint64_t revision);
+                       state::store_revision const& revision);
     void promote(std::string const& name, std::string const& member);
     void ping_instances(state::time_point now);
     void ping(std::string const& name, std::string const& address);
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -13,6 +13,7 @@
 #include <camphortide/proxy/member_pool.hpp>
 #include <camphortide/state/route.hpp>
 #include <camphortide/state/statement.hpp>
+#include <camphortide/state/store_revision.hpp>
 
 namespace camphortide::proxy
 {
@@ -27,9 +28,15 @@
     std::uint64_t m_transaction = 0;   ///< its number at that home
     std::shared_ptr<member_pool> m_pool;
     std::shared_ptr<member_connection> m_connection;
-    std::uint64_t m_permit_revision =
-        0;                    ///< 0: the member isn't used as primary
+    /// Of the record that permits to use the member as primary; the default
+    /// value: it isn't used as such.
+    state::store_revision m_permit_revision;
     std::uint64_t m_term = 0; ///< of the primary; 0: a replica is used
+
+    bool uses_primary() const
+    {
+        return m_permit_revision != state::store_revision();
+    }
 };
 
 /// Result of a statement.
--- a/packages/proxy/include/camphortide/proxy/traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -57,8 +57,9 @@
     void apply(std::shared_ptr<fleet_view const> const& view);
 
     /// @see group_traffic::close_primary
-    void close_primary(std::string const& group, std::uint64_t revision,
-                       bool orderly, std::function<void()> closed);
+    void close_primary(std::string const& group,
+                       state::store_revision const& revision, bool orderly,
+                       std::function<void()> closed);
 
     /// Ends all sessions gracefully: requests that can still be answered are
     /// answered.
--- a/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
@@ -88,7 +88,7 @@
 
     /// This instance no longer uses the primary under records up to a revision.
     virtual void primary_closed(std::string const& group,
-                                std::uint64_t revision) = 0;
+                                state::store_revision const& revision) = 0;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -42,14 +42,15 @@
 constexpr state::duration min_write_interval{300};
 
 /// @return the revision of the object that a write conflicted with, if that is
-///     not a valid record; 0 otherwise
-std::uint64_t invalid_record_revision(platform::http_response const& response)
+///     not a valid record; the default value otherwise
+state::store_revision
+invalid_record_revision(platform::http_response const& response)
 {
     auto const object = platform::parse_object(response);
     state::fleet_records records;
     return object && !platform::apply_object(*object, records)
                ? object->m_revision
-               : 0;
+               : state::store_revision();
 }
 
 } // namespace
@@ -123,7 +124,7 @@
         {
             transport::log_error(
                 log_part::catalogue, "invalid configuration ignored",
-                {{"revision", object.m_revision},
+                {{"revision", to_string(object.m_revision)},
                  {"cause", std::string(value.status().message())}});
             continue;
         }
@@ -147,6 +148,7 @@
 void fleet_control::apply_records(object_watch::update const& update)
 {
     auto records = update.m_snapshot ? state::fleet_records{} : m_records;
+    records.m_era = update.m_revision.era();
     for (auto const& object : update.m_objects)
     {
         if (!platform::apply_object(object, records))
@@ -155,6 +157,10 @@
                                    {{"name", object.m_name}});
         }
     }
+    if (!m_records_known || records.m_era != m_records.m_era)
+    {
+        begin_era(records.m_era, update);
+    }
     bool const changed = records != m_records;
     bool const instances_changed =
         changed && records.m_instances != m_records.m_instances;
@@ -178,6 +184,25 @@
     m_on_records();
 }
 
+void fleet_control::begin_era(std::uint64_t era,
+                              object_watch::update const& update)
+{
+    // A store without eras never comes back from a copy.
+    m_unregistered_permits_until =
+        era == 0 ? state::time_point()
+                 : state::clock::now() + coordination::permit_lease;
+    if (m_records_known)
+    {
+        transport::log_warning(log_part::platform,
+                               "the store came back from a copy",
+                               {{"era", era},
+                                {"previous_era", m_records.m_era},
+                                {"revision", to_string(update.m_revision)},
+                                {"registered", m_records.m_instances.size()},
+                                {"records", update.m_objects.size()}});
+    }
+}
+
 void fleet_control::read_store_directly(bool enabled)
 {
     m_reads_store = enabled;
@@ -274,35 +299,35 @@
                          : found->second.m_revision);
 }
 
-void fleet_control::write_own_record(std::uint64_t revision)
+void fleet_control::write_own_record(state::store_revision const& revision)
 {
     m_writing = true;
     m_last_write = state::clock::now();
-    m_store.send(platform::write_request(m_own_record, revision),
-                 [this](store_outcome outcome,
-                        std::optional<platform::http_response> const& response)
-                 {
-                     m_writing = false;
-                     m_invalid_own_revision =
-                         outcome == store_outcome::conflict
-                             ? invalid_record_revision(*response)
-                             : 0;
-                     transport::log_info(
-                         log_part::membership, "write of own record completed",
-                         {{"outcome", platform::to_string(outcome)},
-                          {"invalid_revision", m_invalid_own_revision}});
-                 });
+    m_store.send(
+        platform::write_request(m_own_record, revision),
+        [this](store_outcome outcome,
+               std::optional<platform::http_response> const& response)
+        {
+            m_writing = false;
+            m_invalid_own_revision = outcome == store_outcome::conflict
+                                         ? invalid_record_revision(*response)
+                                         : state::store_revision();
+            transport::log_info(
+                log_part::membership, "write of own record completed",
+                {{"outcome", platform::to_string(outcome)},
+                 {"invalid_revision", to_string(m_invalid_own_revision)}});
+        });
 }
 
 void fleet_control::acknowledge_closing(std::string const& group,
-                                        std::uint64_t revision)
+                                        state::store_revision const& revision)
 {
     auto& latest = m_own_record.m_acknowledged_closings[group];
     latest = std::max(latest, revision);
 }
 
 void fleet_control::note_close_request(std::string const& group,
-                                       std::uint64_t revision)
+                                       state::store_revision const& revision)
 {
     auto& latest = m_requested_closings[group];
     latest = std::max(latest, revision);
@@ -322,6 +347,10 @@
         auto& seen =
             m_closing_seen.try_emplace(group, std::pair(term.m_revision, now))
                 .first->second;
+        if (seen.first.era() != term.m_revision.era())
+        {
+            seen = {term.m_revision, now};
+        }
         auto const acknowledged =
             m_own_record.m_acknowledged_closings.find(group);
         auto const stored_closing =
@@ -396,17 +425,18 @@
     bool const usable = registered();
     for (auto const& [group, stored] : m_records.m_terms)
     {
-        auto const& record = stored.m_record;
-        coordination::primary_status status;
-        status.m_term = record.m_term;
-        status.m_primary = record.m_primary;
-        status.m_open = usable && record.m_phase == state::term_phase::open;
-        status.m_closing = record.m_phase == state::term_phase::closing;
-        status.m_orderly = record.m_orderly;
-        status.m_revision = stored.m_revision;
-        status.m_verified_at = m_records_verified_at;
-        view->m_primaries.emplace(group, status);
+        auto const earlier = m_primaries.find(group);
+        if (auto const status =
+                coordination::status_of(stored, usable, m_records_verified_at))
+        {
+            view->m_primaries.emplace(group, *status);
+        }
+        else if (earlier != m_primaries.end())
+        {
+            view->m_primaries.insert(*earlier);
+        }
     }
+    m_primaries = view->m_primaries;
     if (std::exchange(m_homes_outdated, false))
     {
         update_homes();
--- a/packages/proxy/src/fleet_control_members.cpp
+++ b/packages/proxy/src/fleet_control_members.cpp
@@ -33,7 +33,8 @@
         {
             transport::log_warning(
                 log_part::membership, "invalid member entry ignored",
-                {{"name", object.m_name}, {"revision", object.m_revision}});
+                {{"name", object.m_name},
+                 {"revision", to_string(object.m_revision)}});
             continue;
         }
         present.insert(entry->m_id);
--- a/packages/proxy/src/group_control.hpp
+++ b/packages/proxy/src/group_control.hpp
@@ -25,7 +25,7 @@
     coordination::primary_watch m_watch;
     /// The member that m_watch observes.
     std::string m_watched_member;
-    std::uint64_t m_watched_revision = 0;
+    state::store_revision m_watched_revision;
     std::map<std::string, member_state> m_members;
     /// By instance name.
     std::map<std::string, coordination::closing_answer> m_answers;
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -124,7 +124,7 @@
 group_traffic::required_position(statement_request const& request,
                                  bound_connection const& bound)
 {
-    bool const replica = bound.m_permit_revision == 0;
+    bool const replica = !bound.uses_primary();
     bool const begins_read =
         request.m_begins_transaction && request.m_read_only;
     bool const carries_position =
@@ -240,7 +240,7 @@
     auto const now = state::clock::now();
     request->m_deadline_timer.reset();
     bool const permit_lost =
-        bound.m_permit_revision != 0 &&
+        bound.uses_primary() &&
         !m_permit.still_allows(bound.m_permit_revision, now);
     if (reply)
     {
@@ -283,7 +283,7 @@
     {
         return;
     }
-    if (bound.m_permit_revision != 0)
+    if (bound.uses_primary())
     {
         if (bound.m_term == m_positions.term())
         {
@@ -384,7 +384,7 @@
         {m_group,
          *request,
          bound.m_pool->member().m_id,
-         bound.m_permit_revision != 0,
+         bound.uses_primary(),
          reply,
          state::clock::now(),
          state::clock::now() - m_permit.status().m_verified_at,
@@ -436,7 +436,7 @@
 
 void group_traffic::release(bound_connection const& bound, bool clean)
 {
-    if (bound.m_permit_revision != 0)
+    if (bound.uses_primary())
     {
         auto const it = m_primary_uses.find(bound.m_permit_revision);
         if (it != m_primary_uses.end() && --it->second == 0)
--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -57,13 +57,13 @@
     return it == m_pools.end() ? nullptr : *it;
 }
 
-bool group_traffic::primary_in_use(std::uint64_t revision) const
+bool group_traffic::primary_in_use(state::store_revision const& revision) const
 {
     return !m_primary_uses.empty() && m_primary_uses.begin()->first <= revision;
 }
 
-void group_traffic::close_primary(std::uint64_t revision, bool orderly,
-                                  std::function<void()> closed)
+void group_traffic::close_primary(state::store_revision const& revision,
+                                  bool orderly, std::function<void()> closed)
 {
     m_permit.stop(revision);
     auto const now = state::clock::now();
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -204,9 +204,13 @@
             m_owner->m_idle.push_back(
                 {std::move(m_socket), state::clock::now()});
         }
-        finish({platform::http_response{response.result_int(),
-                                        std::move(response.body())},
-                request_failure::none});
+        platform::http_response result{
+            response.result_int(), std::move(response.body()), {}};
+        for (auto const& field : response)
+        {
+            result.m_headers.emplace_back(field.name_string(), field.value());
+        }
+        finish({std::move(result), request_failure::none});
     }
 
     /// Sends a GET again on a new connection if a reused one broke before the
--- a/packages/proxy/src/object_cache.cpp
+++ b/packages/proxy/src/object_cache.cpp
@@ -17,16 +17,17 @@
 /// @return the object's part of the digest; 0 if it doesn't exist
 std::uint64_t digest_of(platform::store_object const& object)
 {
-    return object.m_deleted || object.m_revision == 0
+    return object.m_deleted || object.m_revision.number() == 0
                ? 0
                : coordination::rendezvous_score(
-                     object.m_revision, coordination::hash_name(object.m_name));
+                     object.m_revision.number(),
+                     coordination::hash_name(object.m_name));
 }
 
 } // namespace
 
 void object_cache::update(std::vector<platform::store_object> const& objects,
-                          bool snapshot, std::uint64_t revision)
+                          bool snapshot, state::store_revision const& revision)
 {
     m_revision = std::max(m_revision, revision);
     if (snapshot)
@@ -74,6 +75,10 @@
         {
             auto deleted = cached.m_object;
             deleted.m_deleted = true;
+            // In a new era the object may be created again with a number that
+            // it had before.
+            deleted.m_revision = std::max(
+                deleted.m_revision, state::store_revision(0, m_revision.era()));
             record_change(cached, deleted);
         }
     }
@@ -93,40 +98,35 @@
     }
 }
 
-change_page object_cache::changes_since(change_cursor const& cursor,
-                                        std::uint64_t known_revision) const
+change_page
+object_cache::changes_since(change_cursor const& cursor,
+                            state::store_revision const& known_revision) const
 {
-    static constexpr entry_filter is_live = [](entry const& each, std::uint64_t)
-    {
-        return !each.m_object.m_deleted;
-    };
-    static constexpr entry_filter is_later =
-        [](entry const& each, std::uint64_t change)
-    {
-        return each.m_change > change;
-    };
-    static constexpr entry_filter is_newer =
-        [](entry const& each, std::uint64_t revision)
-    {
-        return each.m_received_revision > revision ||
-               each.m_object.m_revision > revision;
-    };
-    bool const usable = cursor.m_process == m_process &&
+    bool const knows_objects = known_revision != state::store_revision();
+    bool const other_era =
+        knows_objects && known_revision.era() != m_revision.era();
+    bool const usable = !other_era && cursor.m_process == m_process &&
                         cursor.m_change <= m_change &&
                         cursor.m_change >= m_pruned_change;
     change_page page;
-    page.m_snapshot =
-        !usable && (known_revision == 0 || cursor.m_process == m_process);
+    page.m_snapshot = !usable && (!knows_objects || other_era ||
+                                  cursor.m_process == m_process);
     page.m_revision = m_revision;
     page.m_cursor = this->cursor();
     page.m_digest = m_digest;
-    auto const filter = usable            ? is_later
-                        : page.m_snapshot ? is_live
-                                          : is_newer;
-    auto const bound = usable ? cursor.m_change : known_revision;
+    auto const is_included = [&](entry const& each)
+    {
+        if (usable)
+        {
+            return each.m_change > cursor.m_change;
+        }
+        return page.m_snapshot ? !each.m_object.m_deleted
+                               : each.m_received_revision > known_revision ||
+                                     each.m_object.m_revision > known_revision;
+    };
     for (auto const& [name, cached] : m_entries)
     {
-        if (filter(cached, bound))
+        if (is_included(cached))
         {
             page.m_objects.push_back(cached.m_object);
         }
@@ -145,8 +145,9 @@
 std::uint64_t object_cache::digest_after(change_page const& page) const
 {
     auto digest = m_digest;
-    auto const replace =
-        [&](std::string const& name, std::uint64_t revision, bool deleted)
+    auto const replace = [&](std::string const& name,
+                             state::store_revision const& revision,
+                             bool deleted)
     {
         if (auto const* const cached = find(name))
         {
--- a/packages/proxy/src/object_fetch.cpp
+++ b/packages/proxy/src/object_fetch.cpp
@@ -46,6 +46,7 @@
                       : std::nullopt;
     auto const& wanted = m_references.back();
     bool const usable = object && object->m_name == wanted.m_name &&
+                        object->m_revision.era() == wanted.m_revision.era() &&
                         object->m_revision >= wanted.m_revision;
     if (usable)
     {
--- a/packages/proxy/src/object_watch.cpp
+++ b/packages/proxy/src/object_watch.cpp
@@ -89,7 +89,18 @@
         request_failed(outcome);
         return;
     }
-    if (m_listing.m_revision == 0)
+    if (page->m_revision.era() < m_revision.era())
+    {
+        request_failed(store_outcome::not_available); // of an earlier era
+        return;
+    }
+    bool const first_page = m_listing.m_revision == state::store_revision();
+    if (!first_page && page->m_revision.era() != m_listing.m_revision.era())
+    {
+        list({});
+        return;
+    }
+    if (first_page)
     {
         // The watch returns the changes made while further pages are
         // listed.
@@ -108,6 +119,7 @@
         return;
     }
     m_revision = m_listing.m_revision;
+    m_must_list = false;
     m_last_success = m_last_listing = m_listing.m_requested_at;
     m_last_response = state::clock::now();
     request_succeeded();
@@ -139,7 +151,7 @@
     }
     bool const due = m_relist.count() > 0 &&
                      state::clock::now() - m_last_listing >= m_relist;
-    if (m_revision == 0 || due)
+    if (m_must_list || due)
     {
         list({});
     }
@@ -167,7 +179,7 @@
 {
     if (outcome == store_outcome::history_gone)
     {
-        m_revision = 0;
+        m_must_list = true;
         list({});
         return;
     }
@@ -184,6 +196,12 @@
         request_failed(outcome);
         return;
     }
+    if (page->m_revision.era() != m_revision.era())
+    {
+        m_must_list = true;
+        list({});
+        return;
+    }
     m_revision = std::max(m_revision, page->m_revision);
     m_last_success = m_requested_at;
     m_last_response = state::clock::now();
--- a/packages/proxy/src/object_watch_relays.cpp
+++ b/packages/proxy/src/object_watch_relays.cpp
@@ -78,7 +78,8 @@
     }
     auto const sent = state::clock::now();
     update_request request{m_kind, m_relay_cursor, m_wait};
-    request.m_known_revision = m_request_snapshot ? 0 : m_revision;
+    request.m_known_revision =
+        m_request_snapshot ? state::store_revision() : m_revision;
     request.m_accepts_references = m_source.store_available(sent);
     m_relay_client->send(encode(request), m_wait + relay_response_timeout,
                          [this, relay, sent](request_result const& result)
@@ -109,13 +110,20 @@
 bool object_watch::usable(update_response const& response) const
 {
     auto const& page = response.m_page;
-    bool const behind = page.m_snapshot && page.m_revision < m_revision;
+    bool const behind = page.m_revision.era() < m_revision.era() ||
+                        (page.m_snapshot && page.m_revision < m_revision);
     return !behind && response.m_response_age <= max_age();
 }
 
 void object_watch::relay_update_received(partial_update received)
 {
     auto& page = received.m_response.m_page;
+    if (!page.m_snapshot && page.m_revision.era() != m_revision.era())
+    {
+        m_request_snapshot = true;
+        request_next();
+        return;
+    }
     bool const resumed =
         !page.m_snapshot && page.m_cursor.m_process != m_relay_cursor.m_process;
     if (resumed && m_cache.digest_after(page) != page.m_digest)
@@ -169,7 +177,7 @@
     transport::log_info(
         transport::log_part::platform, "large objects read from the store",
         {{"relay", received.m_relay.m_name},
-         {"revision", received.m_response.m_page.m_revision},
+         {"revision", to_string(received.m_response.m_page.m_revision)},
          {"received", objects.has_value()},
          {"took", state::clock::now() - received.m_fetch_started}});
     if (!objects)
@@ -190,6 +198,7 @@
     auto const& page = response.m_page;
     m_request_snapshot = false;
     m_relay_cursor = page.m_cursor;
+    m_must_list = false;
     m_revision = std::max(m_revision, page.m_revision);
     // The ages are as of the response. Counted back from when the request was
     // sent they are overestimated, never underestimated.
@@ -226,8 +235,12 @@
 
 change_page object_watch::page_for(update_request const& request) const
 {
-    auto page =
-        m_cache.changes_since(request.m_cursor, request.m_known_revision);
+    auto known = request.m_known_revision;
+    if (!request.m_names_era && known != state::store_revision())
+    {
+        known = {known.number(), m_cache.revision().era()};
+    }
+    auto page = m_cache.changes_since(request.m_cursor, known);
     if (request.m_accepts_references)
     {
         replace_large_objects(page);
--- a/packages/proxy/src/peer_messages.cpp
+++ b/packages/proxy/src/peer_messages.cpp
@@ -10,6 +10,14 @@
 
 using nlohmann::json;
 
+/// @return the revision in a message. Instances of earlier releases don't name
+///     the era
+state::store_revision revision_in(json const& root)
+{
+    return {root.at("revision").get<std::uint64_t>(),
+            root.value("era", std::uint64_t{0})};
+}
+
 /// Parses a message field by field; a missing or mistyped field makes it
 /// invalid.
 template <typename Message, typename Read>
@@ -37,7 +45,8 @@
 platform::http_request encode(close_request const& message)
 {
     json const body{{"group", message.m_group},
-                    {"revision", message.m_revision},
+                    {"revision", message.m_revision.number()},
+                    {"era", message.m_revision.era()},
                     {"orderly", message.m_orderly}};
     return {"POST", close_path, body.dump(), {}};
 }
@@ -46,7 +55,8 @@
 {
     json const body{{"instance", message.m_instance},
                     {"born", message.m_start_time},
-                    {"revision", message.m_revision}};
+                    {"revision", message.m_revision.number()},
+                    {"era", message.m_revision.era()}};
     return {200, body.dump()};
 }
 
@@ -60,14 +70,15 @@
 
 std::optional<close_request> decode_close_request(std::string const& body)
 {
-    return decode<close_request>(
-        body,
-        [](json const& root, close_request& result)
-        {
-            result.m_group = root.at("group").get<std::string>();
-            result.m_revision = root.at("revision").get<std::uint64_t>();
-            result.m_orderly = root.at("orderly").get<bool>();
-        });
+    return decode<close_request>(body,
+                                 [](json const& root, close_request& result)
+                                 {
+                                     result.m_group =
+                                         root.at("group").get<std::string>();
+                                     result.m_revision = revision_in(root);
+                                     result.m_orderly =
+                                         root.at("orderly").get<bool>();
+                                 });
 }
 
 std::optional<close_response> decode_close_response(std::string const& body)
@@ -78,7 +89,7 @@
         {
             result.m_instance = root.at("instance").get<std::string>();
             result.m_start_time = root.at("born").get<std::int64_t>();
-            result.m_revision = root.at("revision").get<std::uint64_t>();
+            result.m_revision = revision_in(root);
         });
 }
 
--- a/packages/proxy/src/peer_updates.cpp
+++ b/packages/proxy/src/peer_updates.cpp
@@ -57,7 +57,8 @@
                 "&process=" + number(message.m_cursor.m_process) +
                 "&change=" + number(message.m_cursor.m_change) +
                 "&wait_ms=" + number(message.m_wait.count()) +
-                "&revision=" + number(message.m_known_revision) +
+                "&revision=" + number(message.m_known_revision.number()) +
+                "&era=" + number(message.m_known_revision.era()) +
                 "&references=" + number(message.m_accepts_references),
             {},
             {}};
@@ -74,12 +75,15 @@
     {
         return std::nullopt;
     }
-    // Instances of earlier releases don't send the last two.
-    return update_request{static_cast<platform::object_kind>(*kind),
-                          {*process, *change},
-                          milliseconds(*wait),
-                          query_number(target, "revision").value_or(0),
-                          query_number(target, "references").value_or(0) != 0};
+    // Instances of earlier releases don't send the others.
+    auto const era = query_number(target, "era");
+    return update_request{
+        static_cast<platform::object_kind>(*kind),
+        {*process, *change},
+        milliseconds(*wait),
+        {query_number(target, "revision").value_or(0), era.value_or(0)},
+        query_number(target, "references").value_or(0) != 0,
+        era.has_value()};
 }
 
 platform::http_response encode(update_response const& message)
@@ -87,7 +91,8 @@
     v1::News encoded;
     auto const& page = message.m_page;
     encoded.set_whole(page.m_snapshot);
-    encoded.set_revision(page.m_revision);
+    encoded.set_revision(page.m_revision.number());
+    encoded.set_era(page.m_revision.era());
     encoded.set_digest(page.m_digest);
     encoded.mutable_cursor()->set_process(page.m_cursor.m_process);
     encoded.mutable_cursor()->set_change(page.m_cursor.m_change);
@@ -99,7 +104,7 @@
     {
         auto& added = *encoded.add_objects();
         added.set_name(object.m_name);
-        added.set_revision(object.m_revision);
+        added.set_revision(object.m_revision.number());
         added.set_content(object.m_content);
         added.set_deleted(object.m_deleted);
     }
@@ -107,7 +112,7 @@
     {
         auto& added = *encoded.add_references();
         added.set_name(reference.m_name);
-        added.set_revision(reference.m_revision);
+        added.set_revision(reference.m_revision.number());
     }
     return {status_ok, encoded.SerializeAsString()};
 }
@@ -121,7 +126,8 @@
     }
     update_response message;
     message.m_page.m_snapshot = decoded.whole();
-    message.m_page.m_revision = decoded.revision();
+    auto const era = decoded.era();
+    message.m_page.m_revision = {decoded.revision(), era};
     message.m_page.m_digest = decoded.digest();
     message.m_page.m_cursor = {decoded.cursor().process(),
                                decoded.cursor().change()};
@@ -134,14 +140,15 @@
     }
     for (auto const& object : decoded.objects())
     {
-        message.m_page.m_objects.push_back({object.name(), object.revision(),
+        message.m_page.m_objects.push_back({object.name(),
+                                            {object.revision(), era},
                                             object.content(),
                                             object.deleted()});
     }
     for (auto const& reference : decoded.references())
     {
         message.m_page.m_references.push_back(
-            {reference.name(), reference.revision()});
+            {reference.name(), {reference.revision(), era}});
     }
     return message;
 }
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -257,7 +257,7 @@
 {
     transport::log_info(log_part::group, "requested to stop using a primary",
                         {{"group", request.m_group},
-                         {"revision", request.m_revision},
+                         {"revision", to_string(request.m_revision)},
                          {"orderly", request.m_orderly}});
     asio::post(m_traffic_context,
                [this, request, closed = std::move(closed)]
@@ -437,10 +437,10 @@
 }
 
 void proxy_instance::primary_closed(std::string const& group,
-                                    std::uint64_t revision)
+                                    state::store_revision const& revision)
 {
     transport::log_info(log_part::group, "primary closed",
-                        {{"group", group}, {"revision", revision}});
+                        {{"group", group}, {"revision", to_string(revision)}});
     asio::post(m_control, [this, group, revision]
                { m_fleet.acknowledge_closing(group, revision); });
 }
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <camphortide/coordination/primary/fencing_token.hpp>
 #include <camphortide/proxy/replacement_control.hpp>
 #include <camphortide/transport/logging/log.hpp>
 
@@ -99,10 +100,26 @@
     bool const holder_ended = duty && !duty->m_record.m_holder.empty() &&
                               m_fleet.is_replaced(duty->m_record.m_holder,
                                                   duty->m_record.m_start_time);
+    m_lease.note_store(m_fleet.records().m_era, highest_token());
     m_lease.observe(duty, holder_ended, now);
+    if (m_fleet.records().m_era != 0 &&
+        now >= m_fleet.unregistered_permits_until())
+    {
+        m_lease.note_earlier_permits_lapsed();
+    }
     tick(now);
 }
 
+std::uint64_t replacement_control::highest_token() const
+{
+    std::uint64_t highest = 0;
+    for (auto const& entry : m_fleet.records().m_terms)
+    {
+        highest = std::max(highest, entry.second.m_record.m_token);
+    }
+    return highest;
+}
+
 void replacement_control::tick(state::time_point now)
 {
     step_lease(now);
@@ -212,8 +229,9 @@
                   });
     auto const record = m_fleet.records().m_terms.find(name);
     bool const known = record != m_fleet.records().m_terms.end();
-    bool const closing =
-        known && record->second.m_record.m_phase == state::term_phase::closing;
+    bool const settled =
+        known && record->second.m_record.m_phase == state::term_phase::open &&
+        coordination::is_of_current_era(record->second);
     for (auto const& [id, entry] : members)
     {
         if (entry.m_group != name)
@@ -250,9 +268,9 @@
                 m_context, entry, std::move(on));
         }
         bool const leads = known && record->second.m_record.m_primary == id;
-        auto const interval = closing || !known ? closing_interval
-                              : leads           ? primary_interval
-                                                : replica_interval;
+        auto const interval = !settled ? closing_interval
+                              : leads  ? primary_interval
+                                       : replica_interval;
         member.m_monitor->tick(interval, now);
     }
 }
@@ -303,7 +321,7 @@
     if (!record.m_primary.empty())
     {
         group.m_last_creation = now;
-        write_record(name, record, 0);
+        write_record(name, record, {});
     }
 }
 
@@ -381,7 +399,8 @@
     {
         facts.m_sync_replicas = limits->second.m_sync_replicas;
     }
-    if (record.m_phase == state::term_phase::open)
+    if (record.m_phase == state::term_phase::open &&
+        coordination::is_of_current_era(facts.m_record))
     {
         facts.m_reason = determine_reason(group, record, facts.m_members, now);
     }
@@ -391,6 +410,11 @@
         facts.m_answers = group.m_answers;
         facts.m_expelled = m_fleet.expelled();
     }
+    if (!m_lease.earlier_permits_lapsed())
+    {
+        facts.m_unregistered_permits_until =
+            m_fleet.unregistered_permits_until();
+    }
     facts.m_avoid = group.m_avoid;
     facts.m_holds_duty = m_lease.holds(now);
     facts.m_token = m_lease.token();
--- a/packages/proxy/src/replacement_control_calls.cpp
+++ b/packages/proxy/src/replacement_control_calls.cpp
@@ -34,7 +34,7 @@
 
 void replacement_control::execute(std::string const& name,
                                   replacement_action const& action,
-                                  std::uint64_t revision)
+                                  state::store_revision const& revision)
 {
     switch (action.m_kind)
     {
@@ -52,7 +52,7 @@
 
 void replacement_control::write_record(std::string const& name,
                                        state::term_record const& record,
-                                       std::uint64_t revision)
+                                       state::store_revision const& revision)
 {
     bool const open = record.m_phase == state::term_phase::open;
     transport::log_info(log_part::group, "writing term record",
@@ -62,7 +62,7 @@
                          {"open", open},
                          {"target", record.m_target},
                          {"orderly", record.m_orderly},
-                         {"at_revision", revision}});
+                         {"at_revision", to_string(revision)}});
     m_store.send(
         platform::write_request(record, revision),
         [name](store_outcome outcome,
@@ -87,7 +87,7 @@
 
 void replacement_control::request_close(std::string const& name,
                                         std::string const& instance,
-                                        std::uint64_t revision)
+                                        state::store_revision const& revision)
 {
     auto const& records = m_fleet.records();
     auto const entry = records.m_instances.find(instance);
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -109,8 +109,9 @@
     }
 }
 
-void traffic::close_primary(std::string const& name, std::uint64_t revision,
-                            bool orderly, std::function<void()> closed)
+void traffic::close_primary(std::string const& name,
+                            state::store_revision const& revision, bool orderly,
+                            std::function<void()> closed)
 {
     group(name).close_primary(revision, orderly, std::move(closed));
 }
--- a/packages/proxy/test/forwarding/home_router_test.cpp
+++ b/packages/proxy/test/forwarding/home_router_test.cpp
@@ -102,7 +102,10 @@
     {
     }
     void primary_unreachable(std::string const&, std::string const&) override {}
-    void primary_closed(std::string const&, std::uint64_t) override {}
+    void primary_closed(std::string const&,
+                        camphortide::state::store_revision const&) override
+    {
+    }
 
     int m_sent_again = 0;
 };
--- a/packages/proxy/test/news/object_cache_test.cpp
+++ b/packages/proxy/test/news/object_cache_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <camphortide/proxy/peer_messages.hpp>
 #include <camphortide/proxy/peer_updates.hpp>
 
 namespace platform = camphortide::platform;
@@ -155,6 +156,13 @@
     proxy::update_response response;
     response.m_page = two_objects().changes_since({});
     response.m_page.m_references = {{"c", 8}};
+    SUBCASE("without eras") {}
+    SUBCASE("of an era of the store")
+    {
+        response.m_page.m_revision = {10, 3};
+        response.m_page.m_references = {{"c", {8, 3}}};
+        response.m_page.m_objects = {{"a", {5, 3}, "{1}", false}};
+    }
     response.m_verified_age = camphortide::state::duration(15);
     response.m_response_age = camphortide::state::duration(3);
     CHECK(proxy::decode_update_response(proxy::encode(response).m_body) ==
@@ -167,6 +175,7 @@
         "/news?kind=1&process=2&change=3&wait_ms=4");
     REQUIRE(request);
     CHECK_FALSE(request->m_accepts_references);
+    CHECK_FALSE(request->m_names_era);
     CHECK(request->m_known_revision == 0);
 }
 
@@ -184,3 +193,35 @@
     CHECK_FALSE(proxy::decode_update_response(""));
     CHECK_FALSE(proxy::decode_update_response("not a message"));
 }
+
+TEST_CASE("a reader of an earlier era gets a snapshot")
+{
+    auto cache = two_objects();
+    auto const cursor = cache.cursor();
+    cache.update({{"a", {4, 1}, "{0}", false}}, true, {6, 1});
+    REQUIRE(cache.find("a") != nullptr);
+    CHECK(cache.find("a")->m_content == "{0}");
+    CHECK(cache.find("b") == nullptr);
+    CHECK(cache.changes_since(cursor, 10).m_snapshot);
+    CHECK(cache.changes_since({1, 1}, 10).m_snapshot);
+    CHECK_FALSE(cache.changes_since(cache.cursor(), {6, 1}).m_snapshot);
+    CHECK_FALSE(cache.changes_since({1, 1}, {6, 1}).m_snapshot);
+    // The number that it had before may be given out again.
+    cache.update({{"b", {6, 1}, "{4}", false}}, false, {7, 1});
+    REQUIRE(cache.find("b") != nullptr);
+    CHECK(cache.find("b")->m_content == "{4}");
+}
+
+TEST_CASE("messages about closings keep the era of the store")
+{
+    proxy::close_request const request{"g", {7, 2}, true};
+    CHECK(proxy::decode_close_request(proxy::encode(request).m_body) ==
+          request);
+    proxy::close_response const response{"a", 5, {7, 2}};
+    CHECK(proxy::decode_close_response(proxy::encode(response).m_body) ==
+          response);
+    auto const earlier = proxy::decode_close_response(
+        R"({"instance":"a","born":5,"revision":7})");
+    REQUIRE(earlier);
+    CHECK(earlier->m_revision == 7);
+}
--- a/packages/proxy/test/news/object_watch_test.cpp
+++ b/packages/proxy/test/news/object_watch_test.cpp
@@ -176,6 +176,57 @@
     CHECK(instances.m_second.m_verified_at <= last);
 }
 
+// Guards against changes that are taken for old ones, as the store gives out
+// again the revisions of lost changes.
+TEST_CASE("changes after the store came back from a copy reach all instances")
+{
+    pair_of_instances instances;
+    instances.m_platform.put("config", "main", R"({"v":1})");
+    instances.m_platform.put("config", "kept", R"({"v":1})");
+    instances.m_platform.keep_copy();
+    instances.m_first.start();
+    instances.m_second.start();
+    auto const both_have = [&](std::string const& name, std::string const& text)
+    {
+        return instances.m_first.has(name, text) &&
+               instances.m_second.has(name, text);
+    };
+    for (int version = 10; version < 20; ++version)
+    {
+        instances.m_platform.put("config", "main",
+                                 R"({"v":)" + std::to_string(version) + '}');
+    }
+    instances.m_platform.put("config", "lost", R"({"v":1})");
+    REQUIRE(instances.run_until([&] { return both_have("lost", "1"); }));
+    SUBCASE("with fewer changes than were lost")
+    {
+        instances.m_platform.restore_copy();
+    }
+    SUBCASE("with as many changes as were lost before the next request")
+    {
+        instances.m_platform.restore_copy();
+        for (int version = 20; version < 40; ++version)
+        {
+            instances.m_platform.put(
+                "config", "main", R"({"v":)" + std::to_string(version) + '}');
+        }
+    }
+    SUBCASE("twice")
+    {
+        instances.m_platform.restore_copy();
+        instances.m_platform.put("config", "main", R"({"v":45})");
+        REQUIRE(instances.run_until([&] { return both_have("main", "45"); }));
+        instances.m_platform.restore_copy();
+    }
+    instances.m_platform.put("config", "main", R"({"v":50})");
+    CHECK(instances.run_until([&] { return both_have("main", "50"); }));
+    CHECK(both_have("kept", "1"));
+    CHECK_FALSE(instances.m_first.has("lost", "1"));
+    CHECK_FALSE(instances.m_second.has("lost", "1"));
+    instances.m_platform.put("config", "lost", R"({"v":2})");
+    CHECK(instances.run_until([&] { return both_have("lost", "2"); }));
+}
+
 TEST_CASE("updates resume when the store is available again")
 {
     pair_of_instances instances;
--- a/packages/state/include/camphortide/state/fleet_records.hpp
+++ b/packages/state/include/camphortide/state/fleet_records.hpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string>
 
+#include <camphortide/state/store_revision.hpp>
+
 namespace camphortide::state
 {
 
@@ -45,7 +47,7 @@
     bool m_expelled = false; ///< gets no permit until it registers again
     /// by group: revision of the closing term record that the instance has
     /// acknowledged and complies with
-    std::map<std::string, std::uint64_t> m_acknowledged_closings;
+    std::map<std::string, store_revision> m_acknowledged_closings;
     std::string m_forwarding_address; ///< HOST:PORT for forwarded statements
 
     friend auto operator<=>(instance_entry const&,
@@ -60,6 +62,9 @@
     std::int64_t m_start_time = 0; ///< of the holder, Unix milliseconds
     std::uint64_t m_token = 0; ///< fencing token; rises with each new holder
     std::uint64_t m_renewals = 0;
+    /// Every permit to use a primary that was given in an earlier era of the
+    /// store has lapsed.
+    bool m_earlier_permits_lapsed = false;
 
     friend auto operator<=>(duty_record const&, duty_record const&) = default;
 };
@@ -69,7 +74,7 @@
 struct stored
 {
     Record m_record;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
 
     friend auto operator<=>(stored const&, stored const&) = default;
 };
@@ -81,6 +86,7 @@
     std::map<std::string, stored<term_record>> m_terms;        ///< by group
     std::map<std::string, stored<instance_entry>> m_instances; ///< by name
     std::optional<stored<duty_record>> m_duty;
+    std::uint64_t m_era = 0; ///< of the store
 
     friend auto operator<=>(fleet_records const&,
                             fleet_records const&) = default;
