primary: only a member with all acknowledged commits is promoted

Cause: the choice of a successor ranked "isn't leaving" before the position received. The reports did include one with each commit, but another was taken.

Evidence: on the code before, the new cases of replacement_test "with synchronous replicas a leaving one with all commits is promoted" and "a failed target isn't replaced by one that lacks commits" failed.

Change: successor_choice. Where replicas acknowledge commits, a member is chosen only if no report shows more commits, and if enough replicas have reported or it has the whole log of the old primary. Lapsed replicas count as silent until their commits are known elsewhere. Otherwise the group stays closed and the log says why.

--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -63,7 +63,10 @@
     /// registrations were lost when the store came back from a copy.
     state::time_point m_unregistered_permits_until;
     std::vector<reported_member> m_members;
-    std::uint32_t m_sync_replicas = 0;
+    /// Replicas whose entries have lapsed and that may have acknowledged
+    /// commits which no registered member is known to have.
+    std::size_t m_lapsed_replicas = 0;
+    std::uint32_t m_sync_replicas = 0; ///< that acknowledge each commit
     replacement_reason m_reason = replacement_reason::none;
     /// A member that other instances can't reach; it isn't reopened as the
     /// primary.
@@ -171,6 +174,10 @@
     std::vector<std::string>
     instances_with_permit(replacement_facts const& facts) const;
 
+    /// @return true if too few replicas have reported to know which member has
+    ///     all acknowledged commits
+    bool lacks_reports() const { return m_lacks_reports; }
+
 private:
     using actions = std::vector<replacement_action>;
 
@@ -192,10 +199,8 @@
     /// @return true if the member was promoted for this closing, and doesn't
     ///     only still lead an older term that others have superseded
     bool leads_after_request(reported_member const& member) const;
-    bool has_enough_reports(replacement_facts const& facts) const;
     bool is_fresh(reported_member const& member) const;
     bool reopen_old_primary(replacement_facts const& facts, actions& result);
-    reported_member const* best_candidate(replacement_facts const& facts) const;
     bool has_caught_up(replacement_facts const& facts,
                        reported_member const& chosen) const;
     bool permit_ended(replacement_facts const& facts,
@@ -234,6 +239,7 @@
     /// The target was seen as a replica before the request.
     bool m_target_was_replica = false;
     bool m_target_unavailable = false;
+    bool m_lacks_reports = false;
     /// An open record whose write may be outstanding: nothing else is done
     /// until the record changes.
     std::optional<state::term_record> m_open_record;
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -4,6 +4,7 @@
 
 #include <camphortide/coordination/primary/fencing_token.hpp>
 #include <camphortide/coordination/primary/replacement.hpp>
+#include <camphortide/coordination/primary/successor_choice.hpp>
 
 namespace camphortide::coordination
 {
@@ -83,6 +84,7 @@
     m_target_was_replica = false;
     m_target_unavailable = false;
     m_open_record.reset();
+    m_lacks_reports = false;
     m_last_attempts.erase("write");
     m_claim_seen_at = same_closing && m_claim_seen_at != state::time_point()
                           ? m_claim_seen_at
@@ -260,61 +262,6 @@
     return false;
 }
 
-bool replacement::has_enough_reports(replacement_facts const& facts) const
-{
-    std::size_t reported = 0;
-    std::size_t replicas = 0;
-    for (auto const& member : facts.m_members)
-    {
-        if (member.m_entry.m_id != facts.m_record.m_record.m_primary)
-        {
-            ++replicas;
-            reported += is_fresh(member) ? 1 : 0;
-        }
-    }
-    // With m_sync_replicas replicas acknowledging each commit, any `needed`
-    // replicas include one that has it.
-    std::size_t const needed =
-        facts.m_sync_replicas == 0
-            ? 1
-            : replicas + 1 -
-                  std::min<std::size_t>(replicas, facts.m_sync_replicas);
-    if (reported < needed)
-    {
-        return false;
-    }
-    return reported == replicas ||
-           facts.m_now - *m_permits_ended_at >= m_settings.m_max_report_wait;
-}
-
-reported_member const*
-replacement::best_candidate(replacement_facts const& facts) const
-{
-    reported_member const* best = nullptr;
-    auto const& record = facts.m_record.m_record;
-    auto const rank = [&](reported_member const& member)
-    {
-        bool const leads_newer_term = member.m_report->m_primary &&
-                                      member.m_report->m_term > record.m_term;
-        return std::tuple(leads_newer_term ? member.m_report->m_term : 0,
-                          !member.m_entry.m_leaving,
-                          member.m_report->m_received);
-    };
-    for (auto const& member : facts.m_members)
-    {
-        auto const cooldown_until = m_cooldown_until.find(member.m_entry.m_id);
-        bool const usable = is_fresh(member) &&
-                            member.m_entry.m_id != record.m_primary &&
-                            (cooldown_until == m_cooldown_until.end() ||
-                             cooldown_until->second <= facts.m_now);
-        if (usable && (best == nullptr || rank(member) > rank(*best)))
-        {
-            best = &member;
-        }
-    }
-    return best;
-}
-
 bool replacement::has_caught_up(replacement_facts const& facts,
                                 reported_member const& chosen) const
 {
@@ -336,9 +283,19 @@
 
 bool replacement::choose_target(replacement_facts const& facts, actions& result)
 {
-    auto const* chosen =
-        has_enough_reports(facts) ? best_candidate(facts) : nullptr;
-    if (chosen == nullptr || !has_caught_up(facts, *chosen))
+    successor_choice const choice(facts, *m_permits_ended_at);
+    bool const waits =
+        !choice.all_reported() &&
+        facts.m_now - *m_permits_ended_at < m_settings.m_max_report_wait;
+    m_lacks_reports = !choice.can_choose();
+    auto const* chosen = choice.choose(
+        [&](std::string const& id)
+        {
+            auto const until = m_cooldown_until.find(id);
+            return until != m_cooldown_until.end() &&
+                   until->second > facts.m_now;
+        });
+    if (waits || chosen == nullptr || !has_caught_up(facts, *chosen))
     {
         return false;
     }
--- /dev/null
+++ b/packages/coordination/src/primary/successor_choice.cpp
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <tuple>
+
+#include <camphortide/coordination/primary/successor_choice.hpp>
+
+namespace camphortide::coordination
+{
+
+successor_choice::successor_choice(replacement_facts const& facts,
+                                   state::time_point reports_since)
+    : m_facts(facts),
+      m_reports_since(reports_since),
+      m_replicas(facts.m_lapsed_replicas)
+{
+    for (auto const& member : facts.m_members)
+    {
+        bool const fresh = is_fresh(member);
+        if (is_old_primary(member))
+        {
+            m_old_primary = fresh ? &member : nullptr;
+            continue;
+        }
+        ++m_replicas;
+        m_reported += fresh ? 1 : 0;
+        bool const ahead = fresh && (m_most_advanced == nullptr ||
+                                     member.m_report->m_received >
+                                         m_most_advanced->m_report->m_received);
+        m_most_advanced = ahead ? &member : m_most_advanced;
+    }
+}
+
+bool successor_choice::is_fresh(reported_member const& member) const
+{
+    return member.m_report && member.m_requested_at >= m_reports_since;
+}
+
+bool successor_choice::is_old_primary(reported_member const& member) const
+{
+    return member.m_entry.m_id == m_facts.m_record.m_record.m_primary;
+}
+
+bool successor_choice::leads_newer_term(reported_member const& member) const
+{
+    return member.m_report->m_primary &&
+           member.m_report->m_term > m_facts.m_record.m_record.m_term;
+}
+
+bool successor_choice::all_reported() const
+{
+    return m_reported == m_replicas;
+}
+
+std::size_t successor_choice::needed_reports() const
+{
+    if (m_facts.m_sync_replicas == 0)
+    {
+        return 1;
+    }
+    // With m_sync_replicas replicas acknowledging each commit, any that many
+    // replicas include one that has it.
+    return m_replicas + 1 -
+           std::min<std::size_t>(m_replicas, m_facts.m_sync_replicas);
+}
+
+bool successor_choice::can_choose() const
+{
+    if (m_reported >= needed_reports())
+    {
+        return true;
+    }
+    return m_old_primary != nullptr && m_most_advanced != nullptr &&
+           m_most_advanced->m_report->m_received >=
+               m_old_primary->m_report->m_received;
+}
+
+bool successor_choice::may_lack_commits(reported_member const& member) const
+{
+    return m_facts.m_sync_replicas > 0 && !leads_newer_term(member) &&
+           member.m_report->m_received < m_most_advanced->m_report->m_received;
+}
+
+bool successor_choice::is_preferred(reported_member const& member,
+                                    reported_member const& other) const
+{
+    auto const rank = [this](reported_member const& each)
+    {
+        return std::tuple(leads_newer_term(each) ? each.m_report->m_term : 0,
+                          !each.m_entry.m_leaving, each.m_report->m_received);
+    };
+    return rank(member) > rank(other);
+}
+
+reported_member const* successor_choice::choose(
+    std::function<bool(std::string const&)> const& skipped) const
+{
+    if (!can_choose())
+    {
+        return nullptr;
+    }
+    reported_member const* best = nullptr;
+    for (auto const& member : m_facts.m_members)
+    {
+        bool const usable = is_fresh(member) && !is_old_primary(member) &&
+                            !skipped(member.m_entry.m_id) &&
+                            !may_lack_commits(member);
+        if (usable && (best == nullptr || is_preferred(member, *best)))
+        {
+            best = &member;
+        }
+    }
+    return best;
+}
+
+} // namespace camphortide::coordination
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -573,3 +573,94 @@
     report(facts, 10000);
     CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
 }
+
+// Guards against a promotion of a replica that lacks acknowledged commits which
+// a leaving replica has.
+TEST_CASE(
+    "with synchronous replicas a leaving one with all commits is promoted")
+{
+    auto facts = facts_at(0);
+    auto value = after_own_closing_record(facts);
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    facts.m_members[1].m_entry.m_leaving = true; // m3 has received more
+    SUBCASE("if it acknowledges commits")
+    {
+        facts.m_sync_replicas = 1;
+        accept_target(facts, value.step(facts), 12);
+        CHECK(facts.m_record.m_record.m_target == "m3");
+    }
+    SUBCASE("not if both have all commits")
+    {
+        facts.m_sync_replicas = 1;
+        facts.m_members[0].m_report->m_received =
+            facts.m_members[1].m_report->m_received;
+        accept_target(facts, value.step(facts), 12);
+        CHECK(facts.m_record.m_record.m_target == "m2");
+    }
+    SUBCASE("not if the primary acknowledges alone")
+    {
+        accept_target(facts, value.step(facts), 12);
+        CHECK(facts.m_record.m_record.m_target == "m2");
+    }
+}
+
+TEST_CASE(
+    "with synchronous replicas a failed target isn't replaced by one that "
+    "lacks commits")
+{
+    auto facts = facts_at(0);
+    auto value = after_own_closing_record(facts);
+    facts.m_sync_replicas = 1;
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    accept_target(facts, value.step(facts), 12);
+    CHECK(facts.m_record.m_record.m_target == "m3");
+    REQUIRE(kinds(value.step(facts)) == std::vector{kind::promote});
+    value.promotion_finished(
+        "m3", coordination::promotion_result::member_unavailable, at(110));
+    for (int now = 1700; now < 9000; now += 100)
+    {
+        facts.m_now = at(now);
+        report(facts, now);
+        for (auto const& action : value.step(facts))
+        {
+            CHECK(action.m_record.m_target != "m2");
+            CHECK(action.m_name != "m2");
+        }
+    }
+}
+
+TEST_CASE("with synchronous replicas a lapsed one counts as silent")
+{
+    auto facts = facts_at(0);
+    auto value = after_own_closing_record(facts);
+    facts.m_sync_replicas = 1;
+    facts.m_lapsed_replicas = 1;
+    facts.m_answers = {{"a", {7, 11}}, {"b", {7, 11}}};
+    facts.m_now = at(100);
+    report(facts, 100);
+    facts.m_members.pop_back();
+    CHECK(value.step(facts).empty());
+    CHECK(value.lacks_reports());
+    facts.m_now = at(9000);
+    report(facts, 9000);
+    facts.m_members.pop_back();
+    CHECK(value.step(facts).empty());
+    SUBCASE("until it returns")
+    {
+        facts.m_lapsed_replicas = 0;
+        report(facts, 9000);
+        accept_target(facts, value.step(facts), 12);
+        CHECK(facts.m_record.m_record.m_target == "m3");
+    }
+    SUBCASE("unless the old primary shows that nothing is missing")
+    {
+        facts.m_members.push_back(member("m1", true, 3, 20, 9000));
+        facts.m_members.back().m_entry.m_leaving = true;
+        accept_target(facts, value.step(facts), 12);
+        CHECK(facts.m_record.m_record.m_target == "m2");
+    }
+}
--- /dev/null
+++ b/packages/coordination/test/primary/successor_choice_test.cpp
@@ -0,0 +1,223 @@
+#include <algorithm>
+#include <array>
+
+#include <doctest/doctest.h>
+
+#include <camphortide/coordination/primary/lapsed_members.hpp>
+#include <camphortide/coordination/primary/successor_choice.hpp>
+
+namespace coordination = camphortide::coordination;
+namespace state = camphortide::state;
+
+namespace
+{
+
+state::time_point at(int ms)
+{
+    return state::time_point(state::duration(ms));
+}
+
+/// What happens to a replica before the primary crashes.
+enum class event
+{
+    none,
+    stops_receiving,
+    leaves,
+    lapses,
+    crashes, ///< without its entry having lapsed
+    returns  ///< after its entry has lapsed
+};
+
+constexpr std::array events{event::none,    event::stops_receiving,
+                            event::leaves,  event::lapses,
+                            event::crashes, event::returns};
+
+/// A replica of a group whose primary is m1 and waits for one replica with each
+/// commit.
+struct replica
+{
+    std::string m_id;
+    std::uint64_t m_received = 10;
+    bool m_receives = true;
+    bool m_up = true;
+    bool m_registered = true;
+    bool m_leaving = false;
+
+    void apply(event what)
+    {
+        switch (what)
+        {
+        case event::none:
+            return;
+        case event::stops_receiving:
+            m_receives = false;
+            return;
+        case event::leaves:
+            m_leaving = true;
+            return;
+        case event::lapses:
+            m_registered = false;
+            m_up = m_receives = false;
+            return;
+        case event::crashes:
+            m_up = m_receives = false;
+            return;
+        case event::returns:
+            m_registered = m_up = m_receives = true;
+            return;
+        }
+    }
+};
+
+/// Commits until no replica receives.
+/// @return the number of the last acknowledged commit
+std::uint64_t commit(std::array<replica, 2>& replicas, std::uint64_t last)
+{
+    bool acknowledged = false;
+    for (auto& each : replicas)
+    {
+        if (each.m_up && each.m_receives)
+        {
+            each.m_received = last + 1;
+            acknowledged = true;
+        }
+    }
+    return acknowledged ? last + 1 : last;
+}
+
+coordination::replacement_facts facts_of(std::array<replica, 2> const& replicas)
+{
+    coordination::replacement_facts facts;
+    facts.m_record = {{"g", 3, "m1", state::term_phase::closing, false, 4, ""},
+                      10};
+    facts.m_sync_replicas = 1;
+    for (auto const& each : replicas)
+    {
+        if (!each.m_registered)
+        {
+            ++facts.m_lapsed_replicas;
+            continue;
+        }
+        coordination::reported_member member;
+        member.m_entry.m_id = each.m_id;
+        member.m_entry.m_leaving = each.m_leaving;
+        if (each.m_up)
+        {
+            member.m_report.emplace();
+            member.m_report->m_term = 3;
+            member.m_report->m_received = {state::term(3), each.m_received};
+        }
+        member.m_requested_at = at(100);
+        facts.m_members.push_back(member);
+    }
+    return facts;
+}
+
+bool never(std::string const&)
+{
+    return false;
+}
+
+state::member_entry entry_of(std::string id, std::string group)
+{
+    state::member_entry entry;
+    entry.m_id = std::move(id);
+    entry.m_group = std::move(group);
+    entry.m_address = std::string("10.0.0.2:1");
+    return entry;
+}
+
+} // namespace
+
+namespace
+{
+
+/// @param whom bit i: the replica that the event i concerns
+/// @return true if a member was chosen; checks that it has what was
+/// acknowledged
+bool chooses_after(std::array<event, 3> const& history, unsigned whom)
+{
+    std::array<replica, 2> replicas{replica{"m2"}, replica{"m3"}};
+    std::uint64_t acknowledged = 10;
+    for (auto const what : history)
+    {
+        replicas.at(whom % 2).apply(what);
+        whom /= 2;
+        acknowledged = commit(replicas, acknowledged);
+    }
+    auto const facts = facts_of(replicas);
+    coordination::successor_choice const choice(facts, at(100));
+    auto const* const member = choice.choose(never);
+    if (member != nullptr)
+    {
+        CHECK(member->m_report->m_received.m_index >= acknowledged);
+    }
+    return member != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("the chosen member has all acknowledged commits, whatever happened")
+{
+    int chosen = 0;
+    int histories = 0;
+    for (auto const first : events)
+    {
+        for (auto const second : events)
+        {
+            for (auto const third : events)
+            {
+                for (unsigned whom = 0; whom < 8; ++whom)
+                {
+                    ++histories;
+                    chosen +=
+                        chooses_after({first, second, third}, whom) ? 1 : 0;
+                }
+            }
+        }
+    }
+    // Some are known to be safe, some aren't.
+    CHECK(chosen > histories / 4);
+    CHECK(chosen < histories);
+}
+
+TEST_CASE("a lapsed member is unknown until its commits are known elsewhere")
+{
+    coordination::lapsed_members lapsed;
+    auto const position = [](std::uint64_t index)
+    {
+        return state::log_position{state::term(3), index};
+    };
+    lapsed.lapse(entry_of("m2", "g"), at(1000));
+    CHECK(lapsed.count("g", "m1") == 1);
+    CHECK(lapsed.count("g", "m2") == 0);
+    CHECK(lapsed.count("h", "m1") == 0);
+    SUBCASE("it registers again")
+    {
+        lapsed.note_registered(entry_of("m2", "g"));
+    }
+    SUBCASE("another member takes over its address")
+    {
+        lapsed.note_registered(entry_of("m4", "g"));
+    }
+    SUBCASE("a replica has what the primary had after that")
+    {
+        lapsed.note_positions("g", position(8), at(900), position(8));
+        lapsed.note_positions("g", position(9), at(1100), position(8));
+        CHECK(lapsed.count("g", "m1") == 1);
+        lapsed.note_positions("g", position(20), at(1300), position(9));
+    }
+    SUBCASE("it lapsed long ago")
+    {
+        lapsed.expire(at(601000));
+    }
+    CHECK(lapsed.count("g", "m1") == 0);
+}
+
+TEST_CASE("another service at a lapsed member's address tells nothing")
+{
+    coordination::lapsed_members lapsed;
+    lapsed.lapse(entry_of("m2", "g"), at(0));
+    lapsed.note_registered(entry_of("n1", "h"));
+    CHECK(lapsed.count("g", "m1") == 1);
+}
--- a/packages/proxy/include/camphortide/proxy/fleet_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/fleet_control.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <camphortide/coordination/primary/lapsed_members.hpp>
 #include <camphortide/platform/process_settings.hpp>
 #include <camphortide/proxy/fleet_view.hpp>
 #include <camphortide/proxy/object_watch.hpp>
@@ -87,6 +88,9 @@
         return m_member_entries;
     }
 
+    /// @return the members whose entries have lapsed
+    coordination::lapsed_members& lapsed_members() { return m_lapsed_members; }
+
     /// @return when this process first saw each expelled instance expelled
     std::map<std::string, state::time_point> const& expelled() const
     {
@@ -143,6 +147,7 @@
     /// By id.
     std::map<std::string, cached_member> m_members;
     std::map<std::string, state::member_entry> m_member_entries; ///< by id
+    coordination::lapsed_members m_lapsed_members;
     state::fleet_records m_records;
     /// As published, by group.
     std::map<std::string, coordination::primary_status> m_primaries;
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -75,6 +75,7 @@
     coordination::replacement_facts collect_facts(std::string const& name,
                                                   group_control& group,
                                                   state::time_point now);
+    void note_positions(coordination::replacement_facts const& facts);
     coordination::replacement_reason
     determine_reason(group_control& group, state::term_record const& record,
                      std::vector<coordination::reported_member> const& members,
--- a/packages/proxy/src/fleet_control_members.cpp
+++ b/packages/proxy/src/fleet_control_members.cpp
@@ -38,6 +38,7 @@
             continue;
         }
         present.insert(entry->m_id);
+        m_lapsed_members.note_registered(*entry);
         auto& cached = m_members[entry->m_id];
         if (cached.m_entry != *entry || cached.m_missing_since)
         {
@@ -111,7 +112,7 @@
 {
     auto const gone = std::erase_if(
         m_members,
-        [now](auto const& entry)
+        [this, now](auto const& entry)
         {
             auto const& since = entry.second.m_missing_since;
             bool const over = since && now - *since >= missing_grace;
@@ -119,9 +120,11 @@
             {
                 transport::log_info(log_part::membership, "member removed",
                                     {{"member", entry.first}});
+                m_lapsed_members.lapse(entry.second.m_entry, now);
             }
             return over;
         });
+    m_lapsed_members.expire(now);
     if (gone > 0)
     {
         update_member_entries();
--- a/packages/proxy/src/group_control.hpp
+++ b/packages/proxy/src/group_control.hpp
@@ -32,6 +32,8 @@
     /// A member that other instances can't reach.
     std::string m_avoid;
     state::time_point m_last_creation;
+    /// Too few replicas have reported to choose a primary.
+    bool m_lacks_reports = false;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -296,6 +296,19 @@
     {
         execute(name, action, facts.m_record.m_revision);
     }
+    bool const lacks_reports = group.m_replacement.lacks_reports();
+    if (lacks_reports && !group.m_lacks_reports)
+    {
+        transport::log_warning(
+            log_part::group,
+            "no primary chosen: acknowledged commits may be at replicas that "
+            "don't report",
+            {{"group", name},
+             {"registered", facts.m_members.size()},
+             {"lapsed", facts.m_lapsed_replicas},
+             {"sync_replicas", facts.m_sync_replicas}});
+    }
+    group.m_lacks_reports = lacks_reports;
 }
 
 void replacement_control::create_record(std::string const& name,
@@ -399,6 +412,12 @@
     {
         facts.m_sync_replicas = limits->second.m_sync_replicas;
     }
+    if (facts.m_sync_replicas > 0)
+    {
+        note_positions(facts);
+        facts.m_lapsed_replicas =
+            m_fleet.lapsed_members().count(name, record.m_primary);
+    }
     if (record.m_phase == state::term_phase::open &&
         coordination::is_of_current_era(facts.m_record))
     {
@@ -422,6 +441,36 @@
     return facts;
 }
 
+void replacement_control::note_positions(
+    coordination::replacement_facts const& facts)
+{
+    auto const& record = facts.m_record.m_record;
+    coordination::reported_member const* primary = nullptr;
+    state::log_position replica;
+    for (auto const& member : facts.m_members)
+    {
+        bool const is_primary = member.m_entry.m_id == record.m_primary;
+        if (!member.m_report)
+        {
+            continue;
+        }
+        if (!is_primary)
+        {
+            replica = std::max(replica, member.m_report->m_received);
+        }
+        else if (member.m_report->m_primary)
+        {
+            primary = &member;
+        }
+    }
+    if (primary != nullptr && record.m_phase == state::term_phase::open)
+    {
+        m_fleet.lapsed_members().note_positions(
+            record.m_group, primary->m_report->m_received,
+            primary->m_requested_at, replica);
+    }
+}
+
 void replacement_control::remove_expelled(state::time_point now)
 {
     if (now - m_last_removal < min_removal_interval)
