primary: a leaving primary serves until another can be promoted

What callers saw: in the 10 s after a restored store, the group of a leaving primary was closed for 5 s while nobody could be promoted.

Cause: the closing was written as soon as the primary reported that it leaves, although permits of instances with lost registrations had to lapse first.

Evidence: the log of proxy.store_era, "requested to stop" at 53:06.3 and the promotion at 53:11.3. The new case of replacement_test failed before.

Change: an orderly closing waits for the same time; the primary goes on serving. The test's writer stays away from the instance that is restarted: it was chosen before that was known, and the test hung once when both were the same.

--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -114,9 +114,11 @@
 void replacement::close_if_needed(replacement_facts const& facts,
                                   actions& result)
 {
-    if (facts.m_reason == replacement_reason::none)
+    bool const too_early = facts.m_reason == replacement_reason::leaving &&
+                           facts.m_now < facts.m_unregistered_permits_until;
+    if (facts.m_reason == replacement_reason::none || too_early)
     {
-        return;
+        return; // a leaving primary serves until another can be promoted
     }
     auto record = facts.m_record.m_record;
     record.m_phase = term_phase::closing;
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -556,6 +556,17 @@
     CHECK(facts.m_record.m_record.m_target == "m1");
 }
 
+TEST_CASE("a leaving primary serves while lost registrations may have permits")
+{
+    replacement value;
+    auto facts = restored_facts_at(0);
+    facts.m_record.m_record.m_token = facts.m_token;
+    facts.m_reason = replacement_reason::leaving;
+    CHECK(value.step(facts).empty());
+    facts.m_now = at(0) + permit_lease;
+    CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
+}
+
 TEST_CASE("no member is promoted while lost registrations may have permits")
 {
     auto facts = restored_facts_at(0);
--- a/packages/proxy/test/store_era/restored_store_test.cpp
+++ b/packages/proxy/test/store_era/restored_store_test.cpp
@@ -83,13 +83,13 @@
             REQUIRE(each.second->wait_writes());
         }
         REQUIRE(wait_for([this] { return holder() != 0; }));
+        m_stopped = holder();
     }
 
     /// Stops the holder of the duty, replaces the primary, and lets the store
     /// come back from a copy that it made before.
     void lose_change_of_primary()
     {
-        m_stopped = holder();
         m_fixture.m_platform.keep_copy();
         m_instances.erase(m_stopped);
         // The revisions of the copy are far behind when it is restored.
@@ -181,7 +181,7 @@
 
     deployment m_fixture;
     std::map<int, std::unique_ptr<running_instance>> m_instances;
-    int m_stopped = 0;
+    int m_stopped = 0; ///< the holder of the duty, which is restarted
 };
 
 } // namespace
