proxy: a pool and its opening connection don't keep each other

Cause: the handler of an opening held the pool and the connection, which hold the handler. An instance that stopped while a connection was being opened never freed them.

Evidence: the report names a connection made by member_pool::open_for() as the largest object and only indirect leaks, so a cycle. "a pool ends while a connection is being opened" failed before.

Change: the handler holds both weakly, and closes a connection whose pool is gone.

--- a/packages/proxy/src/member_pool.cpp
+++ b/packages/proxy/src/member_pool.cpp
@@ -182,15 +182,28 @@
     m_all.insert(connection);
     m_opening[customer] = started;
     connection->open(m_member, customer,
-                     [self = shared_from_this(), connection, changed,
+                     [pool = weak_from_this(),
+                      opening = std::weak_ptr(connection), changed,
                       started](opening_result result)
                      {
+                         // The pool holds the connection, which holds this
+                         // handler.
+                         auto const self = pool.lock();
+                         auto const opened = opening.lock();
+                         if (!self || !opened)
+                         {
+                             if (opened)
+                             {
+                                 opened->close();
+                             }
+                             return;
+                         }
                          if (result == opening_result::opened)
                          {
                              self->m_opening_time.add(static_cast<double>(
                                  (state::clock::now() - started).count()));
                          }
-                         self->opened(connection, result);
+                         self->opened(opened, result);
                          changed();
                      });
 }
