--- a/packages/proxy/test/news/object_cache_test.cpp
+++ b/packages/proxy/test/news/object_cache_test.cpp
@@ -212,6 +212,16 @@
     CHECK(cache.find("b")->m_content == "{4}");
 }
 
+TEST_CASE("deeply nested messages of a peer are invalid")
+{
+    constexpr std::size_t depth = 400000;
+    auto const nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(proxy::decode_close_request(nested));
+    CHECK_FALSE(proxy::decode_close_response(R"({"instance":)" + nested + '}'));
+    CHECK_FALSE(
+        proxy::decode_unreachable_report(R"({"group":)" + nested + '}'));
+}
+
 TEST_CASE("messages about closings keep the era of the store")
 {
     proxy::close_request const request{"g", {7, 2}, true};
--- a/packages/proxy/test/stopping/stopping_path_test.cpp
+++ b/packages/proxy/test/stopping/stopping_path_test.cpp
@@ -54,6 +54,7 @@
 
 } // namespace
 
+// Guards against statements that a stopping instance takes and cuts off.
 TEST_CASE("a stopping instance answers sessions that are never idle, and tells "
           "them to leave")
 {
