proxy: a metric of the store's era

The users' report of CONFIG came without logs, and instances that kept an old configuration after a restored store left no line.

--- a/packages/proxy/src/instance_gauges.cpp
+++ b/packages/proxy/src/instance_gauges.cpp
@@ -119,6 +119,10 @@
                        {},
                        static_cast<double>(configuration->m_version)});
     }
+    all.push_back({"store_era",
+                   "era of the store whose records are in force",
+                   {},
+                   static_cast<double>(source.records().m_era)});
     return all;
 }
 
