proxy: a connection is reused only if no transaction is open on it

Cause: a statement that is sent again in place repeated its preamble with BEGIN, and a connection whose BEGIN had failed went back to the pool as clean, whatever transaction state the answer showed.

Change: what is sent again in place is the statement alone. After a failure a connection is kept only if the member says that no transaction is open, and a BEGIN must open one.

--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -132,6 +132,11 @@
     void set_timer();
     void send_to(request_pointer const& request, std::size_t index);
     void run(request_pointer const& request, bound_connection const& bound);
+    /// Sends a statement again on the connection of its transaction.
+    void run_again(request_pointer const& request,
+                   bound_connection const& bound);
+    void note_sending(request_pointer const& request,
+                      bound_connection const& bound);
     static std::vector<std::string> preamble(statement_request const& request,
                                              bound_connection const& bound);
     /// @return the position that a replica must have applied to run a read;
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -60,13 +60,26 @@
 
 void group_traffic::run(request_pointer const& request,
                         bound_connection const& bound)
+{
+    note_sending(request, bound);
+    send_preamble(request, bound);
+}
+
+void group_traffic::run_again(request_pointer const& request,
+                              bound_connection const& bound)
+{
+    note_sending(request, bound);
+    send_statement(request, bound); // its transaction has begun
+}
+
+void group_traffic::note_sending(request_pointer const& request,
+                                 bound_connection const& bound)
 {
     ++request->m_send_count;
     request->m_sent_at = state::clock::now();
     request->m_sent_to_idle = bound.m_pool->in_flight() == 0;
     bound.m_pool->statement_started();
     start_deadline_timer(request, bound);
-    send_preamble(request, bound);
 }
 
 void group_traffic::start_deadline_timer(request_pointer const& request,
@@ -157,13 +170,17 @@
                 {
                     return;
                 }
-                if (!reply || !reply->ok())
+                bool const last = --*remaining == 0;
+                bool const begun =
+                    !last || !request->m_begins_transaction ||
+                    (reply && reply->m_phase == session_phase::in_transaction);
+                if (!reply || !reply->ok() || !begun)
                 {
                     *failed = true;
                     handle_preamble_failure(request, bound, std::move(reply));
                     return;
                 }
-                if (--*remaining == 0)
+                if (last)
                 {
                     send_statement(request, bound);
                 }
@@ -178,17 +195,18 @@
     bound.m_pool->statement_finished(std::nullopt);
     request->m_deadline_timer.reset();
     auto const now = state::clock::now();
-    if (reply)
+    if (reply && !reply->ok())
     {
         record_statement_failure(*request, bound, *reply->m_failure);
     }
-    else
+    else if (!reply)
     {
         bound.m_pool->record_failure(now);
     }
     // After a failure the setup of the connection is unknown. It is reusable
-    // only if nothing but BEGIN can have failed.
+    // only if nothing but BEGIN can have failed, and no transaction is open.
     bool const only_begin = request->m_begins_transaction && reply &&
+                            reply->m_phase == session_phase::idle &&
                             bound.m_connection->outstanding() == 0;
     release(bound, only_begin);
     if (request->m_bound)
@@ -339,7 +357,7 @@
                 {
                     if (*alive)
                     {
-                        run(request, bound);
+                        run_again(request, bound);
                     }
                 });
             return;
@@ -348,7 +366,8 @@
         fail(request, busy_failure("no slot in time"));
         return;
     case reply_decision::action::retry:
-        release(bound, decision.m_keep_connection);
+        release(bound, decision.m_keep_connection && reply &&
+                           reply->m_phase == session_phase::idle);
         send_again(request);
         return;
     case reply_decision::action::fail:
