--- a/packages/proxy/src/group_control.hpp
+++ b/packages/proxy/src/group_control.hpp
@@ -10,6 +10,10 @@
 namespace camphortide::proxy
 {
 
+/// Interval between the report requests to a replica, whose report matters only
+/// when it changes.
+inline constexpr state::duration replica_interval{1500};
+
 /// State of one group that the holder of the duty keeps.
 struct replacement_control::group_control
 {
