--- a/review/standin-2/group.hpp
+++ b/review/standin-2/group.hpp
@@ -23,7 +23,7 @@
 /// Properties of a database group.
 struct group_settings
 {
-    int m_slots = 2;
+    int m_slots = 3;
     int m_max_connections = 16;
     int m_queue = 16;
     int m_handshake_ms = 12;
