Review: a restarted holder promotes a replica that lacks acknowledged commits

Seen: after an outage of the store in which the members' entries lapsed, a holder that was killed meanwhile promotes the one replica whose entry is back first, which had received nothing for 6 s. About 500 acknowledged writes are lost, although the primary and the other replica are alive.

Cause: a primary without an entry counts as silent after 700 ms, and the number of reports that is needed comes from the entries that this process has seen.

--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -215,7 +215,7 @@
 
 /// @return a desired state with one route and one service for each group
 inline json desired_state(std::vector<std::string> const& groups,
-                          std::string const& route_type)
+                          std::string const& route_type, int sync_replicas = 0)
 {
     json state{{"version", 10},
                {"limits", {{"txIdleMs", 3000}}},
@@ -231,8 +231,9 @@
                                    {"timeoutMs", 800},
                                    {"targetLatencyMs", 120},
                                    {"priority", 1}});
-        state["services"].push_back(
-            {{"name", group}, {"maxConnections", 16}, {"syncReplicas", 0}});
+        state["services"].push_back({{"name", group},
+                                     {"maxConnections", 16},
+                                     {"syncReplicas", sync_replicas}});
     }
     return state;
 }
--- a/review/standin-2/group.hpp
+++ b/review/standin-2/group.hpp
@@ -3,6 +3,7 @@
 #include "record.hpp"
 #include "store.hpp"
 
+#include <atomic>
 #include <memory>
 #include <random>
 #include <set>
@@ -30,6 +31,7 @@
     int m_work_ms = 4;
     int m_promote_ms = 300;
     int m_heartbeat_ms = 1200;
+    int m_sync_replicas = 0; ///< that receive a commit before its answer
 };
 
 /// A database group: members that speak the wire protocol, register in the
@@ -130,6 +132,65 @@
         return 200;
     }
 
+    /// A replica that is deaf receives no commits.
+    void set_deaf(std::string const& id, bool deaf)
+    {
+        m_record.add(m_name + ": " + id +
+                     (deaf ? " receives nothing" : " receives again"));
+        std::scoped_lock const lock(m_mutex);
+        auto& each = find(id);
+        auto const* const source = leader();
+        each.m_deaf = deaf;
+        if (!deaf && source->m_term >= each.m_term)
+        {
+            each.m_log = source->m_log;
+        }
+    }
+
+    /// The store isn't available, and the members' entries lapse.
+    void lapse_entries()
+    {
+        m_beating = false;
+        for (auto const& each : m_members)
+        {
+            m_store.remove("servers", each->m_id);
+        }
+    }
+
+    /// The store is available again.
+    /// @param delays after which the members write their entries again, in ms
+    void restore_entries(std::map<std::string, int> const& delays)
+    {
+        int last = 0;
+        for (auto const& [id, delay] : delays)
+        {
+            last = std::max(last, delay);
+            std::thread(
+                [this, id = id, delay = delay]
+                {
+                    pause_for(delay);
+                    m_record.add(m_name + ": the entry of " + id + " is back");
+                    report(id);
+                })
+                .detach();
+        }
+        std::thread(
+            [this, last]
+            {
+                pause_for(last);
+                m_beating = true;
+            })
+            .detach();
+    }
+
+    /// @return the ids of the commits that the log of a member lacked when it
+    ///     was promoted
+    std::set<std::string> dropped_commits()
+    {
+        std::scoped_lock const lock(m_mutex);
+        return m_dropped;
+    }
+
     /// From now on a member loses the answers to a share of what it runs.
     void lose_answers(std::string const& id, double share)
     {
@@ -186,6 +247,7 @@
         bool m_registered = false;
         bool m_primary = false;
         bool m_draining = false;
+        bool m_deaf = false;
         std::uint64_t m_term = 1;
         std::uint64_t m_suspended = 0;
         std::vector<commit_entry> m_log;
@@ -234,6 +296,23 @@
         return result;
     }
 
+    void note_dropped(member const& chosen, member const* old)
+    {
+        std::set<std::string> kept_ids;
+        for (auto const& entry : chosen.m_log)
+        {
+            kept_ids.insert(entry.m_id);
+        }
+        static std::vector<commit_entry> const none;
+        for (auto const& entry : old == nullptr ? none : old->m_log)
+        {
+            if (!kept_ids.contains(entry.m_id))
+            {
+                m_dropped.insert(entry.m_id);
+            }
+        }
+    }
+
     void take_lead(std::string const& id)
     {
         {
@@ -244,12 +323,13 @@
             {
                 return;
             }
+            note_dropped(chosen, old);
             chosen.m_term = (old == nullptr ? chosen.m_term : old->m_term) + 1;
             chosen.m_primary = true;
             chosen.m_suspended = 0;
             for (auto& each : m_members)
             {
-                if (each->m_up && !each->m_primary)
+                if (each->m_up && !each->m_primary && !each->m_deaf)
                 {
                     each->m_log = chosen.m_log;
                     each->m_term = chosen.m_term;
@@ -319,7 +399,7 @@
                                  milliseconds(3 * m_settings.m_heartbeat_ms);
                     each->m_registered = each->m_registered && !lapsed;
                 }
-                if (up)
+                if (up && m_beating)
                 {
                     report(each->m_id);
                 }
@@ -578,7 +658,9 @@
         if (word == "COMMIT" || state.m_state == 'I')
         {
             state.m_state = 'I';
-            commit(owner, id, std::exchange(state.m_changes, {}));
+            bool const received =
+                commit(owner, id, std::exchange(state.m_changes, {}));
+            return {{}, received ? "" : "TIMEOUT"};
         }
         return {};
     }
@@ -596,26 +678,30 @@
         return value;
     }
 
-    void commit(member& owner, std::string const& id,
+    /// @return false if too few replicas received it
+    bool commit(member& owner, std::string const& id,
                 std::vector<std::pair<std::string, std::string>> changes)
     {
         if (changes.empty())
         {
-            return;
+            return true;
         }
         owner.m_log.push_back({owner.m_term, id, std::move(changes)});
         if (leader() != &owner)
         {
             m_superseded.insert(id);
         }
+        int receivers = 0;
         for (auto& each : m_members)
         {
-            if (each->m_up && !each->m_primary && each->m_suspended == 0 &&
-                each->m_term == owner.m_term)
+            if (each->m_up && !each->m_primary && !each->m_deaf &&
+                each->m_suspended == 0 && each->m_term == owner.m_term)
             {
                 each->m_log = owner.m_log;
+                ++receivers;
             }
         }
+        return receivers >= m_settings.m_sync_replicas;
     }
 
     answer control(member& owner, std::string const& word,
@@ -650,6 +736,8 @@
     std::condition_variable_any m_slot_free;
     std::mt19937 m_random{7};
     std::set<std::string> m_superseded;
+    std::set<std::string> m_dropped;
+    std::atomic<bool> m_beating = true;
     std::vector<std::unique_ptr<member>> m_members;
 };
 
--- a/review/standin-2/lost_answers.cpp
+++ b/review/standin-2/lost_answers.cpp
@@ -1,6 +1,6 @@
 // The primary of a service loses the answers to a share of what it runs, for
 // some seconds. Checks that requests are served again afterwards.
-#include "deployment.hpp"
+#include "writers.hpp"
 
 #include <atomic>
 #include <iostream>
@@ -10,10 +10,6 @@
 
 using namespace review;
 
-constexpr int held = 0;
-constexpr int broken = 1;
-constexpr int not_run = 2;
-
 /// As in the largest entry of the users' days.
 constexpr double lost_share = 0.039;
 constexpr milliseconds loss_time{5000};
--- a/review/standin-2/store.hpp
+++ b/review/standin-2/store.hpp
@@ -39,6 +39,14 @@
         change(kind, name, nullptr, true);
     }
 
+    /// While the store isn't available it answers every call with 503.
+    void set_available(bool available)
+    {
+        std::scoped_lock const lock(m_mutex);
+        m_available = available;
+        m_changed.notify_all();
+    }
+
     /// @return the spec of an object; null if there is none
     json get(std::string const& kind, std::string const& name)
     {
@@ -141,16 +149,19 @@
     {
         pause_for(4); // the store's usual time for an answer
         auto const path = parse(request.m_target);
-        if (request.m_method != "GET")
-        {
-            std::scoped_lock const lock(m_mutex);
-            return write(request, path);
-        }
         if (path.m_query.contains("watch"))
         {
             return watch(path);
         }
         std::scoped_lock const lock(m_mutex);
+        if (!m_available)
+        {
+            return {503, "{}"};
+        }
+        if (request.m_method != "GET")
+        {
+            return write(request, path);
+        }
         if (!path.m_name.empty())
         {
             auto const found = m_objects.find({path.m_kind, path.m_name});
@@ -179,6 +190,10 @@
         std::unique_lock lock(m_mutex);
         while (true)
         {
+            if (!m_available)
+            {
+                return {503, "{}"};
+            }
             json events = json::array();
             for (auto const& each : m_events)
             {
@@ -234,6 +249,7 @@
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    bool m_available = true;
     std::map<std::pair<std::string, std::string>, json> m_objects;
     std::deque<event> m_events;
     std::uint64_t m_revision = 1;
