Review: answers that a caller doesn't read are queued without a limit

Seen: callers that send statements and read nothing bring an instance over its 260 MB within seconds; the platform kills it, with the sessions of all others.

Cause: the next statement is taken as soon as the answer to the last one is queued, and the queue has no limit.

--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -30,9 +30,9 @@
         : m_folder(std::move(folder)),
           m_settings(std::move(settings)),
           m_record(record),
-          m_front(free_port()),
-          m_ready(free_port()),
-          m_internal(free_port_pair())
+          m_front(free_ports()),
+          m_ready(free_ports()),
+          m_internal(free_ports())
     {
         std::filesystem::create_directories(m_folder);
         write_settings();
@@ -105,6 +105,23 @@
         }
     }
 
+    /// @return the memory in use, in kB; 0 if it isn't running
+    long resident_kb() const
+    {
+        std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+        std::string word;
+        while (status >> word)
+        {
+            if (word == "VmRSS:")
+            {
+                long value = 0;
+                status >> value;
+                return value;
+            }
+        }
+        return 0;
+    }
+
     void kill()
     {
         if (m_process > 0)
@@ -116,12 +133,6 @@
     }
 
 private:
-    static std::uint16_t free_port()
-    {
-        listener const probe([](tcp_socket const&) {});
-        return probe.port();
-    }
-
     static bool is_free(std::uint16_t port)
     {
         int const handle = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -133,15 +144,22 @@
         return free;
     }
 
-    static std::uint16_t free_port_pair()
+    /// @return the first of two free ports. They lie below the range from which
+    ///     the system takes the ports of outgoing connections, and the search
+    ///     begins elsewhere in each process.
+    static std::uint16_t free_ports()
     {
+        constexpr int first_port = 20000;
+        constexpr int count = 6000;
+        static int next = ::getpid() * 31 % count;
         while (true)
         {
-            auto const first = free_port();
-            auto const second = static_cast<std::uint16_t>(first + 1);
-            if (second > first && is_free(second))
+            next = (next + 1) % count;
+            auto const port = static_cast<std::uint16_t>(first_port + 2 * next);
+            auto const second = static_cast<std::uint16_t>(port + 1);
+            if (is_free(port) && is_free(second))
             {
-                return first;
+                return port;
             }
         }
     }
