--- a/review/standin-2/store_return.cpp
+++ b/review/standin-2/store_return.cpp
@@ -131,7 +131,7 @@
         pause_for(1800);
         m_record.add("the store is back");
         m_store.set_available(true);
-        m_group.restore_entries({{"a-3", 200}, {"a-2", 1700}, {"a-1", 1800}});
+        m_group.restore_entries({{"a-3", 100}, {"a-2", 1900}, {"a-1", 2000}});
         pause_for(1700);
         m_group.set_deaf("a-3", false);
     }
