--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -105,23 +105,6 @@
         }
     }
 
-    /// @return the memory in use, in kB; 0 if it isn't running
-    long resident_kb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
-        std::string word;
-        while (status >> word)
-        {
-            if (word == "VmRSS:")
-            {
-                long value = 0;
-                status >> value;
-                return value;
-            }
-        }
-        return 0;
-    }
-
     void kill()
     {
         if (m_process > 0)
--- a/review/standin-2/store_return.cpp
+++ b/review/standin-2/store_return.cpp
@@ -128,11 +128,11 @@
         holder.kill();
         pause_for(500);
         holder.start();
-        pause_for(1800);
+        pause_for(1700);
         m_record.add("the store is back");
         m_store.set_available(true);
         m_group.restore_entries({{"a-3", 100}, {"a-2", 1900}, {"a-1", 2000}});
-        pause_for(1700);
+        pause_for(1650);
         m_group.set_deaf("a-3", false);
     }
 
