proxy: no promotion request arrives after one with a higher token

Callers saw acknowledged writes disappear: a promotion request that a cut held up arrived 3 s later, after the duty had changed hands, and gave the lead back to a member that had been replaced.

Cause: giving up the wait for a request was taken for its end. The connection was closed in order, so the kernel went on sending for up to 4 s, also after the process had ended. The lease had to last for 1 s only, and a takeover after a release or the end of the holder waited for nothing. The platform doesn't check the token.

Now a request lives for 1 s at most: its connection is reset when it is given up or closed in any way, and breaks after 1 s without acknowledgements. The lease must last as long. The duty is released once no request may still arrive, and the holder that takes over from a process that has ended waits for 1 s.

With an unanswered request the next one waits for up to 1 s.

--- a/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/duty_lease.hpp
@@ -104,6 +104,14 @@
     /// @return the token of the current holder; 0 if no record is cached
     std::uint64_t token() const;
 
+    /// @return until when promotion requests of the previous holder may still
+    ///     arrive at the platform. They can't after its lease has lapsed, or
+    ///     after it has released the duty.
+    state::time_point earlier_calls_until() const
+    {
+        return m_earlier_calls_until;
+    }
+
 private:
     struct pending_write
     {
@@ -117,6 +125,10 @@
     void note_token(std::uint64_t token);
     std::uint64_t next_token() const;
     bool can_take_over(state::time_point now) const;
+    bool lease_lapsed(state::time_point now) const;
+    void note_holder_ended(bool holder_ended, bool changed,
+                           state::time_point now);
+    state::time_point calls_of_holder_until(state::time_point now) const;
     std::optional<duty_write> start_write(state::duty_record record,
                                           state::time_point now);
     void confirm(state::duty_record const& record);
@@ -126,8 +138,10 @@
     duty_lease_settings m_settings;
     std::optional<state::stored<state::duty_record>> m_cached;
     bool m_has_read = false;
-    bool m_holder_ended = false;
+    /// Since then, the process of the recorded holder is known to have ended.
+    std::optional<state::time_point> m_holder_ended_at;
     bool m_released = false;
+    state::time_point m_first_read;
     state::time_point m_last_read;
     state::time_point m_unchanged_since;
     std::optional<pending_write> m_pending;
@@ -140,6 +154,7 @@
     bool m_earlier_permits_lapsed = false; ///< those of before that era
     /// The highest token of that era in any record.
     std::uint64_t m_highest_token = 0;
+    state::time_point m_earlier_calls_until;
 };
 
 } // namespace camphortide::coordination
--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -74,6 +74,8 @@
     bool m_holds_duty = false;
     /// Token of the duty, if it is held.
     std::uint64_t m_token = 0;
+    /// No promotion request with another token may still arrive.
+    bool m_may_promote = true;
     state::time_point m_now;
 };
 
@@ -145,7 +147,8 @@
 /// more: each registered instance has answered that it stopped, or has
 /// confirmed it in its own record, or was replaced by a new process, or its
 /// permit has lapsed. The target member is written into the record first, so
-/// that every later holder knows which member may become the primary. A new
+/// that every later holder knows which member may become the primary. No
+/// request is sent while one of a previous holder may still arrive. A new
 /// holder first writes its token into a closing record: outstanding conditional
 /// writes of its predecessor then fail. While the write of an open record may
 /// be outstanding, nothing else is done.
--- a/packages/coordination/src/primary/duty_lease.cpp
+++ b/packages/coordination/src/primary/duty_lease.cpp
@@ -3,6 +3,7 @@
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
 #include <camphortide/coordination/primary/fencing_token.hpp>
+#include <camphortide/coordination/primary/promotion_calls.hpp>
 
 namespace camphortide::coordination
 {
@@ -70,10 +71,11 @@
     {
         m_unchanged_since = now;
     }
+    m_first_read = m_has_read ? m_first_read : now;
     m_has_read = true;
     m_last_read = now;
     m_cached = record;
-    m_holder_ended = holder_ended;
+    note_holder_ended(holder_ended, changed, now);
     if (record)
     {
         note_store(record->m_revision.era(), record->m_record.m_token);
@@ -92,6 +94,19 @@
     }
 }
 
+void duty_lease::note_holder_ended(bool holder_ended, bool changed,
+                                   state::time_point now)
+{
+    if (!holder_ended)
+    {
+        m_holder_ended_at.reset();
+    }
+    else if (!m_holder_ended_at || changed)
+    {
+        m_holder_ended_at = now;
+    }
+}
+
 void duty_lease::confirm(state::duty_record const& record)
 {
     if (m_pending && m_pending->m_write.m_record == record)
@@ -101,23 +116,38 @@
     }
 }
 
+bool duty_lease::lease_lapsed(state::time_point now) const
+{
+    return now - m_unchanged_since >=
+           m_settings.m_lease + m_settings.m_hesitation;
+}
+
 bool duty_lease::can_take_over(state::time_point now) const
 {
-    auto const unchanged_for = now - m_unchanged_since;
     if (m_cached && !is_of_current_era(*m_cached))
     {
-        return lease_runs(now) ||
-               unchanged_for >= m_settings.m_lease + m_settings.m_hesitation;
+        return lease_runs(now) || lease_lapsed(now);
     }
     bool const is_free = !m_cached || m_cached->m_record.m_holder.empty();
     if (is_free)
     {
-        return unchanged_for >= m_settings.m_hesitation;
+        return now - m_unchanged_since >= m_settings.m_hesitation;
     }
     // A record with this name but another start time belongs to an earlier
     // process of this instance, which has ended.
-    return m_cached->m_record.m_holder == m_name || m_holder_ended ||
-           unchanged_for >= m_settings.m_lease + m_settings.m_hesitation;
+    return m_cached->m_record.m_holder == m_name || m_holder_ended_at ||
+           lease_lapsed(now);
+}
+
+state::time_point duty_lease::calls_of_holder_until(state::time_point now) const
+{
+    bool const is_free = !m_cached || m_cached->m_record.m_holder.empty();
+    if (is_free || lease_lapsed(now) || !is_of_current_era(*m_cached))
+    {
+        return {};
+    }
+    // An earlier process of this instance ended before this one read anything.
+    return m_holder_ended_at.value_or(m_first_read) + promotion_call_lifetime;
 }
 
 std::optional<duty_write> duty_lease::start_write(state::duty_record record,
@@ -159,6 +189,8 @@
     {
         return std::nullopt;
     }
+    m_earlier_calls_until =
+        std::max(m_earlier_calls_until, calls_of_holder_until(now));
     state::duty_record record;
     record.m_holder = m_name;
     record.m_start_time = m_start_time;
@@ -192,7 +224,7 @@
     m_cached = {m_pending->m_write.m_record, *revision};
     note_store(revision->era(), m_cached->m_record.m_token);
     m_unchanged_since = now;
-    m_holder_ended = false;
+    m_holder_ended_at.reset();
     if (!m_released && is_of_current_era(*m_cached))
     {
         confirm(m_cached->m_record);
--- a/packages/coordination/src/primary/replacement.cpp
+++ b/packages/coordination/src/primary/replacement.cpp
@@ -373,6 +373,10 @@
         }
         m_target_unavailable = false;
     }
+    if (!facts.m_may_promote)
+    {
+        return;
+    }
     if (!m_last_request)
     {
         note_target_role(facts);
--- a/packages/coordination/test/primary/duty_lease_test.cpp
+++ b/packages/coordination/test/primary/duty_lease_test.cpp
@@ -2,6 +2,7 @@
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
 #include <camphortide/coordination/primary/fencing_token.hpp>
+#include <camphortide/coordination/primary/promotion_calls.hpp>
 
 namespace coordination = camphortide::coordination;
 namespace state = camphortide::state;
@@ -330,3 +331,40 @@
                   false, at(2030));
     CHECK_FALSE(later.earlier_permits_lapsed());
 }
+
+// Guards against promotion requests of a holder that has ended and that arrive
+// after one of the next holder.
+TEST_CASE("after an early takeover, the former holder's requests may arrive")
+{
+    auto const lifetime = coordination::promotion_call_lifetime;
+    SUBCASE("the holder's process is known to have ended")
+    {
+        duty_lease lease("b", 8);
+        lease.observe(held_by("a", 4, 9, 5), false, at(1000));
+        lease.observe(held_by("a", 4, 9, 5), true, at(1500));
+        lease.observe(held_by("a", 4, 9, 5), true, at(2000));
+        REQUIRE(lease.step(at(2000)).has_value());
+        CHECK(lease.earlier_calls_until() == at(1500) + lifetime);
+    }
+    SUBCASE("the holder was an earlier process of this instance")
+    {
+        duty_lease lease("a", 8);
+        lease.observe(held_by("a", 4, 9, 5), false, at(1000));
+        REQUIRE(lease.step(at(1000)).has_value());
+        CHECK(lease.earlier_calls_until() == at(1000) + lifetime);
+    }
+    SUBCASE("the lease has lapsed")
+    {
+        duty_lease lease("b", 8);
+        read(lease, held_by("a", 4, 9, 5), 1000, 5000);
+        REQUIRE(lease.step(at(5000)).has_value());
+        CHECK(lease.earlier_calls_until() <= at(5000));
+    }
+    SUBCASE("the duty was released")
+    {
+        duty_lease lease("b", 8);
+        lease.observe(held_by("", 4, 9, 5), false, at(1000));
+        REQUIRE(lease.step(at(1000)).has_value());
+        CHECK(lease.earlier_calls_until() <= at(1000));
+    }
+}
--- a/packages/coordination/test/primary/replacement_explorer_test.cpp
+++ b/packages/coordination/test/primary/replacement_explorer_test.cpp
@@ -54,10 +54,13 @@
 
 TEST_CASE("each omitted safeguard leads to a violation in some schedule")
 {
-    for (auto const omitted : {omitted_guard::permit_check_at_answer,
-                               omitted_guard::permit_from_request,
-                               omitted_guard::wait_for_unresponsive,
-                               omitted_guard::target, omitted_guard::claim})
+    for (auto const omitted :
+         {omitted_guard::permit_check_at_answer,
+          omitted_guard::permit_from_request,
+          omitted_guard::wait_for_unresponsive, omitted_guard::target,
+          omitted_guard::claim, omitted_guard::promotion_lifetime,
+          omitted_guard::release_when_settled,
+          omitted_guard::wait_for_earlier_calls})
     {
         CAPTURE(static_cast<int>(omitted));
         schedule_result total;
--- a/packages/coordination/test/primary/replacement_simulation.cpp
+++ b/packages/coordination/test/primary/replacement_simulation.cpp
@@ -1,6 +1,7 @@
 #include "replacement_simulation.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <camphortide/coordination/primary/fencing_token.hpp>
 
@@ -16,6 +17,10 @@
 constexpr int members = 3;
 constexpr int tick_ms = 40;
 constexpr int promotion_ms = 600;
+constexpr int promotion_timeout_ms = 500;
+/// How long bytes that are held up live if the connection sets no timeout of
+/// its own.
+constexpr int max_byte_lifetime_ms = 4000;
 constexpr char const* group = "g";
 
 std::string numbered(char letter, int number)
@@ -55,6 +60,8 @@
     coordination::primary_permit m_permit;
     std::unique_ptr<coordination::duty_lease> m_lease;
     std::unique_ptr<coordination::replacement> m_replacement;
+    coordination::promotion_calls m_promotion_calls;
+    bool m_stopping = false;
     coordination::primary_watch m_watch = coordination::primary_watch();
     state::store_revision m_watched_revision;
     /// Token that the replacement belongs to.
@@ -421,6 +428,11 @@
 {
     schedule_at(self.m_index, self.m_incarnation, tick_ms,
                 [this](instance& later) { tick(later); });
+    if (self.m_stopping)
+    {
+        release_if_settled(self);
+        return;
+    }
     if (!self.m_has_records)
     {
         return;
@@ -505,6 +517,7 @@
     facts.m_holds_duty = holds;
     facts.m_now = m_now;
     facts.m_token = self.m_lease->token();
+    facts.m_may_promote = earlier_calls_settled(self);
     if (m_omitted == omitted_guard::claim)
     {
         facts.m_record.m_record.m_token = facts.m_token;
@@ -582,72 +595,108 @@
     }
 }
 
+bool simulation::may_promote(instance const& self) const
+{
+    return !self.m_stopping &&
+           self.m_lease->holds(m_now, coordination::promotion_call_lifetime) &&
+           earlier_calls_settled(self);
+}
+
+bool simulation::earlier_calls_settled(instance const& self) const
+{
+    return m_omitted == omitted_guard::wait_for_earlier_calls ||
+           m_omitted == omitted_guard::claim ||
+           (m_now >= self.m_lease->earlier_calls_until() &&
+            self.m_promotion_calls.allows(self.m_lease->token(), m_now));
+}
+
 void simulation::promote(instance& self, std::string const& name)
 {
-    if (!self.m_lease->holds(m_now, ms(1000)))
+    if (!may_promote(self))
     {
         self.m_replacement->promotion_finished(
             name, coordination::promotion_result::no_effect, m_now);
         return;
     }
     auto const token = self.m_lease->token();
-    if (random_chance(0.15))
-    {
-        // Some instances stop shortly after they request a promotion.
-        schedule(random_between(1, 300),
-                 [this, index = self.m_index, incarnation = self.m_incarnation]
-                 {
-                     auto& caller =
-                         *m_instances[static_cast<std::size_t>(index)];
-                     if (caller.m_up && caller.m_incarnation == incarnation)
-                     {
-                         stop_instance(caller);
-                     }
-                 });
-    }
-    schedule(
-        random_chance(0.3) ? random_between(20, 500) : random_between(1, 20),
-        [this, token, name, index = self.m_index,
-         incarnation = self.m_incarnation]
+    auto const index = self.m_index;
+    auto const incarnation = self.m_incarnation;
+    self.m_promotion_calls.sent(token, m_now);
+    stop_soon(self);
+    // A request that is held up arrives later, unless its sender has given it
+    // up and reset its connection.
+    bool const held_up = random_chance(0.3);
+    auto const lifetime =
+        m_omitted == omitted_guard::promotion_lifetime
+            ? max_byte_lifetime_ms
+            : static_cast<int>(coordination::promotion_call_lifetime.count());
+    auto const reset = std::make_shared<bool>(false);
+    auto const finished = std::make_shared<bool>(false);
+    auto const finish = [name, finished](instance& later,
+                                         coordination::promotion_result result,
+                                         time_point now)
+    {
+        if (!std::exchange(*finished, true))
         {
-            schedule_at(index, incarnation, random_between(1, 20),
-                        [this, name](instance& later)
-                        {
-                            later.m_replacement->promotion_finished(
-                                name, coordination::promotion_result::accepted,
+            later.m_promotion_calls.finished(
+                result != coordination::promotion_result::unknown, now);
+            later.m_replacement->promotion_finished(name, result, now);
+        }
+    };
+    schedule_at(index, incarnation, promotion_timeout_ms,
+                [this, finish, reset](instance& later)
+                {
+                    *reset = m_omitted != omitted_guard::promotion_lifetime;
+                    finish(later, coordination::promotion_result::unknown,
+                           m_now);
+                });
+    schedule(held_up ? random_between(100, lifetime) : random_between(1, 20),
+             [this, name, token, index, incarnation, reset, finish]
+             {
+                 if (*reset)
+                 {
+                     return;
+                 }
+                 schedule_at(
+                     index, incarnation, random_between(1, 20),
+                     [this, finish](instance& later) {
+                         finish(later, coordination::promotion_result::accepted,
                                 m_now);
-                        });
-            m_result.m_lower_tokens += token < m_highest_token ? 1 : 0;
-            std::pair const user(index, incarnation);
-            auto const first_user =
-                m_token_users.try_emplace(token, user).first->second;
-            m_result.m_shared_tokens += first_user != user ? 1 : 0;
-            m_highest_token = std::max(m_highest_token, token);
-            schedule(promotion_ms,
-                     [this, name]
-                     {
-                         for (int i = 0; i < members; ++i)
-                         {
-                             auto& chosen =
-                                 *m_members[static_cast<std::size_t>(i)];
-                             if (chosen.m_id != name || !chosen.m_up ||
-                                 m_leader == i)
-                             {
-                                 continue;
-                             }
-                             m_members[static_cast<std::size_t>(m_leader)]
-                                 ->m_isolated_until =
-                                 m_now + ms(random_between(0, 15000));
-                             m_leader = i;
-                             chosen.m_leads = true;
-                             chosen.m_term = ++m_term;
-                             // Writes that it hadn't received are lost.
-                             m_acknowledged =
-                                 std::min(m_acknowledged, chosen.m_index);
-                             ++m_result.m_promotions;
-                         }
                      });
-        });
+                 take_promotion(name, token, index, incarnation);
+             });
+}
+
+void simulation::take_promotion(std::string const& name, std::uint64_t token,
+                                int index, std::uint64_t incarnation)
+{
+    m_result.m_lower_tokens += token < m_highest_token ? 1 : 0;
+    std::pair const user(index, incarnation);
+    auto const first_user =
+        m_token_users.try_emplace(token, user).first->second;
+    m_result.m_shared_tokens += first_user != user ? 1 : 0;
+    m_highest_token = std::max(m_highest_token, token);
+    schedule(promotion_ms,
+             [this, name]
+             {
+                 for (int i = 0; i < members; ++i)
+                 {
+                     auto& chosen = *m_members[static_cast<std::size_t>(i)];
+                     if (chosen.m_id != name || !chosen.m_up || m_leader == i)
+                     {
+                         continue;
+                     }
+                     m_members[static_cast<std::size_t>(m_leader)]
+                         ->m_isolated_until =
+                         m_now + ms(random_between(0, 15000));
+                     m_leader = i;
+                     chosen.m_leads = true;
+                     chosen.m_term = ++m_term;
+                     // Writes that it hadn't received are lost.
+                     m_acknowledged = std::min(m_acknowledged, chosen.m_index);
+                     ++m_result.m_promotions;
+                 }
+             });
 }
 
 void simulation::replicate()
@@ -747,15 +796,60 @@
              });
 }
 
+void simulation::stop_soon(instance const& self)
+{
+    if (!random_chance(0.15))
+    {
+        return;
+    }
+    schedule(random_between(1, 300),
+             [this, index = self.m_index, incarnation = self.m_incarnation]
+             {
+                 auto& victim = *m_instances[static_cast<std::size_t>(index)];
+                 if (victim.m_up && victim.m_incarnation == incarnation)
+                 {
+                     stop_instance(victim);
+                 }
+             });
+}
+
 void simulation::stop_instance(instance& victim)
 {
-    if (auto const write = victim.m_lease->release();
-        write && random_chance(0.7))
+    if (!victim.m_up || victim.m_stopping)
     {
-        write_duty(victim, *write);
+        return;
+    }
+    if (random_chance(0.5))
+    {
+        kill_instance(victim);
+        return;
+    }
+    victim.m_stopping = true;
+    release_if_settled(victim);
+}
+
+void simulation::release_if_settled(instance& self)
+{
+    bool const settled = m_omitted == omitted_guard::release_when_settled ||
+                         m_omitted == omitted_guard::claim ||
+                         (self.m_promotion_calls.settled(m_now) &&
+                          m_now >= self.m_lease->earlier_calls_until());
+    if (!settled)
+    {
+        return;
+    }
+    if (auto const write = self.m_lease->release())
+    {
+        write_duty(self, *write);
     }
+    kill_instance(self);
+}
+
+void simulation::kill_instance(instance& victim)
+{
     victim.m_up = false;
-    schedule(random_between(100, 2000),
+    schedule(random_chance(0.5) ? random_between(50, 300)
+                                : random_between(300, 2000),
              [this, index = victim.m_index] { start_instance(index); });
 }
 
--- a/packages/coordination/test/primary/replacement_simulation.hpp
+++ b/packages/coordination/test/primary/replacement_simulation.hpp
@@ -12,6 +12,7 @@
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
 #include <camphortide/coordination/primary/primary_watch.hpp>
+#include <camphortide/coordination/primary/promotion_calls.hpp>
 #include <camphortide/coordination/primary/replacement.hpp>
 
 namespace replacement_explorer
@@ -35,12 +36,21 @@
     /// A new holder of the duty doesn't know which member may have been
     /// promoted.
     target,
-    /// A new holder assumes that its predecessor has no outstanding writes.
+    /// A new holder assumes that its predecessor has no outstanding writes or
+    /// promotion requests.
     claim,
     /// Revisions are compared without the era of the store.
     era,
     /// Instances whose registration was lost count as having stopped.
-    lost_registrations
+    lost_registrations,
+    /// A promotion request may arrive for longer than the lease must last when
+    /// it is sent.
+    promotion_lifetime,
+    /// The duty is released while a promotion request may still arrive.
+    release_when_settled,
+    /// After a takeover from a process that has ended, its promotion requests
+    /// aren't waited for.
+    wait_for_earlier_calls
 };
 
 /// Whether the store comes back from older copies of its records.
@@ -148,11 +158,23 @@
                  coordination::replacement_action const& action);
     void request_close(instance& self, std::string const& name);
     void promote(instance& self, std::string const& name);
+    bool may_promote(instance const& self) const;
+    bool earlier_calls_settled(instance const& self) const;
+    /// Delivers a promotion request.
+    void take_promotion(std::string const& name, std::uint64_t token, int index,
+                        std::uint64_t incarnation);
     void replicate();
     void probe(instance& self);
     void send_statement(instance& self);
     void inject_fault();
+    /// Stops some instances shortly after they request a promotion or write a
+    /// term record.
+    void stop_soon(instance const& self);
+    /// Stops or kills an instance and starts it again.
     void stop_instance(instance& victim);
+    void kill_instance(instance& victim);
+    /// Ends a stopping instance once its duty is released.
+    void release_if_settled(instance& self);
     bool reaches(instance const& from, int member_index) const;
 
     omitted_guard m_omitted;
--- a/packages/coordination/test/primary/replacement_test.cpp
+++ b/packages/coordination/test/primary/replacement_test.cpp
@@ -330,6 +330,21 @@
     CHECK(kinds(value.step(facts)) == std::vector{kind::write_record});
 }
 
+TEST_CASE("no promotion is requested while an earlier holder's may arrive")
+{
+    auto facts = facts_at(1000);
+    replacement next;
+    facts.m_record.m_record = {"g",   3, "m1", state::term_phase::closing,
+                               false, 5, "m2"};
+    facts.m_answers = {{"a", {7, 10}}, {"b", {7, 10}}};
+    facts.m_may_promote = false;
+    report(facts, 1000);
+    CHECK(next.step(facts).empty());
+    facts.m_now = at(1040);
+    facts.m_may_promote = true;
+    CHECK(kinds(next.step(facts)) == std::vector{kind::promote});
+}
+
 TEST_CASE("answers from before the record was open in between don't count")
 {
     auto facts = facts_at(0);
--- a/packages/proxy/include/camphortide/proxy/http_client.hpp
+++ b/packages/proxy/include/camphortide/proxy/http_client.hpp
@@ -33,9 +33,21 @@
     request_failure m_failure = request_failure::none;
 };
 
+/// How the connections of a client end.
+struct connection_settings
+{
+    /// A connection breaks when what was sent isn't acknowledged for this long;
+    /// then, what hasn't arrived doesn't arrive any more.
+    state::duration m_unacknowledged_timeout{4000};
+    /// Every connection is reset when it is closed, also by the end of the
+    /// process, so that nothing that was sent on it arrives later.
+    bool m_always_reset = false;
+};
+
 /// Sends requests to one HTTP/1.1 server. Keeps a few connections alive. Once
 /// a response has failed to arrive, all of them are closed: whatever silenced
-/// one connection may have silenced the others.
+/// one connection may have silenced the others. The connection of a request
+/// that was given up is reset, so that the request doesn't arrive later.
 class http_client : public std::enable_shared_from_this<http_client>
 {
 public:
@@ -43,7 +55,8 @@
     using guard = std::function<bool()>;
 
     /// @param address host:port
-    http_client(boost::asio::io_context& context, std::string address);
+    http_client(boost::asio::io_context& context, std::string address,
+                connection_settings settings = {});
 
     /// Sends a request.
     /// @param timeout until the response begins, including the connection
@@ -77,6 +90,7 @@
 
     boost::asio::io_context& m_context;
     std::string m_address;
+    connection_settings m_settings;
     std::vector<idle_connection> m_idle; ///< the one used last is the last
 };
 
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -66,7 +66,9 @@
     void reload();
     void reload_if_changed(state::time_point now);
     void stop();
-    void deregister();
+    /// Removes this instance from the store and ends the process, once nothing
+    /// else is left to do.
+    void deregister_if_done();
 
     platform::process_settings m_settings;
     std::string m_path;
@@ -83,6 +85,8 @@
     boost::asio::signal_set m_signals;
     bool m_has_view = false;
     bool m_stopping = false;
+    bool m_duty_released = false;
+    bool m_traffic_ended = false;
     std::int64_t m_file_modified = 0;
     state::time_point m_last_file_check;
 };
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -9,6 +9,7 @@
 
 #include <camphortide/coordination/primary/duty_lease.hpp>
 #include <camphortide/coordination/primary/primary_watch.hpp>
+#include <camphortide/coordination/primary/promotion_calls.hpp>
 #include <camphortide/coordination/primary/replacement.hpp>
 #include <camphortide/platform/promotion_protocol.hpp>
 #include <camphortide/proxy/fleet_control.hpp>
@@ -48,7 +49,9 @@
     /// instance. Reports that follow too soon on the last one are dropped.
     void send_report(std::string const& group, std::string const& member);
 
-    /// Releases the duty.
+    /// Releases the duty once none of this instance's promotion requests may
+    /// still arrive, so that the next holder can act at once. Until then this
+    /// instance neither acts nor renews its lease.
     /// @param done called when the release has succeeded or failed
     void release_duty(std::function<void()> done);
 
@@ -88,6 +91,9 @@
     void request_close(std::string const& name, std::string const& instance,
                        state::store_revision const& revision);
     void promote(std::string const& name, std::string const& member);
+    /// @return true if a promotion request with this token may be sent now
+    bool may_promote(std::uint64_t token, state::time_point now) const;
+    void release_if_settled(state::time_point now);
     void ping_instances(state::time_point now);
     void ping(std::string const& name, std::string const& address);
     void expel(std::string const& instance);
@@ -100,6 +106,10 @@
     std::shared_ptr<http_client> m_promotion_client;
     close_handler m_close_primary;
     coordination::duty_lease m_lease;
+    coordination::promotion_calls m_promotion_calls;
+    /// Set once the duty is to be released, until it has been.
+    std::function<void()> m_on_release;
+    bool m_releasing = false;
     bool m_held_duty = false;
     /// Token of the duty that m_groups belongs to.
     std::uint64_t m_held_token = 0;
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -24,7 +24,6 @@
 /// without notice.
 constexpr state::duration max_idle_time{4000};
 constexpr std::uint64_t max_body_bytes = std::uint64_t{16} << 20;
-constexpr state::duration unacknowledged_timeout{4000};
 /// Once a response has begun: timeout for its next part, and for all of it. A
 /// large response takes seconds on a slow link.
 constexpr state::duration max_silence{800};
@@ -127,7 +126,13 @@
                         {std::nullopt, request_failure::not_connected});
                     return;
                 }
-                configure_socket(*self->m_socket, unacknowledged_timeout);
+                auto const& settings = self->m_owner->m_settings;
+                configure_socket(*self->m_socket,
+                                 settings.m_unacknowledged_timeout);
+                if (settings.m_always_reset)
+                {
+                    reset_when_closed(*self->m_socket);
+                }
                 self->write();
             });
     }
@@ -247,6 +252,7 @@
         m_timer.cancel();
         if (m_socket)
         {
+            reset_when_closed(*m_socket);
             error_code ignored; // the connection is discarded in any case
             m_socket->close(ignored);
         }
@@ -269,9 +275,11 @@
     bool m_finished = false;
 };
 
-http_client::http_client(asio::io_context& context, std::string address)
+http_client::http_client(asio::io_context& context, std::string address,
+                         connection_settings settings)
     : m_context(context),
-      m_address(std::move(address))
+      m_address(std::move(address)),
+      m_settings(settings)
 {
 }
 
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -375,7 +375,12 @@
     }
     transport::log_info(log_part::main, "stopping",
                         {{"grace", m_settings.m_stop_grace}});
-    m_replacements.release_duty([] {});
+    m_replacements.release_duty(
+        [this]
+        {
+            m_duty_released = true;
+            deregister_if_done();
+        });
     stop_times times;
     times.m_transactions = m_settings.m_stop_grace / 2;
     times.m_end = m_settings.m_stop_grace - shutdown_reserve;
@@ -383,14 +388,25 @@
     asio::post(m_traffic_context,
                [this, times]
                {
-                   m_traffic.stop(
-                       times, [this]
-                       { asio::post(m_control, [this] { deregister(); }); });
+                   m_traffic.stop(times,
+                                  [this]
+                                  {
+                                      asio::post(m_control,
+                                                 [this]
+                                                 {
+                                                     m_traffic_ended = true;
+                                                     deregister_if_done();
+                                                 });
+                                  });
                });
 }
 
-void proxy_instance::deregister()
+void proxy_instance::deregister_if_done()
 {
+    if (!m_duty_released || !m_traffic_ended)
+    {
+        return;
+    }
     auto const timer = std::make_shared<asio::steady_timer>(m_control);
     timer->expires_after(deregister_timeout);
     timer->async_wait([this, timer](error_code) { m_control.stop(); });
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -36,6 +36,9 @@
 constexpr state::duration max_tick_interval{400};
 /// Minimum interval between two attempts to create a group's record.
 constexpr state::duration min_creation_interval{300};
+/// A promotion request that was given up mustn't arrive after a later one.
+constexpr connection_settings promotion_connection{
+    coordination::promotion_call_lifetime, true};
 
 coordination::duty_lease_settings lease_settings_for(double processor_share)
 {
@@ -52,8 +55,8 @@
     : m_context(context),
       m_store(store),
       m_fleet(fleet),
-      m_promotion_client(
-          std::make_shared<http_client>(context, settings.m_promotion_address)),
+      m_promotion_client(std::make_shared<http_client>(
+          context, settings.m_promotion_address, promotion_connection)),
       m_close_primary(std::move(close_primary)),
       m_lease(fleet.name(), fleet.start_time(),
               lease_settings_for(settings.m_processor_share))
@@ -101,6 +104,11 @@
 
 void replacement_control::tick(state::time_point now)
 {
+    if (m_releasing)
+    {
+        release_if_settled(now);
+        return;
+    }
     step_lease(now);
     bool const holds = m_lease.holds(now);
     if (holds != m_held_duty)
@@ -355,21 +363,35 @@
 
 void replacement_control::release_duty(std::function<void()> done)
 {
+    m_releasing = true;
+    m_on_release = std::move(done);
+    release_if_settled(state::clock::now());
+}
+
+void replacement_control::release_if_settled(state::time_point now)
+{
+    bool const settled =
+        m_promotion_calls.settled(now) && now >= m_lease.earlier_calls_until();
+    if (!m_on_release || !settled)
+    {
+        return;
+    }
+    auto const done = std::exchange(m_on_release, nullptr);
     auto const write = m_lease.release();
     if (!write)
     {
         done();
         return;
     }
-    m_store.send(
-        platform::write_request(write->m_record, write->m_revision),
-        [done = std::move(done)](store_outcome outcome,
-                                 std::optional<platform::http_response> const&)
-        {
-            transport::log_info(log_part::group, "duty released",
-                                {{"outcome", platform::to_string(outcome)}});
-            done();
-        });
+    m_store.send(platform::write_request(write->m_record, write->m_revision),
+                 [done](store_outcome outcome,
+                        std::optional<platform::http_response> const&)
+                 {
+                     transport::log_info(
+                         log_part::group, "duty released",
+                         {{"outcome", platform::to_string(outcome)}});
+                     done();
+                 });
 }
 
 } // namespace camphortide::proxy
--- a/packages/proxy/src/replacement_control_calls.cpp
+++ b/packages/proxy/src/replacement_control_calls.cpp
@@ -21,9 +21,6 @@
 constexpr state::duration close_timeout{2000};
 /// A promotion request is answered within milliseconds.
 constexpr state::duration promotion_timeout{500};
-/// The lease of the duty must outlast a promotion request including its
-/// transmission.
-constexpr state::duration min_lease_remaining{1000};
 /// Minimum interval between two reports about one group; a report counts for
 /// 1.2 s.
 constexpr state::duration min_report_interval{400};
@@ -133,18 +130,35 @@
               });
 }
 
+bool replacement_control::may_promote(std::uint64_t token,
+                                      state::time_point now) const
+{
+    return !m_releasing && token == m_lease.token() &&
+           m_lease.holds(now, coordination::promotion_call_lifetime) &&
+           now >= m_lease.earlier_calls_until() &&
+           m_promotion_calls.allows(token, now);
+}
+
 void replacement_control::promote(std::string const& name,
                                   std::string const& member)
 {
+    auto const token = m_lease.token();
     transport::log_info(
         log_part::group, "requesting promotion",
-        {{"group", name}, {"member", member}, {"token", m_lease.token()}});
+        {{"group", name}, {"member", member}, {"token", token}});
     m_promotion_client->send(
-        platform::promotion_request(name, member, m_fleet.name(),
-                                    m_lease.token()),
+        platform::promotion_request(name, member, m_fleet.name(), token),
         promotion_timeout,
         [this, name, member](request_result const& result)
         {
+            bool const sent =
+                result.m_failure != request_failure::not_connected &&
+                result.m_failure != request_failure::cancelled;
+            if (sent)
+            {
+                m_promotion_calls.finished(result.m_response.has_value(),
+                                           state::clock::now());
+            }
             auto outcome = promotion_result::unknown;
             auto const response_outcome =
                 platform::promotion_outcome_of(result.m_response);
@@ -159,8 +173,7 @@
             }
             else if (response_outcome ==
                          platform::promotion_outcome::try_again ||
-                     result.m_failure == request_failure::not_connected ||
-                     result.m_failure == request_failure::cancelled)
+                     !sent)
             {
                 outcome = promotion_result::no_effect;
             }
@@ -168,6 +181,7 @@
                 log_part::group, "promotion request completed",
                 {{"group", name},
                  {"member", member},
+                 {"sent", sent},
                  {"status",
                   result.m_response ? result.m_response->m_status : 0U}});
             auto const found = m_groups.find(name);
@@ -177,8 +191,16 @@
                     member, outcome, state::clock::now());
             }
         },
-        [this]
-        { return m_lease.holds(state::clock::now(), min_lease_remaining); });
+        [this, token]
+        {
+            auto const now = state::clock::now();
+            bool const may_send = may_promote(token, now);
+            if (may_send)
+            {
+                m_promotion_calls.sent(token, now);
+            }
+            return may_send;
+        });
 }
 
 void replacement_control::expel(std::string const& instance)
--- a/packages/proxy/src/replacement_control_facts.cpp
+++ b/packages/proxy/src/replacement_control_facts.cpp
@@ -135,6 +135,8 @@
     facts.m_avoid = group.m_avoid;
     facts.m_holds_duty = m_lease.holds(now);
     facts.m_token = m_lease.token();
+    facts.m_may_promote = now >= m_lease.earlier_calls_until() &&
+                          m_promotion_calls.allows(facts.m_token, now);
     facts.m_now = now;
     return facts;
 }
--- a/packages/proxy/src/socket_options.cpp
+++ b/packages/proxy/src/socket_options.cpp
@@ -62,4 +62,13 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, max_keepalive_probes);
 }
 
+void reset_when_closed(boost::asio::ip::tcp::socket& socket)
+{
+    // Set directly: Asio's destructor undoes its own option.
+    linger const discard{1, 0};
+    // It fails only for a socket that is closed already.
+    static_cast<void>(::setsockopt(socket.native_handle(), SOL_SOCKET,
+                                   SO_LINGER, &discard, sizeof(discard)));
+}
+
 } // namespace camphortide::proxy
--- a/packages/proxy/src/socket_options.hpp
+++ b/packages/proxy/src/socket_options.hpp
@@ -22,4 +22,9 @@
 void configure_socket(boost::asio::ip::tcp::socket& socket,
                       state::duration ack_timeout);
 
+/// Makes a connection be reset when it is closed, also by the end of the
+/// process: what it has sent and the peer hasn't acknowledged is discarded
+/// instead of being delivered later. The destructor of the socket keeps to it.
+void reset_when_closed(boost::asio::ip::tcp::socket& socket);
+
 } // namespace camphortide::proxy
--- a/packages/proxy/test/store_era/restored_store_test.cpp
+++ b/packages/proxy/test/store_era/restored_store_test.cpp
@@ -5,7 +5,6 @@
 #include <set>
 
 #include <doctest/doctest.h>
-#include <nlohmann/json.hpp>
 
 using tests::deployment;
 using tests::running_instance;
@@ -82,8 +81,8 @@
         {
             REQUIRE(each.second->wait_writes());
         }
-        REQUIRE(wait_for([this] { return holder() != 0; }));
-        m_stopped = holder();
+        REQUIRE(wait_for([this] { return m_fixture.duty_holder() != 0; }));
+        m_stopped = m_fixture.duty_holder();
     }
 
     /// Stops the holder of the duty, replaces the primary, and lets the store
@@ -97,7 +96,7 @@
         {
             m_fixture.configure(version, "read_your_writes");
         }
-        replace_primary();
+        m_fixture.replace_primary();
         auto const entries = member_entries();
         m_fixture.m_platform.restore_copy();
         for (auto const& [member, entry] : entries)
@@ -115,17 +114,6 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5000));
     }
 
-    /// Lets the primary leave, and waits for the next one.
-    void replace_primary()
-    {
-        auto const former = m_fixture.m_group.primary();
-        auto entry = m_fixture.m_platform.get("servers", former);
-        entry.replace(entry.find("in_service"), 10, "draining");
-        m_fixture.m_platform.put("servers", former, entry);
-        REQUIRE(
-            wait_for([&] { return m_fixture.m_group.primary() != former; }));
-    }
-
     /// @return an instance that has run all the time
     running_instance& survivor()
     {
@@ -158,17 +146,6 @@
             m_fixture.m_platform.address(), number);
     }
 
-    /// @return the number of the holder of the duty; 0: nobody
-    int holder() const
-    {
-        auto const text = m_fixture.m_platform.get("camphortide", "duty");
-        auto const name =
-            text.empty()
-                ? std::string()
-                : nlohmann::json::parse(text).at("holder").get<std::string>();
-        return name.empty() ? 0 : std::stoi(name.substr(name.find('-') + 1));
-    }
-
     std::map<std::string, std::string> member_entries() const
     {
         std::map<std::string, std::string> entries;
@@ -192,7 +169,7 @@
     restored_deployment instances;
     instances.lose_change_of_primary();
     instances.restart_former_holder();
-    instances.replace_primary();
+    instances.fixture().replace_primary();
     std::map<std::uint64_t, std::string> holders;
     for (auto const& call : instances.fixture().m_platform.promotion_calls())
     {
@@ -213,7 +190,7 @@
     writer caller(instances.survivor());
     instances.lose_change_of_primary();
     instances.restart_former_holder();
-    instances.replace_primary();
+    instances.fixture().replace_primary();
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
     auto const acknowledged = caller.stop();
     CHECK(acknowledged.size() > 20);
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include <camphortide/proxy/proxy_instance.hpp>
@@ -38,7 +40,9 @@
 class running_instance
 {
 public:
-    running_instance(std::string const& store, int number)
+    /// @param promotion HOST:PORT of the promotion service; empty: the store's
+    running_instance(std::string const& store, int number,
+                     std::string const& promotion = {})
         : m_host("127." + std::to_string(64 + number) + '.' +
                  std::to_string(::getpid() >> 8 & 255) + '.' +
                  std::to_string(::getpid() & 255))
@@ -52,7 +56,7 @@
         settings.m_listen_peers = m_host + ":7003";
         settings.m_listen_forwarded = m_host + ":7004";
         settings.m_store_address = store;
-        settings.m_promotion_address = store;
+        settings.m_promotion_address = promotion.empty() ? store : promotion;
         settings.m_stop_grace = camphortide::state::duration(3000);
         m_instance = std::make_unique<proxy::proxy_instance>(settings, "");
         m_thread = std::thread([this] { m_served = m_instance->run(); });
@@ -165,6 +169,37 @@
                 more + '}');
     }
 
+    /// @return the number of the instance that holds the duty; 0: nobody
+    int duty_holder() const
+    {
+        auto const text = m_platform.get("camphortide", "duty");
+        auto const name =
+            text.empty()
+                ? std::string()
+                : nlohmann::json::parse(text).at("holder").get<std::string>();
+        return name.empty() ? 0 : std::stoi(name.substr(name.find('-') + 1));
+    }
+
+    /// Lets the primary leave.
+    void drain_primary()
+    {
+        auto const primary = m_group.primary();
+        auto entry = m_platform.get("servers", primary);
+        entry.replace(entry.find("in_service"), 10, "draining");
+        m_platform.put("servers", primary, entry);
+    }
+
+    /// Lets the primary leave, and waits for the next one.
+    void replace_primary()
+    {
+        auto const former = m_group.primary();
+        drain_primary();
+        if (!wait_for([&] { return m_group.primary() != former; }))
+        {
+            throw std::runtime_error("the primary was not replaced");
+        }
+    }
+
     standin::text_platform m_platform;
     standin::text_group m_group{"g", {"m1", "m2", "m3"}};
 };
