proxy: a member without an entry is unknown, not gone

Cause, twice the same: a process took what it had never seen for gone. A primary whose entry wasn't back yet couldn't be asked, and counted as silent after 700 ms; the 2.5 s for its entry came after that check. And the replicas that may have commits were counted from the registered ones and those that this process had seen lapse.

Now the silence of a primary counts once its entry has been seen. The holder keeps the members of each group with synchronous replicas, with those that have lapsed, in a record of the store; for every process a recorded member that isn't registered is unknown. A record of its own, since writing the term record again would end permits.

Cost: none on a calm failover. A primary that is lost while its holder is restarted in an outage of the store is replaced after 2.5 s instead of 0.7 s. One write for each change of a group's members, with synchronous replicas only.

--- a/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/primary_watch.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include <camphortide/coordination/primary/registration_grace.hpp>
 #include <camphortide/state/clock.hpp>
 
 namespace camphortide::coordination
@@ -19,9 +20,8 @@
     /// Refusals closer together than this count as one.
     state::duration m_min_refusal_interval{25};
     /// How long a primary without an entry in the store is waited for if this
-    /// instance has never seen the entry. Entries that lapsed while the store
-    /// was unavailable are back within two seconds of its recovery.
-    state::duration m_registration_grace{2500};
+    /// instance has never seen the entry.
+    state::duration m_registration_grace = registration_grace;
     /// How long another instance's report counts; instances repeat it at least
     /// twice in this time.
     state::duration m_report_lifetime{1200};
@@ -67,7 +67,8 @@
     /// Starts watching a primary; earlier observations are discarded.
     void begin(state::time_point now);
 
-    /// Records whether the primary has an entry in the store.
+    /// Records whether the primary has an entry in the store. Without one its
+    /// address isn't known, so that its silence tells nothing.
     void note_registration(bool registered, state::time_point now);
 
     /// Records an answer of the primary, of any kind.
--- a/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
+++ b/packages/coordination/include/camphortide/coordination/primary/replacement.hpp
@@ -66,6 +66,9 @@
     /// Replicas whose entries have lapsed and that may have acknowledged
     /// commits which no registered member is known to have.
     std::size_t m_lapsed_replicas = 0;
+    /// Which members the group has had is known. A process that has just
+    /// started doesn't know it without a record.
+    bool m_members_known = true;
     std::uint32_t m_sync_replicas = 0; ///< that acknowledge each commit
     replacement_reason m_reason = replacement_reason::none;
     /// A member that other instances can't reach; it isn't reopened as the
--- a/packages/coordination/src/primary/primary_watch.cpp
+++ b/packages/coordination/src/primary/primary_watch.cpp
@@ -20,6 +20,10 @@
     m_was_registered = m_was_registered || registered;
     if (registered)
     {
+        if (m_unregistered_since)
+        {
+            m_last_answer = now; // it is asked from now on
+        }
         m_unregistered_since.reset();
     }
     else if (!m_unregistered_since)
@@ -105,7 +109,8 @@
     {
         return primary_loss::refuses;
     }
-    if (now - m_last_answer >= response_timeout())
+    bool const is_asked = !m_unregistered_since || m_was_registered;
+    if (is_asked && now - m_last_answer >= response_timeout())
     {
         return primary_loss::silent;
     }
--- a/packages/coordination/src/primary/successor_choice.cpp
+++ b/packages/coordination/src/primary/successor_choice.cpp
@@ -64,7 +64,8 @@
 
 bool successor_choice::can_choose() const
 {
-    if (m_reported >= needed_reports())
+    bool const counts = m_facts.m_sync_replicas == 0 || m_facts.m_members_known;
+    if (counts && m_reported >= needed_reports())
     {
         return true;
     }
--- a/packages/coordination/test/primary/primary_watch_test.cpp
+++ b/packages/coordination/test/primary/primary_watch_test.cpp
@@ -128,6 +128,30 @@
     }
 }
 
+// Guards against a primary that counts as silent although nobody can ask it.
+TEST_CASE("the silence of a primary without an entry isn't a loss")
+{
+    primary_watch watch;
+    watch.begin(at(0));
+    for (int time = 0; time <= 2400; time += 40)
+    {
+        watch.tick(at(time));
+        watch.note_registration(false, at(time));
+        CHECK(watch.evaluate(fleet, at(time)) == primary_loss::none);
+    }
+    SUBCASE("it is asked once its entry is back")
+    {
+        watch.note_registration(true, at(2440));
+        tick(watch, 2440, 3120);
+        CHECK(watch.evaluate(fleet, at(3139)) == primary_loss::none);
+        CHECK(watch.evaluate(fleet, at(3140)) == primary_loss::silent);
+    }
+    SUBCASE("it is lost if its entry isn't back")
+    {
+        CHECK(watch.evaluate(fleet, at(2500)) == primary_loss::unregistered);
+    }
+}
+
 TEST_CASE("repeated reports of several instances indicate a loss")
 {
     primary_watch watch;
--- a/packages/coordination/test/primary/successor_choice_test.cpp
+++ b/packages/coordination/test/primary/successor_choice_test.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <array>
+#include <set>
 
 #include <doctest/doctest.h>
 
 #include <camphortide/coordination/primary/lapsed_members.hpp>
+#include <camphortide/coordination/primary/registration_grace.hpp>
 #include <camphortide/coordination/primary/successor_choice.hpp>
 
 namespace coordination = camphortide::coordination;
@@ -221,3 +223,100 @@
     lapsed.note_registered(entry_of("n1", "h"));
     CHECK(lapsed.count("g", "m1") == 1);
 }
+
+namespace
+{
+
+/// Records with the members m1, m2 and m3 of a group, without some of them.
+coordination::lapsed_members::records
+recorded_without(std::set<std::string> const& left_out)
+{
+    state::recorded_members record{"g", 4, {}};
+    for (auto const* const id : {"m1", "m2", "m3"})
+    {
+        if (!left_out.contains(id))
+        {
+            record.m_addresses[id] = std::string("10.0.0.") + id[1] + ":1";
+        }
+    }
+    return {{"g", {record, 20}}};
+}
+
+bool is_first(std::string const& id)
+{
+    return id == "m1";
+}
+
+} // namespace
+
+// Guards against a new process that takes the registered members for all.
+TEST_CASE("recorded members that aren't registered count as lapsed")
+{
+    coordination::lapsed_members lapsed;
+    auto const position = [](std::uint64_t index)
+    {
+        return state::log_position{state::term(3), index};
+    };
+    lapsed.note_records(recorded_without({}), is_first, at(1000));
+    CHECK(lapsed.count("g", "m1") == 2);
+    CHECK(lapsed.addresses("g").at("m3") == "10.0.0.3:1");
+    SUBCASE("until they register again")
+    {
+        auto entry = entry_of("m3", "g");
+        entry.m_address = "10.0.0.3:1";
+        lapsed.note_registered(entry);
+        CHECK(lapsed.count("g", "m1") == 1);
+        lapsed.note_records(recorded_without({}), is_first, at(1100));
+        CHECK(lapsed.count("g", "m1") == 1);
+    }
+    SUBCASE("until a holder of the duty has removed them")
+    {
+        lapsed.note_records(recorded_without({"m2"}), is_first, at(1100));
+        CHECK(lapsed.count("g", "m1") == 1);
+    }
+    SUBCASE("also if the record is gone")
+    {
+        lapsed.note_records({}, is_first, at(1100));
+        CHECK(lapsed.count("g", "m1") == 2);
+    }
+    SUBCASE("however long ago")
+    {
+        lapsed.expire(at(10000000));
+        CHECK(lapsed.count("g", "m1") == 2);
+    }
+    SUBCASE("until their commits are known elsewhere, after the entries' grace")
+    {
+        auto const grace =
+            static_cast<int>(coordination::registration_grace.count());
+        lapsed.note_positions("g", position(8), at(1000 + grace - 1),
+                              position(30));
+        CHECK(lapsed.count("g", "m1") == 2);
+        lapsed.note_positions("g", position(9), at(1000 + grace), position(9));
+        CHECK(lapsed.count("g", "m1") == 0);
+        // The record is written after that.
+        lapsed.note_records(recorded_without({}), is_first, at(9000));
+        CHECK(lapsed.count("g", "m1") == 0);
+    }
+}
+
+TEST_CASE("nobody is chosen while the members of a group aren't known")
+{
+    std::array<replica, 2> const replicas{replica{"m2"}, replica{"m3"}};
+    auto facts = facts_of(replicas);
+    CHECK(coordination::successor_choice(facts, at(100)).choose(never) !=
+          nullptr);
+    facts.m_members_known = false;
+    CHECK(coordination::successor_choice(facts, at(100)).choose(never) ==
+          nullptr);
+    SUBCASE("unless a replica has the whole log of the old primary")
+    {
+        facts.m_members.push_back(facts.m_members.front());
+        facts.m_members.back().m_entry.m_id = "m1";
+    }
+    SUBCASE("unless the primary acknowledges alone")
+    {
+        facts.m_sync_replicas = 0;
+    }
+    CHECK(coordination::successor_choice(facts, at(100)).choose(never) !=
+          nullptr);
+}
--- a/packages/proxy/include/camphortide/proxy/replacement_control.hpp
+++ b/packages/proxy/include/camphortide/proxy/replacement_control.hpp
@@ -14,6 +14,7 @@
 #include <camphortide/platform/promotion_protocol.hpp>
 #include <camphortide/proxy/fleet_control.hpp>
 #include <camphortide/proxy/member_monitor.hpp>
+#include <camphortide/proxy/member_records.hpp>
 #include <camphortide/proxy/peer_messages.hpp>
 
 namespace camphortide::proxy
@@ -103,6 +104,7 @@
     boost::asio::io_context& m_context;
     store_client& m_store;
     fleet_control& m_fleet;
+    member_records m_member_records;
     std::shared_ptr<http_client> m_promotion_client;
     close_handler m_close_primary;
     coordination::duty_lease m_lease;
--- a/packages/proxy/src/fleet_control.cpp
+++ b/packages/proxy/src/fleet_control.cpp
@@ -36,18 +36,6 @@
 /// Minimum interval between two attempts to write the own record.
 constexpr state::duration min_write_interval{300};
 
-/// @return the revision of the object that a write conflicted with, if that is
-///     not a valid record; the default value otherwise
-state::store_revision
-invalid_record_revision(platform::http_response const& response)
-{
-    auto const object = platform::parse_object(response);
-    state::fleet_records records;
-    return object && !platform::apply_object(*object, records)
-               ? object->m_revision
-               : state::store_revision();
-}
-
 } // namespace
 
 fleet_control::fleet_control(boost::asio::io_context& context,
@@ -159,7 +147,16 @@
     bool const changed = records != m_records;
     bool const instances_changed =
         changed && records.m_instances != m_records.m_instances;
+    bool const members_changed =
+        changed && records.m_members != m_records.m_members;
     m_records = std::move(records);
+    if (members_changed)
+    {
+        m_lapsed_members.note_records(
+            m_records.m_members,
+            [this](std::string const& id) { return m_members.contains(id); },
+            state::clock::now());
+    }
     update_expelled();
     m_records_known = m_records_known || update.m_snapshot;
     if (update.m_verified)
@@ -304,9 +301,10 @@
                std::optional<platform::http_response> const& response)
         {
             m_writing = false;
-            m_invalid_own_revision = outcome == store_outcome::conflict
-                                         ? invalid_record_revision(*response)
-                                         : state::store_revision();
+            m_invalid_own_revision =
+                outcome == store_outcome::conflict
+                    ? platform::invalid_record_revision(*response)
+                    : state::store_revision();
             transport::log_info(
                 log_part::membership, "write of own record completed",
                 {{"outcome", platform::to_string(outcome)},
--- a/packages/proxy/src/fleet_control_members.cpp
+++ b/packages/proxy/src/fleet_control_members.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include <camphortide/coordination/primary/registration_grace.hpp>
 #include <camphortide/proxy/fleet_control.hpp>
 #include <camphortide/transport/logging/log.hpp>
 
@@ -8,15 +9,6 @@
 
 using transport::log_part;
 
-namespace
-{
-
-/// How long a member without an entry is still used. Entries that lapsed while
-/// the store was unavailable are back within two seconds of its recovery.
-constexpr state::duration missing_grace{2500};
-
-} // namespace
-
 void fleet_control::apply_members(object_watch::update const& update)
 {
     auto const now = state::clock::now();
@@ -115,7 +107,9 @@
         [this, now](auto const& entry)
         {
             auto const& since = entry.second.m_missing_since;
-            bool const over = since && now - *since >= missing_grace;
+            // A member without an entry is still used for this long.
+            bool const over =
+                since && now - *since >= coordination::registration_grace;
             if (over)
             {
                 transport::log_info(log_part::membership, "member removed",
--- a/packages/proxy/src/replacement_control.cpp
+++ b/packages/proxy/src/replacement_control.cpp
@@ -55,6 +55,7 @@
     : m_context(context),
       m_store(store),
       m_fleet(fleet),
+      m_member_records(store, fleet),
       m_promotion_client(std::make_shared<http_client>(
           context, settings.m_promotion_address, promotion_connection)),
       m_close_primary(std::move(close_primary)),
@@ -124,6 +125,7 @@
         m_held_token = m_lease.token();
         m_groups.clear();
         m_contacts.clear();
+        m_member_records.begin();
     }
     if (now - m_last_tick > max_tick_interval)
     {
--- /dev/null
+++ b/packages/proxy/test/lapsed_entries/lapsed_entries_path_test.cpp
@@ -0,0 +1,144 @@
+#include "../support/proxy_fixture.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <doctest/doctest.h>
+
+using tests::deployment;
+using tests::running_instance;
+using tests::wait_for;
+
+namespace
+{
+
+void pause_for(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+/// Three instances and a group whose commits m2 acknowledges; m3 has received
+/// only the first ones. The holder of the duty is restarted during an outage of
+/// the store in which all members' entries lapse.
+class restarted_holder
+{
+public:
+    restarted_holder()
+    {
+        m_fixture.m_sync_replicas = 1;
+        m_fixture.configure(2, "read_your_writes");
+        for (int number = 1; number <= 3; ++number)
+        {
+            start(number);
+        }
+        for (auto const& each : m_instances)
+        {
+            REQUIRE(each.second->wait_writes());
+        }
+        REQUIRE(wait_for([this] { return m_fixture.duty_holder() != 0; }));
+        pause_for(3500); // until the members have been recorded
+        m_fixture.m_group.change("m3", [](auto& member)
+                                 { member.m_suspended = true; });
+        write();
+        m_fixture.m_platform.set_fault_mode(
+            tests::standin::text_platform::fault_mode::unavailable);
+        for (auto const& member : m_fixture.m_group.members())
+        {
+            m_entries[member] = m_fixture.m_platform.get("servers", member);
+            m_fixture.m_platform.remove("servers", member);
+        }
+        auto const holder = m_fixture.duty_holder();
+        m_instances.erase(holder);
+        start(holder);
+    }
+
+    /// Ends the outage. The entry of m3 is back at once.
+    void end_outage()
+    {
+        register_again("m3");
+        m_fixture.m_platform.set_fault_mode(
+            tests::standin::text_platform::fault_mode::none);
+    }
+
+    void register_again(std::string const& member)
+    {
+        m_fixture.m_platform.put("servers", member, m_entries.at(member));
+    }
+
+    /// @return the number of acknowledged writes that the primary lacks
+    std::ptrdiff_t lost_writes() const
+    {
+        auto const kept = m_fixture.items_of_primary();
+        return std::ranges::count_if(m_acknowledged, [&](auto const& item)
+                                     { return !kept.contains(item); });
+    }
+
+    bool has_promotions() const
+    {
+        return !m_fixture.m_platform.promotions().empty();
+    }
+
+    deployment& fixture() { return m_fixture; }
+
+private:
+    void start(int number)
+    {
+        m_instances[number] = std::make_unique<running_instance>(
+            m_fixture.m_platform.address(), number);
+    }
+
+    void write()
+    {
+        auto session = m_instances.begin()->second->connect();
+        for (int count = 0; count < 20; ++count)
+        {
+            auto const item = std::to_string(count).insert(0, 1, 'w');
+            REQUIRE(session.outcome("STORE " + item + " x") == "COMPLETE");
+            m_acknowledged.insert(item);
+        }
+        REQUIRE(wait_for(
+            [this]
+            {
+                return m_fixture.m_group.state("m2").m_log.size() ==
+                       m_fixture.m_group.state("m1").m_log.size();
+            }));
+    }
+
+    deployment m_fixture;
+    std::map<int, std::unique_ptr<running_instance>> m_instances;
+    std::map<std::string, std::string> m_entries; ///< by member
+    std::set<std::string> m_acknowledged;
+};
+
+} // namespace
+
+// Guards against a primary that counts as silent because its entry isn't back
+// yet.
+TEST_CASE("a primary whose entry is back within two seconds isn't replaced")
+{
+    restarted_holder instances;
+    instances.end_outage();
+    pause_for(1900);
+    instances.register_again("m2");
+    instances.register_again("m1");
+    pause_for(2500);
+    CHECK_FALSE(instances.has_promotions());
+    CHECK(instances.lost_writes() == 0);
+}
+
+// Guards against a replica with all acknowledged commits that a holder of the
+// duty doesn't know, as it started after the replica's entry had lapsed.
+TEST_CASE("a holder that was restarted waits for a replica that has lapsed")
+{
+    restarted_holder instances;
+    instances.fixture().m_group.crash("m1");
+    instances.end_outage();
+    pause_for(6000);
+    CHECK_FALSE(instances.has_promotions());
+    instances.register_again("m2");
+    REQUIRE(wait_for([&] { return instances.has_promotions(); }));
+    REQUIRE(wait_for(
+        [&] { return instances.fixture().m_group.primary() != "m1"; }));
+    CHECK(instances.lost_writes() == 0);
+}
--- a/packages/proxy/test/store_era/restored_store_test.cpp
+++ b/packages/proxy/test/store_era/restored_store_test.cpp
@@ -122,21 +122,6 @@
                     ->second;
     }
 
-    /// @return the items in the log of the primary
-    std::set<std::string> items_of_primary() const
-    {
-        std::set<std::string> items;
-        auto const primary = m_fixture.m_group.primary();
-        for (auto const& commit : m_fixture.m_group.state(primary).m_log)
-        {
-            for (auto const& change : commit.m_changes)
-            {
-                items.insert(change.first);
-            }
-        }
-        return items;
-    }
-
     deployment& fixture() { return m_fixture; }
 
 private:
@@ -194,7 +179,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
     auto const acknowledged = caller.stop();
     CHECK(acknowledged.size() > 20);
-    auto const kept = instances.items_of_primary();
+    auto const kept = instances.fixture().items_of_primary();
     auto const lost = std::ranges::count_if(acknowledged, [&](auto const& item)
                                             { return !kept.contains(item); });
     CHECK(lost == 0);
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -165,8 +166,9 @@
                 R"("services":[{"name":"g","maxConnections":)" +
                 std::to_string(connections) +
                 R"(,)"
-                R"("syncReplicas":0}],"limits":{"txIdleMs":3000})" +
-                more + '}');
+                R"("syncReplicas":)" +
+                std::to_string(m_sync_replicas) +
+                R"(}],"limits":{"txIdleMs":3000})" + more + '}');
     }
 
     /// @return the number of the instance that holds the duty; 0: nobody
@@ -180,6 +182,20 @@
         return name.empty() ? 0 : std::stoi(name.substr(name.find('-') + 1));
     }
 
+    /// @return the items in the log of the primary
+    std::set<std::string> items_of_primary() const
+    {
+        std::set<std::string> items;
+        for (auto const& commit : m_group.state(m_group.primary()).m_log)
+        {
+            for (auto const& change : commit.m_changes)
+            {
+                items.insert(change.first);
+            }
+        }
+        return items;
+    }
+
     /// Lets the primary leave.
     void drain_primary()
     {
@@ -200,6 +216,8 @@
         }
     }
 
+    /// In the configuration; the members don't wait for replicas.
+    int m_sync_replicas = 0;
     standin::text_platform m_platform;
     standin::text_group m_group{"g", {"m1", "m2", "m3"}};
 };
--- a/packages/state/include/camphortide/state/fleet_records.hpp
+++ b/packages/state/include/camphortide/state/fleet_records.hpp
@@ -69,6 +69,18 @@
     friend auto operator<=>(duty_record const&, duty_record const&) = default;
 };
 
+/// The members of a group that may have acknowledged commits, as recorded in
+/// the platform's store. Unlike their own entries, this record doesn't lapse.
+struct recorded_members
+{
+    std::string m_group;
+    std::uint64_t m_token = 0; ///< fencing token of the writing duty holder
+    std::map<std::string, std::string> m_addresses; ///< HOST:PORT, by member id
+
+    friend auto operator<=>(recorded_members const&,
+                            recorded_members const&) = default;
+};
+
 /// A record with the store's revision of its last write.
 template <typename Record>
 struct stored
@@ -85,6 +97,8 @@
 {
     std::map<std::string, stored<term_record>> m_terms;        ///< by group
     std::map<std::string, stored<instance_entry>> m_instances; ///< by name
+    /// By group; only of groups whose replicas acknowledge commits.
+    std::map<std::string, stored<recorded_members>> m_members;
     std::optional<stored<duty_record>> m_duty;
     std::uint64_t m_era = 0; ///< of the store
 
