proxy: a connection to a member bounds every request that is sent on it

Cause: the answer to ROLLBACK was awaited without a bound, so that each lost one kept a connection in use for ever. Statements and probes had timers of their own.

Now member_connection::send takes a deadline, and a connection on which an answer is overdue is closed and given to nobody. Its place counts as taken until the member can have noticed the end.

--- a/packages/proxy/include/camphortide/proxy/group_traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/group_traffic.hpp
@@ -170,13 +170,13 @@
     void fail(request_pointer const& request, state::statement_failure failure);
     void refuse(request_pointer const& request, std::string_view reason);
     void release(bound_connection const& bound, bool clean);
-    void start_deadline_timer(request_pointer const& request,
-                              bound_connection const& bound);
     std::shared_ptr<member_pool> find_pool(std::string const& member) const;
     void probe_if_stale(member_pool& pool, state::time_point now);
     void record_replica_position(member_pool& pool,
                                  state::log_position position);
     void report_reachability(member_pool const& pool, state::time_point now);
+    void report_exhaustion(member_pool const& pool, state::time_point now);
+    member_gauge gauge_of(member_pool const& pool, state::time_point now) const;
     void count_read(statement_request const& request,
                     coordination::placement_requirements const& requirements,
                     std::vector<coordination::member_condition> const& members,
@@ -213,6 +213,7 @@
     std::vector<pending_close> m_pending_closes;
     read_counts m_reads;
     std::set<std::string> m_unreachable; ///< members reported as such
+    std::set<std::string> m_exhausted;   ///< the same
     std::uint32_t m_max_connections = 1; ///< to a member, by all instances
     std::size_t m_home_count = 1;        ///< instances that share those
     bool m_is_home = true;               ///< this instance is one of them
--- a/packages/proxy/include/camphortide/proxy/member_connection.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_connection.hpp
@@ -34,7 +34,8 @@
 };
 
 /// One connection to a member. Statements are pipelined: replies arrive in the
-/// order in which the statements were sent.
+/// order in which the statements were sent. A connection on which a reply is
+/// overdue is closed, as nothing tells what has become of the statement.
 class member_connection : public std::enable_shared_from_this<member_connection>
 {
 public:
@@ -56,19 +57,24 @@
 
     /// Sends one statement or setup command.
     /// @param bytes the encoded text
+    /// @param deadline the connection is closed if the reply isn't complete
+    /// then
     /// @param done called once with the reply; at once, with nothing, if the
     ///     connection isn't open
-    void send(std::string const& bytes, reply_handler done);
+    void send(std::string const& bytes, state::time_point deadline,
+              reply_handler done);
 
     /// Closes the connection. Handlers of outstanding statements are called
     /// with nothing.
     void close();
 
     bool alive() const { return m_open; }
+    /// @return true if it was closed because a reply was overdue
+    bool overdue() const { return m_overdue; }
     /// @return the customer whose statements the connection carries; empty:
     ///     none
     std::string const& customer() const { return m_customer; }
-    std::size_t outstanding() const { return m_handlers.size(); }
+    std::size_t outstanding() const { return m_outstanding.size(); }
 
     /// Sets the handler that is called once when the connection ends.
     void on_end(std::function<void()> handler)
@@ -86,24 +92,38 @@
     state::duration round_trip() const { return m_round_trip; }
 
 private:
+    /// A statement without a complete reply.
+    struct outstanding_statement
+    {
+        reply_handler m_done;
+        state::time_point m_deadline;
+    };
+
     void handle_connected();
     void handle_opening_line(std::string const& line);
     void finish_opening(opening_result result);
     void read();
     void process_lines();
     void process_line(std::string const& line);
+    /// Makes the timer expire at the earliest deadline, or before.
+    void await_replies();
+    void check_deadlines();
+    state::time_point earliest_deadline() const;
     void end();
 
     boost::asio::ip::tcp::socket m_socket;
     socket_writer m_writer;
     boost::asio::steady_timer m_opening_timer;
+    boost::asio::steady_timer m_reply_timer;
+    /// When m_reply_timer expires; nothing while it doesn't run.
+    std::optional<state::time_point> m_next_check;
     platform::line_splitter m_lines;
     platform::member_reply_parser m_parser;
     coordination::connection_setup m_setup;
     std::string m_customer;
     std::string m_greeting;
     std::array<char, 8192> m_read_buffer;
-    std::deque<reply_handler> m_handlers;
+    std::deque<outstanding_statement> m_outstanding;
     open_handler m_opening;
     std::function<void()> m_on_end;
     state::time_point m_last_used;
@@ -112,6 +132,7 @@
     state::duration m_round_trip{};
     bool m_open = false;
     bool m_ended = false;
+    bool m_overdue = false;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/member_pool.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_pool.hpp
@@ -44,6 +44,8 @@
     std::uint64_t m_reassigned = 0;
     /// Statements that waited for a connection to open.
     std::uint64_t m_opening_waits = 0;
+    /// Closed because a reply was overdue.
+    std::uint64_t m_overdue = 0;
 
     friend auto operator<=>(member_pool_counts const&,
                             member_pool_counts const&) = default;
@@ -119,6 +121,11 @@
 
     state::member_entry const& member() const { return m_member; }
     std::size_t connections() const { return m_all.size(); }
+    std::size_t connections_in_use() const { return m_acquired.size(); }
+    /// @return how long the connection that was acquired first has been in use
+    state::duration longest_use(state::time_point now) const;
+    /// @return true if every connection that may be open is in use
+    bool exhausted() const;
     std::uint32_t in_flight() const { return m_in_flight; }
     member_pool_counts const& counts() const { return m_counts; }
 
@@ -137,7 +144,11 @@
     void opened(std::shared_ptr<member_connection> const& connection,
                 opening_result result);
     void remove(std::shared_ptr<member_connection> const& connection);
+    void ended(std::shared_ptr<member_connection> const& connection);
     std::size_t max_connections() const;
+    /// @return the number of connections that were closed because a reply was
+    ///     overdue, and that the member may still count
+    std::size_t unnoticed_ends(state::time_point now) const;
     /// @return how many statements may be in flight to the member
     std::uint32_t max_statements(state::time_point now) const;
     std::size_t idle_connections(std::string const& customer) const;
@@ -162,6 +173,9 @@
     std::vector<std::shared_ptr<member_connection>> m_idle;
     /// Connections in use, with the time since when.
     std::map<std::shared_ptr<member_connection>, state::time_point> m_acquired;
+    /// When the member has noticed the end of each connection that was closed
+    /// because a reply was overdue.
+    std::vector<state::time_point> m_overdue_ends;
     /// Customers for which a connection is opening, with the time since when.
     std::map<std::string, state::time_point> m_opening;
     coordination::customer_activity m_activity;
--- a/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
+++ b/packages/proxy/include/camphortide/proxy/proxy_instance.hpp
@@ -45,6 +45,8 @@
                          state::statement_failure const& why) override;
     void member_reached(std::string const& group, std::string const& member,
                         bool reached) override;
+    void connections_exhausted(member_gauge const& member,
+                               bool exhausted) override;
     void primary_unreachable(std::string const& group,
                              std::string const& member) override;
     void primary_closed(std::string const& group,
--- a/packages/proxy/include/camphortide/proxy/statement_request.hpp
+++ b/packages/proxy/include/camphortide/proxy/statement_request.hpp
@@ -91,8 +91,6 @@
     bool m_waited_for_opening = false; ///< of a connection for its customer
     std::uint32_t m_send_count = 0;
     state::time_point m_sent_at;
-    std::unique_ptr<boost::asio::steady_timer>
-        m_deadline_timer; ///< closes the connection at m_deadline
     state::statement_error m_last_error = state::statement_error::busy;
 };
 
--- a/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic_observer.hpp
@@ -23,6 +23,11 @@
     std::uint64_t m_connections_reassigned = 0;
     /// Statements that waited for a connection to open.
     std::uint64_t m_opening_waits = 0;
+    std::size_t m_connections_in_use = 0;
+    /// Of the connection that has been in use for longest.
+    state::duration m_longest_use{};
+    /// Connections closed because a reply was overdue.
+    std::uint64_t m_overdue = 0;
 };
 
 /// Counts of a group's reads: sent to a replica, or to the primary by reason.
@@ -82,6 +87,11 @@
     virtual void member_reached(std::string const& group,
                                 std::string const& member, bool reached) = 0;
 
+    /// Every connection that this instance may have to a member has been in use
+    /// for long, or one is available again.
+    virtual void connections_exhausted(member_gauge const& member,
+                                       bool exhausted) = 0;
+
     /// This instance can't reach the primary. Repeated while that lasts.
     virtual void primary_unreachable(std::string const& group,
                                      std::string const& member) = 0;
--- a/packages/proxy/src/group_traffic_run.cpp
+++ b/packages/proxy/src/group_traffic_run.cpp
@@ -25,6 +25,9 @@
 /// Delay before a statement for which the member had no slot is sent again on
 /// the same connection.
 constexpr state::duration retry_in_place_delay{8};
+/// How long the answer to a rollback is awaited: several round trips between
+/// regions.
+constexpr state::duration roll_back_timeout{1000};
 
 statement_failure busy_failure(std::string_view reason)
 {
@@ -79,25 +82,6 @@
     request->m_sent_at = state::clock::now();
     request->m_sent_to_idle = bound.m_pool->in_flight() == 0;
     bound.m_pool->statement_started();
-    start_deadline_timer(request, bound);
-}
-
-void group_traffic::start_deadline_timer(request_pointer const& request,
-                                         bound_connection const& bound)
-{
-    auto const remaining = request->m_deadline - state::clock::now();
-    request->m_deadline_timer =
-        std::make_unique<boost::asio::steady_timer>(m_context);
-    request->m_deadline_timer->expires_after(
-        std::max(remaining, state::duration(1)));
-    request->m_deadline_timer->async_wait(
-        [connection = bound.m_connection](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                connection->close();
-            }
-        });
 }
 
 std::vector<std::string>
@@ -162,7 +146,7 @@
     for (auto const& text : texts)
     {
         bound.m_connection->send(
-            text,
+            text, request->m_deadline,
             [this, request, bound, remaining, failed,
              alive = m_alive](std::optional<statement_reply> reply)
             {
@@ -193,7 +177,6 @@
     std::optional<statement_reply> reply)
 {
     bound.m_pool->statement_finished(std::nullopt);
-    request->m_deadline_timer.reset();
     auto const now = state::clock::now();
     if (reply && !reply->ok())
     {
@@ -232,6 +215,7 @@
                              : required_position(*request, bound);
     bound.m_connection->send(
         platform::member_statement(statement.m_id, covered, text),
+        request->m_deadline,
         [this, request, bound,
          alive = m_alive](std::optional<statement_reply> reply)
         {
@@ -256,7 +240,6 @@
                                  std::optional<statement_reply> reply)
 {
     auto const now = state::clock::now();
-    request->m_deadline_timer.reset();
     bool const permit_lost =
         bound.uses_primary() &&
         !m_permit.still_allows(bound.m_permit_revision, now);
@@ -476,7 +459,7 @@
         return;
     }
     bound.m_connection->send(
-        platform::member_roll_back(),
+        platform::member_roll_back(), state::clock::now() + roll_back_timeout,
         [this, bound, alive = m_alive](std::optional<statement_reply> reply)
         {
             if (*alive)
--- a/packages/proxy/src/group_traffic_upkeep.cpp
+++ b/packages/proxy/src/group_traffic_upkeep.cpp
@@ -21,28 +21,9 @@
 constexpr state::duration probe_timeout{1000};
 /// How long a member must fail before it is reported as unreachable.
 constexpr state::duration unreachable_delay{300};
-
-/// Closes a connection if a probe on it isn't answered in time.
-/// @return to be set to true when the answer arrives
-std::shared_ptr<bool>
-close_unless_answered(boost::asio::io_context& context,
-                      std::shared_ptr<member_connection> const& connection)
-{
-    auto answered = std::make_shared<bool>(false);
-    auto const timer =
-        std::make_shared<boost::asio::steady_timer>(context, probe_timeout);
-    timer->async_wait(
-        [timer, answered,
-         probed = std::weak_ptr(connection)](boost::system::error_code error)
-        {
-            auto const open = probed.lock();
-            if (!error && !*answered && open)
-            {
-                open->close();
-            }
-        });
-    return answered;
-}
+/// How long all connections to a member must be in use before that is reported:
+/// longer than transactions usually take.
+constexpr state::duration exhausted_delay{5000};
 
 } // namespace
 
@@ -122,13 +103,11 @@
     }
     pool.lag().record_request(now);
     auto const self = pool.shared_from_this();
-    auto const answered = close_unless_answered(m_context, connection);
     self->statement_started();
-    connection->send(platform::member_report_request(),
-                     [this, self, connection, answered,
+    connection->send(platform::member_report_request(), now + probe_timeout,
+                     [this, self, connection,
                       alive = m_alive](std::optional<statement_reply> reply)
                      {
-                         *answered = true;
                          self->statement_finished(std::nullopt);
                          self->release(connection,
                                        reply && reply->m_phase ==
@@ -171,6 +150,22 @@
     }
 }
 
+void group_traffic::report_exhaustion(member_pool const& pool,
+                                      state::time_point now)
+{
+    auto const& id = pool.member().m_id;
+    bool const exhausted =
+        pool.exhausted() && pool.longest_use(now) >= exhausted_delay;
+    if (exhausted && m_exhausted.insert(id).second)
+    {
+        m_observer.connections_exhausted(gauge_of(pool, now), true);
+    }
+    else if (!pool.exhausted() && m_exhausted.erase(id) != 0)
+    {
+        m_observer.connections_exhausted(gauge_of(pool, now), false);
+    }
+}
+
 void group_traffic::sweep()
 {
     auto const now = state::clock::now();
@@ -179,6 +174,7 @@
     {
         pool->close_surplus(now);
         report_reachability(*pool, now);
+        report_exhaustion(*pool, now);
         probe_if_stale(*pool, now);
         bool const unreachable =
             is_primary(pool->member().m_id) && pool->failing_since() &&
@@ -202,17 +198,34 @@
     dispatch();
 }
 
+member_gauge group_traffic::gauge_of(member_pool const& pool,
+                                     state::time_point now) const
+{
+    member_gauge gauge;
+    gauge.m_group = m_group;
+    gauge.m_member = pool.member().m_id;
+    gauge.m_primary = is_primary(gauge.m_member);
+    gauge.m_connections = pool.connections();
+    gauge.m_in_flight = pool.in_flight();
+    gauge.m_lag = pool.lag().value(now);
+    gauge.m_waiting = m_queue.size();
+    gauge.m_connections_opened = pool.counts().m_opened;
+    gauge.m_connections_reassigned = pool.counts().m_reassigned;
+    gauge.m_opening_waits = pool.counts().m_opening_waits;
+    gauge.m_connections_in_use = pool.connections_in_use();
+    gauge.m_longest_use = pool.longest_use(now);
+    gauge.m_overdue = pool.counts().m_overdue;
+    return gauge;
+}
+
 std::vector<member_gauge> group_traffic::gauges() const
 {
+    auto const now = state::clock::now();
     std::vector<member_gauge> result;
+    result.reserve(m_pools.size());
     for (auto const& pool : m_pools)
     {
-        result.push_back(
-            {m_group, pool->member().m_id, is_primary(pool->member().m_id),
-             pool->connections(), pool->in_flight(),
-             pool->lag().value(state::clock::now()), m_queue.size(),
-             pool->counts().m_opened, pool->counts().m_reassigned,
-             pool->counts().m_opening_waits});
+        result.push_back(gauge_of(*pool, now));
     }
     return result;
 }
--- a/packages/proxy/src/instance_gauges.cpp
+++ b/packages/proxy/src/instance_gauges.cpp
@@ -25,6 +25,18 @@
     result.push_back({"member_opening_waits",
                       "statements that waited for a connection to open", labels,
                       static_cast<double>(member.m_opening_waits)});
+    result.push_back({"member_connections_in_use",
+                      "connections to a member that statements, transactions "
+                      "or their ends use",
+                      labels,
+                      static_cast<double>(member.m_connections_in_use)});
+    result.push_back({"member_longest_use_ms",
+                      "how long one connection has been in use, at most",
+                      labels,
+                      static_cast<double>(member.m_longest_use.count())});
+    result.push_back({"member_connections_overdue",
+                      "connections closed because a reply was overdue", labels,
+                      static_cast<double>(member.m_overdue)});
     result.push_back({"member_lag_ms", "lag behind the primary", labels,
                       static_cast<double>(member.m_lag.count())});
     result.push_back({"group_waiting", "statements that wait for a member",
--- a/packages/proxy/src/member_connection.cpp
+++ b/packages/proxy/src/member_connection.cpp
@@ -1,5 +1,6 @@
 #include "socket_options.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -35,6 +36,7 @@
                    }
                }),
       m_opening_timer(context),
+      m_reply_timer(context),
       m_read_buffer()
 {
 }
@@ -124,7 +126,8 @@
     done(result);
 }
 
-void member_connection::send(std::string const& bytes, reply_handler done)
+void member_connection::send(std::string const& bytes,
+                             state::time_point deadline, reply_handler done)
 {
     if (!m_open)
     {
@@ -132,8 +135,54 @@
         return;
     }
     m_last_used = state::clock::now();
-    m_handlers.push_back(std::move(done));
+    m_outstanding.push_back({std::move(done), deadline});
     m_writer.write(bytes, shared_from_this());
+    await_replies();
+}
+
+state::time_point member_connection::earliest_deadline() const
+{
+    return std::ranges::min_element(m_outstanding, {},
+                                    &outstanding_statement::m_deadline)
+        ->m_deadline;
+}
+
+void member_connection::await_replies()
+{
+    if (m_ended || m_outstanding.empty())
+    {
+        return;
+    }
+    auto const deadline = earliest_deadline();
+    if (m_next_check && *m_next_check <= deadline)
+    {
+        return;
+    }
+    m_next_check = deadline;
+    m_reply_timer.expires_after(
+        std::max(deadline - state::clock::now(), state::duration(1)));
+    m_reply_timer.async_wait(
+        [connection = weak_from_this()](error_code error)
+        {
+            auto const self = connection.lock();
+            if (!error && self)
+            {
+                self->check_deadlines();
+            }
+        });
+}
+
+void member_connection::check_deadlines()
+{
+    m_next_check.reset();
+    if (!m_ended && !m_outstanding.empty() &&
+        state::clock::now() >= earliest_deadline())
+    {
+        m_overdue = true;
+        end();
+        return;
+    }
+    await_replies();
 }
 
 void member_connection::read()
@@ -186,15 +235,15 @@
     }
     auto const progress = m_parser.add(line);
     if (progress == platform::member_reply_parser::progress::broken ||
-        m_handlers.empty())
+        m_outstanding.empty())
     {
         end();
         return;
     }
     if (progress == platform::member_reply_parser::progress::complete)
     {
-        auto const done = std::move(m_handlers.front());
-        m_handlers.pop_front();
+        auto const done = std::move(m_outstanding.front().m_done);
+        m_outstanding.pop_front();
         m_last_used = state::clock::now();
         done(m_parser.take());
     }
@@ -217,6 +266,7 @@
     error_code ignored; // the connection ends in any case
     m_socket.close(ignored);
     m_opening_timer.cancel();
+    m_reply_timer.cancel();
     if (m_opening)
     {
         auto const failure = m_parser.partial()
@@ -230,15 +280,14 @@
                        : misrouted ? opening_result::misrouted
                                    : opening_result::refused);
     }
-    auto const handlers = std::exchange(m_handlers, {});
-    auto const ended = std::exchange(m_on_end, nullptr);
-    for (auto const& each : handlers)
+    auto const outstanding = std::exchange(m_outstanding, {});
+    if (auto const ended = std::exchange(m_on_end, nullptr))
     {
-        each(std::nullopt);
+        ended();
     }
-    if (ended)
+    for (auto const& each : outstanding)
     {
-        ended();
+        each.m_done(std::nullopt);
     }
 }
 
--- a/packages/proxy/src/member_monitor.cpp
+++ b/packages/proxy/src/member_monitor.cpp
@@ -39,12 +39,6 @@
     {
         return;
     }
-    if (m_pending_since && now - *m_pending_since >= answer_timeout)
-    {
-        auto const old = std::exchange(m_connection, nullptr);
-        m_pending_since.reset();
-        old->close();
-    }
     if (!m_connection || !m_connection->alive())
     {
         if (now - m_last_opening >= min_opening_interval)
@@ -93,7 +87,7 @@
 {
     m_last_request = now;
     m_pending_since = now;
-    m_connection->send(platform::member_report_request(),
+    m_connection->send(platform::member_report_request(), now + answer_timeout,
                        [this, now, alive = m_alive](
                            std::optional<state::statement_reply> const& reply)
                        {
@@ -113,7 +107,10 @@
         if (m_pending_since)
         {
             m_pending_since.reset();
-            m_on.m_refusal();
+            if (!m_connection->overdue())
+            {
+                m_on.m_refusal();
+            }
         }
         return;
     }
--- a/packages/proxy/src/member_pool.cpp
+++ b/packages/proxy/src/member_pool.cpp
@@ -31,6 +31,10 @@
 /// How long other members are considered for a customer for which no connection
 /// could be opened: several openings.
 constexpr state::duration denial_time{50};
+/// A member notices the end of a connection within a round trip, and after the
+/// statement that it runs.
+constexpr int noticing_round_trips = 2;
+constexpr state::duration min_noticing_time{20};
 /// How long a connection above the number kept may stay idle.
 constexpr state::duration surplus_idle_timeout{1000};
 
@@ -80,7 +84,8 @@
     auto const denied = m_denied.find(customer);
     return (denied == m_denied.end() || denied->second <= now) &&
            now >= m_next_opening && max_connections() > 0 &&
-           (m_all.size() < max_connections() || !m_idle.empty());
+           (m_all.size() + unnoticed_ends(now) < max_connections() ||
+            !m_idle.empty());
 }
 
 double member_pool::opening_ms(state::time_point now) const
@@ -150,7 +155,10 @@
         uses.push_back(use_of(connection, now));
     }
     coordination::connection_limits limits;
-    limits.m_connections = max_connections();
+    auto const available =
+        max_connections() - std::min(max_connections(), unnoticed_ends(now));
+    limits.m_connections =
+        std::max(available, std::min(uses.size(), max_connections()));
     limits.m_use_time = state::duration(std::llround(
         m_use_time.value_or(static_cast<double>(limits.m_use_time.count()))));
     auto const changes =
@@ -227,7 +235,7 @@
             {
                 if (auto const self = pool.lock())
                 {
-                    self->remove(ended.lock());
+                    self->ended(ended.lock());
                 }
             });
         return;
@@ -255,6 +263,42 @@
     }
 }
 
+void member_pool::ended(std::shared_ptr<member_connection> const& connection)
+{
+    if (connection && connection->overdue())
+    {
+        auto const now = state::clock::now();
+        ++m_counts.m_overdue;
+        std::erase_if(m_overdue_ends,
+                      [now](auto const& until) { return until <= now; });
+        m_overdue_ends.push_back(
+            now + std::max(connection->round_trip() * noticing_round_trips,
+                           min_noticing_time));
+    }
+    remove(connection);
+}
+
+std::size_t member_pool::unnoticed_ends(state::time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_overdue_ends, [now](auto const& until) { return until > now; }));
+}
+
+state::duration member_pool::longest_use(state::time_point now) const
+{
+    state::duration longest{};
+    for (auto const& entry : m_acquired)
+    {
+        longest = std::max(longest, now - entry.second);
+    }
+    return longest;
+}
+
+bool member_pool::exhausted() const
+{
+    return max_connections() > 0 && m_acquired.size() >= max_connections();
+}
+
 void member_pool::remove(std::shared_ptr<member_connection> const& connection)
 {
     m_all.erase(connection);
@@ -386,7 +430,8 @@
     value.m_primary = primary;
     value.m_usable = !m_member.m_leaving || primary;
     bool const accepts =
-        m_in_flight < max_statements(now) && now >= m_busy_until;
+        m_in_flight + unnoticed_ends(now) < max_statements(now) &&
+        now >= m_busy_until;
     bool const has_idle = idle_connections(customer) > 0;
     value.m_free = has_idle && accepts;
     if (m_limits.m_by_customer && !has_idle)
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -445,6 +445,20 @@
                         {{"group", group}, {"member", member}});
 }
 
+void proxy_instance::connections_exhausted(member_gauge const& member,
+                                           bool exhausted)
+{
+    transport::log_warning(log_part::group,
+                           exhausted
+                               ? "connections to a member exhausted"
+                               : "connections to a member available again",
+                           {{"group", member.m_group},
+                            {"member", member.m_member},
+                            {"in_use", member.m_connections_in_use},
+                            {"longest_use_ms", member.m_longest_use.count()},
+                            {"overdue", member.m_overdue}});
+}
+
 void proxy_instance::primary_unreachable(std::string const& group,
                                          std::string const& member)
 {
--- a/packages/proxy/test/forwarding/home_router_test.cpp
+++ b/packages/proxy/test/forwarding/home_router_test.cpp
@@ -101,6 +101,7 @@
     void member_reached(std::string const&, std::string const&, bool) override
     {
     }
+    void connections_exhausted(proxy::member_gauge const&, bool) override {}
     void primary_unreachable(std::string const&, std::string const&) override {}
     void primary_closed(std::string const&,
                         camphortide::state::store_revision const&) override
