proxy: a group's record of members is compared with its own members

The holder of the duty went through the members of all groups for each group and tick. It uses the group's members, which it has collected anyway. By reading; no figure was taken, as no deployment has synchronous replicas.

--- a/packages/proxy/include/camphortide/proxy/member_records.hpp
+++ b/packages/proxy/include/camphortide/proxy/member_records.hpp
@@ -2,7 +2,9 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
+#include <camphortide/coordination/primary/replacement.hpp>
 #include <camphortide/proxy/fleet_control.hpp>
 #include <camphortide/proxy/store_client.hpp>
 
@@ -24,9 +26,11 @@
 
     /// Writes a group's record if its members have changed. Without a record,
     /// entries that may have lapsed are waited for first.
+    /// @param registered the group's registered members
     /// @param token of the duty
-    void update(std::string const& group, std::uint64_t token,
-                state::time_point now);
+    void update(std::string const& group,
+                std::vector<coordination::reported_member> const& registered,
+                std::uint64_t token, state::time_point now);
 
     /// @return true if it is known which members the group has had
     bool are_known(std::string const& group, state::time_point now) const;
--- a/packages/proxy/src/member_records.cpp
+++ b/packages/proxy/src/member_records.cpp
@@ -39,8 +39,10 @@
             now - found->second.m_since >= coordination::registration_grace);
 }
 
-void member_records::update(std::string const& group, std::uint64_t token,
-                            state::time_point now)
+void member_records::update(
+    std::string const& group,
+    std::vector<coordination::reported_member> const& registered,
+    std::uint64_t token, state::time_point now)
 {
     auto& known = m_groups.try_emplace(group, group_state{now, {}, false, {}})
                       .first->second;
@@ -51,12 +53,9 @@
     }
     state::recorded_members record{group, token,
                                    m_fleet.lapsed_members().addresses(group)};
-    for (auto const& [id, entry] : m_fleet.members())
+    for (auto const& member : registered)
     {
-        if (entry.m_group == group)
-        {
-            record.m_addresses[id] = entry.m_address;
-        }
+        record.m_addresses[member.m_entry.m_id] = member.m_entry.m_address;
     }
     auto const found = m_fleet.records().m_members.find(group);
     bool const recorded = found != m_fleet.records().m_members.end();
--- a/packages/proxy/src/replacement_control_facts.cpp
+++ b/packages/proxy/src/replacement_control_facts.cpp
@@ -113,7 +113,7 @@
     if (facts.m_sync_replicas > 0)
     {
         note_positions(facts);
-        m_member_records.update(name, m_lease.token(), now);
+        m_member_records.update(name, facts.m_members, m_lease.token(), now);
         facts.m_members_known = m_member_records.are_known(name, now);
         facts.m_lapsed_replicas =
             m_fleet.lapsed_members().count(name, record.m_primary);
