proxy: answers that a caller doesn't read are bounded

An instance that callers flooded with statements whose answers they didn't read ran them all and kept the answers: with 100 such callers it grew to 1,563 MiB, where the platform gives it 260 (a trial; nobody has reported it).

Cause: the next statement was read once the last was answered, whether or not the answer was taken.

Now nothing is read from a session with 64 KiB of unread answers until they are taken, and one that takes nothing for 10 s is reset; its transaction is rolled back and its connection freed. Both are settings. A home doesn't read from a link with 4 MiB of unread answers.

--- a/packages/proxy/include/camphortide/proxy/caller_session.hpp
+++ b/packages/proxy/include/camphortide/proxy/caller_session.hpp
@@ -18,6 +18,15 @@
 namespace camphortide::proxy
 {
 
+/// Bounds of the answers that a caller hasn't read.
+struct unread_limits
+{
+    /// With this many bytes or more, nothing is read from the caller.
+    std::size_t m_bytes = 65536;
+    /// A caller that takes nothing for this long is closed.
+    state::duration m_time{10000};
+};
+
 /// What a caller's session requires of its owner.
 class session_host
 {
@@ -50,6 +59,9 @@
     /// @return true if this instance is stopping and begins no operations
     virtual bool leaving() const = 0;
 
+    /// @return the bounds of the answers that a caller hasn't read
+    virtual unread_limits limits_of_unread_answers() const = 0;
+
     /// @return when this instance stops; never if it isn't stopping
     virtual state::time_point stops_at() const = 0;
 
@@ -96,6 +108,12 @@
     /// @param limit zero: no limit
     void end_overdue_transaction(state::duration limit, state::time_point now);
 
+    /// @return true if the caller has taken nothing of its answers for too long
+    bool is_unread(state::time_point now) const;
+
+    /// Closes the session and discards the answers that weren't taken.
+    void close_unread();
+
     bool in_transaction() const { return m_state.in_transaction(); }
     bool busy() const { return m_busy; }
 
--- a/packages/proxy/include/camphortide/proxy/message_stream.hpp
+++ b/packages/proxy/include/camphortide/proxy/message_stream.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,10 @@
 class message_stream : public std::enable_shared_from_this<message_stream>
 {
 public:
+    /// Upper bound of a message: a statement and its session's values are at
+    /// most about 1 MiB each. A longer one ends the connection.
+    static constexpr std::size_t max_message_bytes = std::size_t{4} << 20;
+
     using message_handler = std::function<void(v1::Message const&)>;
     using end_handler = std::function<void()>;
 
@@ -64,8 +69,14 @@
     void connect(std::string const& address,
                  std::function<void(bool)> connected);
 
+    /// @param message of at most max_message_bytes
     void send(v1::Message const& message);
 
+    /// Stops reading while this many bytes or more wait to be sent. Only for
+    /// the side that sends answers to what it reads: with both, neither might
+    /// read.
+    void limit_unsent(std::size_t bytes) { m_max_unsent = bytes; }
+
     /// Closes the connection without calling the end handler.
     void close();
 
@@ -74,6 +85,7 @@
     state::time_point last_received() const { return m_last_received; }
 
 private:
+    void handle_written(bool ok);
     void read();
     /// Handles the complete messages in the unread data.
     /// @return false if a message is invalid or too long
@@ -87,6 +99,8 @@
     std::string m_unread;
     std::array<char, 16384> m_read_buffer;
     state::time_point m_last_received;
+    std::size_t m_max_unsent = std::numeric_limits<std::size_t>::max();
+    bool m_reading = false;
     bool m_alive = false;
     bool m_closed = false;
 };
--- a/packages/proxy/include/camphortide/proxy/socket_writer.hpp
+++ b/packages/proxy/include/camphortide/proxy/socket_writer.hpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <camphortide/state/clock.hpp>
+
 namespace camphortide::proxy
 {
 
@@ -32,6 +34,14 @@
 
     /// @return true while a write is in progress
     bool busy() const { return !m_writing.empty(); }
+    /// @return the number of bytes that the system hasn't taken yet
+    std::size_t unsent() const
+    {
+        return m_unsent.size() + m_writing.size() - m_written;
+    }
+    /// @return since when the system has taken no byte, while a write is in
+    ///     progress
+    state::time_point stalled_since() const { return m_last_progress; }
 
 private:
     void write_next(std::shared_ptr<void> owner);
@@ -40,6 +50,8 @@
     done_handler m_done;
     std::string m_unsent;
     std::string m_writing;
+    std::size_t m_written = 0; ///< of m_writing
+    state::time_point m_last_progress;
 };
 
 } // namespace camphortide::proxy
--- a/packages/proxy/include/camphortide/proxy/traffic.hpp
+++ b/packages/proxy/include/camphortide/proxy/traffic.hpp
@@ -37,7 +37,8 @@
 class traffic final : public session_host, private home_server_host
 {
 public:
-    traffic(boost::asio::io_context& context, traffic_observer& observer);
+    traffic(boost::asio::io_context& context, traffic_observer& observer,
+            unread_limits limits = {});
     ~traffic() override;
 
     /// Listens for callers.
@@ -87,6 +88,10 @@
     bool keys_up_to_date() const override;
     bool leaving() const override;
     state::time_point stops_at() const override;
+    unread_limits limits_of_unread_answers() const override
+    {
+        return m_unread_limits;
+    }
 
     /// Sets from when on operations that need a key are refused.
     /// @param time no limit if it is never reached
@@ -113,11 +118,13 @@
     note_allowance_keeper(v1::AllowanceAnnouncement const& message) override;
     void accept();
     void sweep();
+    void close_unread_sessions(state::time_point now);
     void continue_stop(state::time_point now);
     group_traffic& group(std::string const& name);
 
     boost::asio::io_context& m_context;
     traffic_observer& m_observer;
+    unread_limits m_unread_limits;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     boost::asio::steady_timer m_sweep_timer;
     std::shared_ptr<fleet_view const> m_view;
--- a/packages/proxy/src/caller_session.cpp
+++ b/packages/proxy/src/caller_session.cpp
@@ -47,6 +47,7 @@
 {
     m_on_end = std::move(ended);
     configure_socket(m_socket, caller_ack_timeout);
+    limit_unsent(m_socket, m_host.limits_of_unread_answers().m_bytes);
     m_last_received = state::clock::now();
     process_lines();
 }
@@ -77,7 +78,8 @@
 bool caller_session::can_process() const
 {
     return !m_busy && !m_ended && !m_awaiting_configuration &&
-           !m_close_when_written;
+           !m_close_when_written &&
+           m_writer.unsent() < m_host.limits_of_unread_answers().m_bytes;
 }
 
 void caller_session::process_lines()
@@ -430,7 +432,24 @@
     if (!ok || m_close_when_written)
     {
         end();
+        return;
     }
+    process_lines(); // it may have waited until the answers were taken
+}
+
+bool caller_session::is_unread(state::time_point now) const
+{
+    return m_writer.busy() && now - m_writer.stalled_since() >=
+                                  m_host.limits_of_unread_answers().m_time;
+}
+
+void caller_session::close_unread()
+{
+    m_host.refused_locally(
+        {}, m_database,
+        {statement_error::timed_out, "answers not read, session closed"});
+    reset_when_closed(m_socket);
+    end();
 }
 
 void caller_session::end()
--- a/packages/proxy/src/home_server.cpp
+++ b/packages/proxy/src/home_server.cpp
@@ -19,6 +19,9 @@
 /// Statements of other instances are numbered from here, apart from those of
 /// this instance's callers.
 constexpr std::uint64_t first_forwarded_number = std::uint64_t{1} << 63;
+/// An instance with more unread answers isn't read from until it has taken
+/// them: as many as one answer may be long.
+constexpr std::size_t max_unread_bytes = message_stream::max_message_bytes;
 
 } // namespace
 
@@ -34,6 +37,7 @@
 
     void start()
     {
+        m_stream->limit_unsent(max_unread_bytes);
         m_stream->start(weak_from_this(), &link::handle_message, &link::end);
     }
 
--- a/packages/proxy/src/message_stream.cpp
+++ b/packages/proxy/src/message_stream.cpp
@@ -20,9 +20,6 @@
 constexpr state::duration ack_timeout{500};
 constexpr std::size_t length_bytes = 4;
 constexpr unsigned byte_bits = 8;
-/// Upper bound of a message: a statement and its session's values are at most
-/// about 1 MiB each.
-constexpr std::size_t max_message_bytes = std::size_t{4} << 20;
 
 std::string length_prefix(std::size_t length)
 {
@@ -50,14 +47,7 @@
 
 message_stream::message_stream(asio::ip::tcp::socket socket)
     : m_socket(std::move(socket)),
-      m_writer(m_socket,
-               [this](bool ok)
-               {
-                   if (!ok)
-                   {
-                       end();
-                   }
-               }),
+      m_writer(m_socket, [this](bool ok) { handle_written(ok); }),
       m_read_buffer()
 {
 }
@@ -100,12 +90,30 @@
     }
 }
 
+void message_stream::handle_written(bool ok)
+{
+    if (!ok)
+    {
+        end();
+    }
+    else if (m_alive)
+    {
+        read();
+    }
+}
+
 void message_stream::read()
 {
+    if (m_reading || m_writer.unsent() >= m_max_unsent)
+    {
+        return;
+    }
+    m_reading = true;
     m_socket.async_read_some(
         asio::buffer(m_read_buffer),
         [self = shared_from_this()](error_code error, std::size_t count)
         {
+            self->m_reading = false;
             if (!self->m_alive)
             {
                 return;
--- a/packages/proxy/src/proxy_instance.cpp
+++ b/packages/proxy/src/proxy_instance.cpp
@@ -99,7 +99,8 @@
           [this](close_request const& request, std::function<void()> closed)
           { close_primary(request, std::move(closed)); }),
       m_server(m_control),
-      m_traffic(m_traffic_context, *this),
+      m_traffic(m_traffic_context, *this,
+                {m_settings.m_max_unread_bytes, m_settings.m_max_unread_time}),
       m_tick(m_control),
       m_signals(m_control, SIGTERM, SIGINT, SIGHUP),
       m_file_modified(modification_time(m_path))
--- a/packages/proxy/src/socket_options.cpp
+++ b/packages/proxy/src/socket_options.cpp
@@ -62,6 +62,12 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, max_keepalive_probes);
 }
 
+void limit_unsent(boost::asio::ip::tcp::socket& socket, std::size_t bytes)
+{
+    set_option(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               static_cast<int>(bytes));
+}
+
 void reset_when_closed(boost::asio::ip::tcp::socket& socket)
 {
     // Set directly: Asio's destructor undoes its own option.
--- a/packages/proxy/src/socket_options.hpp
+++ b/packages/proxy/src/socket_options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,10 @@
 void configure_socket(boost::asio::ip::tcp::socket& socket,
                       state::duration ack_timeout);
 
+/// Limits the bytes that the system takes before it sends them.
+/// @param bytes above which the socket isn't writable
+void limit_unsent(boost::asio::ip::tcp::socket& socket, std::size_t bytes);
+
 /// Makes a connection be reset when it is closed, also by the end of the
 /// process: what it has sent and the peer hasn't acknowledged is discarded
 /// instead of being delivered later. The destructor of the socket keeps to it.
--- a/packages/proxy/src/traffic.cpp
+++ b/packages/proxy/src/traffic.cpp
@@ -21,9 +21,11 @@
 
 } // namespace
 
-traffic::traffic(asio::io_context& context, traffic_observer& observer)
+traffic::traffic(asio::io_context& context, traffic_observer& observer,
+                 unread_limits limits)
     : m_context(context),
       m_observer(observer),
+      m_unread_limits(limits),
       m_sweep_timer(context),
       m_router(context, observer,
                [this](auto const& request) { run_locally(request); }),
@@ -210,6 +212,7 @@
 void traffic::sweep()
 {
     auto const now = state::clock::now();
+    close_unread_sessions(now);
     if (m_view)
     {
         auto const limit = m_view->m_configuration->m_transaction_idle_timeout;
@@ -239,6 +242,22 @@
         });
 }
 
+void traffic::close_unread_sessions(state::time_point now)
+{
+    std::vector<std::shared_ptr<caller_session>> unread;
+    for (auto const& entry : m_sessions)
+    {
+        if (entry.second->is_unread(now))
+        {
+            unread.push_back(entry.second);
+        }
+    }
+    for (auto const& session : unread)
+    {
+        session->close_unread();
+    }
+}
+
 void traffic::stop(stop_times times, std::function<void()> stopped)
 {
     m_stop = times;
--- a/packages/proxy/test/support/proxy_fixture.hpp
+++ b/packages/proxy/test/support/proxy_fixture.hpp
@@ -41,9 +41,14 @@
 class running_instance
 {
 public:
+    using settings_change =
+        std::function<void(camphortide::platform::process_settings&)>;
+
     /// @param promotion HOST:PORT of the promotion service; empty: the store's
+    /// @param change further settings
     running_instance(std::string const& store, int number,
-                     std::string const& promotion = {})
+                     std::string const& promotion = {},
+                     settings_change const& change = nullptr)
         : m_host("127." + std::to_string(64 + number) + '.' +
                  std::to_string(::getpid() >> 8 & 255) + '.' +
                  std::to_string(::getpid() & 255))
@@ -59,6 +64,10 @@
         settings.m_store_address = store;
         settings.m_promotion_address = promotion.empty() ? store : promotion;
         settings.m_stop_grace = camphortide::state::duration(3000);
+        if (change)
+        {
+            change(settings);
+        }
         m_instance = std::make_unique<proxy::proxy_instance>(settings, "");
         m_thread = std::thread([this] { m_served = m_instance->run(); });
     }
@@ -75,6 +84,8 @@
         return {m_host, 7001, database, key};
     }
 
+    std::string const& host() const { return m_host; }
+
     /// Opens a session that can be stored in a container.
     std::unique_ptr<text_client> open()
     {
