proxy: an answer too long for a link fails only its own statement

Callers whose statements an instance passed on to a home were told that their commits were in doubt, because another caller had read more than 4 MiB.

Cause: the receiver takes a longer message for damage and ends the link, and the home sent it all the same.

Now the home checks the length; it answers such a read with FAILED, and a write as in doubt. The link and the transactions on it go on.

The fixture of six instances moves to a header of its own.

--- a/packages/proxy/src/home_server.cpp
+++ b/packages/proxy/src/home_server.cpp
@@ -23,6 +23,21 @@
 /// them: as many as one answer may be long.
 constexpr std::size_t max_unread_bytes = message_stream::max_message_bytes;
 
+/// Replaces an answer that is too long for a link.
+statement_result too_long(statement_result result, coordination::sent_kind kind)
+{
+    bool const reads = kind != coordination::sent_kind::single_write &&
+                       kind != coordination::sent_kind::commit_of_writes;
+    result.m_reply.m_rows.clear();
+    result.m_reply.m_signature.clear();
+    result.m_reply.m_failure = state::statement_failure{
+        reads ? state::statement_error::failed
+              : state::statement_error::in_doubt,
+        "answer longer than " +
+            std::to_string(message_stream::max_message_bytes) + " bytes"};
+    return result;
+}
+
 } // namespace
 
 /// The connection of one other instance, with its statements and transactions.
@@ -120,12 +135,17 @@
         ++m_running;
         request->m_done =
             [self = shared_from_this(), number, transaction,
+             kind = request->m_kind,
              group = request->m_route->m_group](statement_result const& result)
         {
             --self->m_running;
             auto const open =
                 self->update_transaction(group, transaction, result.m_bound);
-            self->m_stream->send(encode_result(result, number, open));
+            auto const message = encode_result(result, number, open);
+            self->m_stream->send(
+                message.ByteSizeLong() <= message_stream::max_message_bytes
+                    ? message
+                    : encode_result(too_long(result, kind), number, open));
         };
         m_owner.m_host.run_locally(request);
     }
--- a/packages/proxy/test/unread_answers/unread_answers_path_test.cpp
+++ b/packages/proxy/test/unread_answers/unread_answers_path_test.cpp
@@ -1,10 +1,12 @@
-#include "../support/proxy_fixture.hpp"
+#include "../support/limited_deployment.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include <doctest/doctest.h>
 
 using tests::deployment;
+using tests::limited_deployment;
 using tests::running_instance;
 using tests::wait_for;
 
@@ -121,3 +123,32 @@
     auto const expected = max_flood_answers * value_bytes;
     CHECK(flood.read(std::chrono::milliseconds(2), expected) >= expected);
 }
+
+// Guards against a long answer that ends the link with the statements of all
+// callers on it.
+TEST_CASE("an answer that is too long for a link fails only its statement")
+{
+    limited_deployment fixture;
+    REQUIRE(fixture.m_ready);
+    auto const value = std::string(900000, 'x');
+    REQUIRE(fixture.m_instances.front()->connect().outcome(
+                "STORE big " + value) == "COMPLETE");
+    for (auto const* const member : {"m1", "m2", "m3"})
+    {
+        fixture.m_group.change(member,
+                               [](auto& state) { state.m_row_copies = 6; });
+    }
+    std::multiset<std::string> outcomes;
+    for (auto const& each : fixture.m_instances)
+    {
+        auto other = each->connect();
+        REQUIRE(other.outcome("BEGIN") == "COMPLETE");
+        REQUIRE(other.outcome("STORE a 1") == "COMPLETE");
+        outcomes.insert(each->connect().outcome("FETCH big"));
+        CHECK(other.outcome("COMMIT") == "COMPLETE");
+    }
+    // Homes have no link to cross.
+    auto const failed = outcomes.count("STMTERR FAILED");
+    CHECK(failed >= 2);
+    CHECK(outcomes.count("COMPLETE") + failed == fixture.m_instances.size());
+}
