proxy: connections don't outlive an instance that stops

Callers saw nothing: the process ends.

Cause: the handler of a statement that is outstanding when the instance stops holds the connection, which holds the handler. It could happen before the deadlines, too; a test that loses answers makes it likely.

Evidence: the report has indirect leaks only, of connections made by member_pool::open_for and their outstanding statements, so a cycle.

Change: the traffic of a group closes its connections when it ends, which takes the handlers out of them.

--- a/packages/proxy/src/group_traffic.cpp
+++ b/packages/proxy/src/group_traffic.cpp
@@ -36,6 +36,14 @@
 group_traffic::~group_traffic()
 {
     *m_alive = false;
+    // Handlers of outstanding statements hold the connections that hold them.
+    for (auto const* const pools : {&m_pools, &m_removed_pools})
+    {
+        for (auto const& pool : *pools)
+        {
+            pool->close_all();
+        }
+    }
 }
 
 void group_traffic::apply(fleet_view const& view)
--- a/packages/proxy/test/lost_answers/lost_answers_path_test.cpp
+++ b/packages/proxy/test/lost_answers/lost_answers_path_test.cpp
@@ -129,6 +129,26 @@
     }
 }
 
+// Guards against connections that outlive the instance, as handlers hold them.
+// Only the address sanitizer's report of leaks shows it.
+TEST_CASE("an instance stops while answers are outstanding")
+{
+    deployment fixture;
+    running_instance instance(fixture.m_platform.address(), 1);
+    REQUIRE(instance.wait_writes());
+    for (auto const* const request : {"ROLLBACK", "SETPARAM"})
+    {
+        set_fault(fixture, {request, answer_fault::lost, 1});
+        auto caller = instance.connect();
+        run_all(caller, "SETPARAM p v|BEGIN");
+        caller.send("QUERY last STORE a 1");
+        caller.leave();
+    }
+    auto caller = instance.connect();
+    set_fault(fixture, {"ROLLBACK", answer_fault::lost, 1});
+    run_all(caller, "BEGIN|STORE a 1|ROLLBACK");
+}
+
 TEST_CASE("a commit whose answer is overdue is in doubt")
 {
     deployment fixture;
