proxy: the test of a restarted holder restarts all instances

The restarted holder got the list of members from another instance, with the entry of m2, asked m2, which was alive, and promoted it; m2 had every commit, and none was lost.

The test meant a holder that doesn't know m2. It now restarts all instances in the outage, so that none passes on what it knew. The check stays as it was, and that the first promotion is m2's is checked too.

--- a/packages/proxy/test/lapsed_entries/lapsed_entries_path_test.cpp
+++ b/packages/proxy/test/lapsed_entries/lapsed_entries_path_test.cpp
@@ -18,13 +18,20 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+/// Which instances are restarted.
+enum class restart
+{
+    holder,
+    all ///< so that nobody passes on what it knew of the members
+};
+
 /// Three instances and a group whose commits m2 acknowledges; m3 has received
-/// only the first ones. The holder of the duty is restarted during an outage of
-/// the store in which all members' entries lapse.
+/// only the first ones. The holder of the duty, or all, are restarted during an
+/// outage of the store in which all members' entries lapse.
 class restarted_holder
 {
 public:
-    restarted_holder()
+    explicit restarted_holder(restart which)
     {
         m_fixture.m_sync_replicas = 1;
         m_fixture.configure(2, "read_your_writes");
@@ -49,8 +56,20 @@
             m_fixture.m_platform.remove("servers", member);
         }
         auto const holder = m_fixture.duty_holder();
-        m_instances.erase(holder);
-        start(holder);
+        for (int number = 1; number <= 3; ++number)
+        {
+            if (number == holder || which == restart::all)
+            {
+                m_instances.erase(number);
+            }
+        }
+        for (int number = 1; number <= 3; ++number)
+        {
+            if (!m_instances.contains(number))
+            {
+                start(number);
+            }
+        }
     }
 
     /// Ends the outage. The entry of m3 is back at once.
@@ -117,7 +136,7 @@
 // yet.
 TEST_CASE("a primary whose entry is back within two seconds isn't replaced")
 {
-    restarted_holder instances;
+    restarted_holder instances(restart::holder);
     instances.end_outage();
     pause_for(1900);
     instances.register_again("m2");
@@ -131,7 +150,7 @@
 // duty doesn't know, as it started after the replica's entry had lapsed.
 TEST_CASE("a holder that was restarted waits for a replica that has lapsed")
 {
-    restarted_holder instances;
+    restarted_holder instances(restart::all);
     instances.fixture().m_group.crash("m1");
     instances.end_outage();
     pause_for(6000);
@@ -140,5 +159,6 @@
     REQUIRE(wait_for([&] { return instances.has_promotions(); }));
     REQUIRE(wait_for(
         [&] { return instances.fixture().m_group.primary() != "m1"; }));
+    CHECK(instances.fixture().m_platform.promotions().front() == "m2");
     CHECK(instances.lost_writes() == 0);
 }
