--- a/review/standin-3/group.cpp
+++ b/review/standin-3/group.cpp
@@ -101,6 +101,17 @@
         return "STMTERR " + code + ' ' + m_self.m_id + "\r\n" + idle();
     }
 
+    std::string value_of(std::string const& item) const
+    {
+        std::string value = "none";
+        for (auto const& each : m_self.m_log)
+        {
+            auto const found = each.m_changes.find(item);
+            value = found == each.m_changes.end() ? value : found->second;
+        }
+        return value;
+    }
+
     void end_transaction()
     {
         m_open = m_failed = false;
@@ -171,18 +182,23 @@
                               type + ' ' + text);
         if (type == "FETCH")
         {
-            return complete(id, "ROW value-of-" + text + "\r\n");
+            return complete(id, "ROW " + value_of(text) + "\r\n");
         }
-        if (type == "STORE" && m_open)
+        if (type == "STORE")
         {
-            m_writes.push_back(id);
-            return complete(id);
+            auto const item = take_word(text);
+            m_writes[item] = text;
+            if (m_open)
+            {
+                return complete(id);
+            }
         }
-        bool const commits = type == "STORE" || !m_writes.empty();
+        bool const commits = !m_writes.empty();
         if (commits)
         {
             lock.unlock();
-            bool const acknowledged = m_owner.commit_write(m_self, id);
+            bool const acknowledged =
+                m_owner.commit_write(m_self, id, m_writes);
             lock.lock();
             if (!acknowledged)
             {
@@ -196,7 +212,7 @@
     group& m_owner;
     member& m_self;
     std::map<std::string, std::string> m_prepared; ///< kind by name
-    std::vector<std::string> m_writes;
+    std::map<std::string, std::string> m_writes;   ///< data by item
     bool m_open = false;
     bool m_reads_only = false;
     bool m_failed = false;
@@ -234,6 +250,25 @@
     std::thread([this] { upkeep(); }).detach();
 }
 
+void group::configure(std::string const& database)
+{
+    nlohmann::json const route{
+        {"name", "r-" + database},      {"host", database},
+        {"routeType", "primary"},       {"timeoutMs", 800},
+        {"targetLatencyMs", 120},       {"priority", 1},
+        {"service", m_settings.m_name}, {"maxAttempts", 2}};
+    nlohmann::json const service{
+        {"name", m_settings.m_name},
+        {"healthPath", "/health"},
+        {"maxConnections", m_settings.m_max_connections},
+        {"syncReplicas", m_settings.m_sync_replicas}};
+    m_store.put("config", "main",
+                {{"version", 7},
+                 {"routes", nlohmann::json::array({route})},
+                 {"services", nlohmann::json::array({service})},
+                 {"limits", {{"txIdleMs", 3000}}}});
+}
+
 group::member& group::find(std::string const& id)
 {
     auto const found = std::ranges::find_if(m_members, [&](auto const& each)
@@ -372,18 +407,23 @@
 
 bool group::replicated(member const& primary, std::size_t size) const
 {
-    auto const holders = std::ranges::count_if(
-        m_members, [&](auto const& each)
-        { return each.get() != &primary && each->m_log.size() >= size; });
-    return static_cast<unsigned>(holders) >= m_settings.m_sync_replicas;
+    auto const holds = [&](auto const& each)
+    {
+        return each.get() != &primary && each->m_up &&
+               each->m_log.size() >= size && primary.m_log.size() >= size &&
+               each->m_log[size - 1] == primary.m_log[size - 1];
+    };
+    return static_cast<unsigned>(std::ranges::count_if(m_members, holds)) >=
+           m_settings.m_sync_replicas;
 }
 
-bool group::commit_write(member& self, std::string const& statement)
+bool group::commit_write(member& self, std::string const& statement,
+                         std::map<std::string, std::string> const& changes)
 {
     std::size_t size = 0;
     {
         std::scoped_lock const lock(m_mutex);
-        self.m_log.push_back({self.m_term, statement});
+        self.m_log.push_back({self.m_term, statement, changes});
         size = self.m_log.size();
     }
     std::this_thread::sleep_for(network_delay);
@@ -406,6 +446,21 @@
     m_record.note("member " + id + ": crashed");
 }
 
+void group::restart(std::string const& id)
+{
+    std::scoped_lock const lock(m_mutex);
+    auto& self = find(id);
+    auto const newer = [&](auto const& each)
+    {
+        return each->m_term > self.m_term;
+    };
+    self.m_primary = self.m_primary && std::ranges::none_of(m_members, newer);
+    self.m_up = true;
+    self.m_server->start();
+    beat(self);
+    m_record.note("member " + id + ": restarted at " + position(self));
+}
+
 void group::cut_from_store(std::string const& id, bool cut)
 {
     std::scoped_lock const lock(m_mutex);
--- a/review/standin-3/group.hpp
+++ b/review/standin-3/group.hpp
@@ -12,6 +12,7 @@
 {
     std::uint64_t m_term = 0;
     std::string m_statement; ///< id of the write, or of the COMMIT
+    std::map<std::string, std::string> m_changes; ///< data by item
 
     friend bool operator==(commit const&, commit const&) = default;
 };
@@ -39,8 +40,13 @@
 
     /// The first member is the primary.
     void start();
+    /// Writes the desired state: one route, whose reads go to the primary.
+    void configure(std::string const& database);
     /// Ends a member's process.
     void crash(std::string const& id);
+    /// Starts the process of a member that crashed. It has its log, and is a
+    /// replica if another member was promoted.
+    void restart(std::string const& id);
     /// Separates a member from the store; heartbeats are lost meanwhile.
     void cut_from_store(std::string const& id, bool cut);
     /// Keeps a replica from receiving commits.
@@ -81,7 +87,8 @@
     void replicate(member const& primary);
     bool replicated(member const& primary, std::size_t size) const;
     /// @return false if the primary ended before the commit was acknowledged
-    bool commit_write(member& self, std::string const& statement);
+    bool commit_write(member& self, std::string const& statement,
+                      std::map<std::string, std::string> const& changes);
     member& find(std::string const& id);
     static std::string position(member const& self);
 
--- a/review/standin-3/lapsed_replica.cpp
+++ b/review/standin-3/lapsed_replica.cpp
@@ -64,28 +64,6 @@
     std::set<std::string> m_acknowledged;
 };
 
-void configure(store& registry, group const& service)
-{
-    nlohmann::json const configuration{
-        {"version", 7},
-        {"routes",
-         {{{"name", "r-desk"},
-           {"host", "emprestimos"},
-           {"routeType", "primary"},
-           {"timeoutMs", 800},
-           {"targetLatencyMs", 120},
-           {"priority", 1},
-           {"service", service.values().m_name},
-           {"maxAttempts", 2}}}},
-        {"services",
-         {{{"name", service.values().m_name},
-           {"healthPath", "/health"},
-           {"maxConnections", service.values().m_max_connections},
-           {"syncReplicas", service.values().m_sync_replicas}}}},
-        {"limits", {{"txIdleMs", 3000}}}};
-    registry.put("config", "main", configuration);
-}
-
 /// @return the acknowledged writes that a member lacks
 std::set<std::string> missing(writer const& desk, group& service,
                               std::string const& member)
@@ -121,7 +99,7 @@
     static promotion_api platform(log, {&service});
     platform.start();
     service.start();
-    configure(registry, service);
+    service.configure("emprestimos");
     fleet instances(log, {.m_program = program,
                           .m_folder = folder,
                           .m_store_port = registry.port(),
--- a/review/standin-3/net.cpp
+++ b/review/standin-3/net.cpp
@@ -302,7 +302,7 @@
     constexpr unsigned short first = 20000;
     constexpr unsigned short last = 30000;
     static unsigned short next = static_cast<unsigned short>(
-        first + ::getpid() % 900 * 10); // differs between concurrent runs
+        first + ::getpid() % 450 * 20); // differs between concurrent runs
     for (;;)
     {
         bool free = true;
