--- a/review/standin-3/group.cpp
+++ b/review/standin-3/group.cpp
@@ -180,6 +180,7 @@
         }
         m_owner.m_record.note("member " + m_self.m_id + ": run " + id + ' ' +
                               type + ' ' + text);
+        m_self.m_runs.push_back(steady::now());
         if (type == "FETCH")
         {
             return complete(id, "ROW " + value_of(text) + "\r\n");
@@ -337,7 +338,7 @@
         {"zone", self.m_zone},
         {"version", "v1"},
         {"slots", 2},
-        {"state", "in_service"},
+        {"state", self.m_leaving ? "draining" : "in_service"},
         {"coldRemainingMs", 0},
         {"dbRole", self.m_primary ? "primary" : "replica"},
         {"sequence", 1}};
@@ -461,6 +462,22 @@
     m_record.note("member " + id + ": restarted at " + position(self));
 }
 
+void group::begin_leaving(std::string const& id)
+{
+    std::scoped_lock const lock(m_mutex);
+    auto& self = find(id);
+    self.m_leaving = true;
+    beat(self);
+    m_record.note("member " + id + ": reports draining");
+}
+
+std::size_t group::runs_after(std::string const& id, steady::time_point after)
+{
+    std::scoped_lock const lock(m_mutex);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        find(id).m_runs, [after](auto const& each) { return each > after; }));
+}
+
 void group::cut_from_store(std::string const& id, bool cut)
 {
     std::scoped_lock const lock(m_mutex);
--- a/review/standin-3/group.hpp
+++ b/review/standin-3/group.hpp
@@ -47,6 +47,8 @@
     /// Starts the process of a member that crashed. It has its log, and is a
     /// replica if another member was promoted.
     void restart(std::string const& id);
+    /// A member reports that it is about to leave. It goes on serving.
+    void begin_leaving(std::string const& id);
     /// Separates a member from the store; heartbeats are lost meanwhile.
     void cut_from_store(std::string const& id, bool cut);
     /// Keeps a replica from receiving commits.
@@ -60,6 +62,8 @@
     std::set<std::string> writes_of(std::string const& id);
     /// @return the ids of the members in the order of their promotions
     std::vector<std::string> promoted();
+    /// @return how many statements of callers a member ran after a time
+    std::size_t runs_after(std::string const& id, steady::time_point after);
     settings const& values() const { return m_settings; }
 
 private:
@@ -73,7 +77,9 @@
         std::size_t m_sequence = 0;
         steady::time_point m_last_beat;
         std::size_t m_connections = 0;
+        std::vector<steady::time_point> m_runs;
         bool m_primary = false;
+        bool m_leaving = false;
         bool m_up = true;
         bool m_deaf = false;
         bool m_cut = false;
