Review: instances end with the script that started them

A script that is killed left its instances running, as seen with a soak that ended before its destructors ran. The kernel now ends them with it.

--- a/review/standin-3/fleet.cpp
+++ b/review/standin-3/fleet.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -88,6 +89,8 @@
     auto const process = ::fork();
     if (process == 0)
     {
+        // The process ends with this one, also if this one is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("CAMPHORTIDE_CONFIG", each.m_settings_path.c_str(), 1);
         int const log = ::open(each.m_log_path.c_str(),
                                O_WRONLY | O_CREAT | O_APPEND, 0644);
