--- a/review/standin-3/group.cpp
+++ b/review/standin-3/group.cpp
@@ -219,9 +219,9 @@
     bool m_failed = false;
 };
 
-group::group(record& log, store& registry, settings values)
+group::group(record& log, store& metadata, settings values)
     : m_record(log),
-      m_store(registry),
+      m_store(metadata),
       m_settings(std::move(values))
 {
     for (std::size_t i = 0; i < m_settings.m_members.size(); ++i)
--- a/review/standin-3/group.hpp
+++ b/review/standin-3/group.hpp
@@ -33,7 +33,7 @@
         milliseconds m_promotion{300};
     };
 
-    group(record& log, store& registry, settings values);
+    group(record& log, store& metadata, settings values);
     group(group const&) = delete;
     group& operator=(group const&) = delete;
     ~group() = default;
--- a/review/standin-3/leaving_primary.cpp
+++ b/review/standin-3/leaving_primary.cpp
@@ -61,18 +61,18 @@
 {
     // Threads use these until the process ends.
     static record log(record_path);
-    static store registry(log);
-    registry.start();
+    static store metadata(log);
+    metadata.start();
     group::settings service_settings;
     service_settings.m_members = {"i-p", "i-a"};
-    static group service(log, registry, service_settings);
+    static group service(log, metadata, service_settings);
     static promotion_api platform(log, {&service});
     platform.start();
     service.start();
     service.configure("emprestimos");
     fleet instances(log, {.m_program = program,
                           .m_folder = folder,
-                          .m_store_port = registry.port(),
+                          .m_store_port = metadata.port(),
                           .m_promotion_port = platform.port()});
     for (std::size_t i = 0; i < instances.instances().size(); ++i)
     {
